--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Two commands set everything up: `make demo` and `make test`.
+VENV ?= .venv
+PYTHON ?= python3.11
+BIN = $(VENV)/bin
+export PYTHONPATH = src:.
+export PYTHONDONTWRITEBYTECODE = 1
+
+.PHONY: setup test lint format generated contracts binary demo faults bench ci
+
+$(BIN)/.ready: requirements/dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes --requirement requirements/dev.txt
+	touch $@
+
+setup: $(BIN)/.ready
+
+test: setup
+	$(BIN)/python -m pytest
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix --quiet .
+
+lint: setup
+	$(BIN)/ruff format --check --quiet .
+	$(BIN)/ruff check --quiet .
+	$(BIN)/flake8 src tests scripts
+
+contracts: setup
+	$(BIN)/lint-imports --no-cache
+
+generated: setup
+	$(BIN)/python scripts/generate.py --check
+
+generate: setup
+	$(BIN)/python scripts/generate.py
+
+lock: setup
+	$(BIN)/python scripts/lock.py
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Development scripts; none is needed to build or run the product."""
--- /dev/null
+++ b/src/laburnumyard/__init__.py
@@ -0,0 +1,3 @@
+"""A router for servers that own keys exclusively."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/src/laburnumyard/core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: each takes an event and the time, and returns effects."""
--- /dev/null
+++ b/src/laburnumyard/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: store, VM list and targets."""
--- /dev/null
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -0,0 +1,638 @@
+"""Messages between daemons, generated from messages.capnp."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import capnp
+
+capnp.remove_import_hook()
+_schema = capnp.load(
+    str(Path(__file__).resolve().parent.parent / 'messages.capnp'),
+)
+
+
+
+@dataclass(frozen=True, slots=True)
+class Assignment:
+    """The message ``Assignment`` of messages.capnp."""
+
+    service: str
+    ranges: tuple[OwnedRange, ...]
+
+
+def _write_assignment(message: Assignment, builder: Any) -> None:
+    builder.service = message.service
+    parts = message.ranges
+    slots = builder.init('ranges', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_owned_range(part, slot)
+
+
+def _read_assignment(reader: Any) -> Assignment:
+    return Assignment(
+        service=reader.service,
+        ranges=tuple(map(_read_owned_range, reader.ranges)),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """The message ``Cancel`` of messages.capnp."""
+
+    number: int
+
+
+def _write_cancel(message: Cancel, builder: Any) -> None:
+    builder.number = message.number
+
+
+def _read_cancel(reader: Any) -> Cancel:
+    return Cancel(
+        number=reader.number,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """The message ``Document`` of messages.capnp."""
+
+    name: str
+    version: int
+    content: bytes
+
+
+def _write_document(message: Document, builder: Any) -> None:
+    builder.name = message.name
+    builder.version = message.version
+    builder.content = message.content
+
+
+def _read_document(reader: Any) -> Document:
+    return Document(
+        name=reader.name,
+        version=reader.version,
+        content=reader.content,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentVersion:
+    """The message ``DocumentVersion`` of messages.capnp."""
+
+    name: str
+    version: int
+
+
+def _write_document_version(message: DocumentVersion, builder: Any) -> None:
+    builder.name = message.name
+    builder.version = message.version
+
+
+def _read_document_version(reader: Any) -> DocumentVersion:
+    return DocumentVersion(
+        name=reader.name,
+        version=reader.version,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class FetchDocument:
+    """The message ``FetchDocument`` of messages.capnp."""
+
+    name: str
+    known_version: int
+
+
+def _write_fetch_document(message: FetchDocument, builder: Any) -> None:
+    builder.name = message.name
+    builder.knownVersion = message.known_version
+
+
+def _read_fetch_document(reader: Any) -> FetchDocument:
+    return FetchDocument(
+        name=reader.name,
+        known_version=reader.knownVersion,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class GuardAnswer:
+    """The message ``GuardAnswer`` of messages.capnp."""
+
+    number: int
+    accepted: bool
+    term: int
+    sequence: int
+    clock_ms: int
+    ranges: tuple[OwnedRange, ...]
+    busy: int
+
+
+def _write_guard_answer(message: GuardAnswer, builder: Any) -> None:
+    builder.number = message.number
+    builder.accepted = message.accepted
+    builder.term = message.term
+    builder.sequence = message.sequence
+    builder.clockMs = message.clock_ms
+    parts = message.ranges
+    slots = builder.init('ranges', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_owned_range(part, slot)
+    builder.busy = message.busy
+
+
+def _read_guard_answer(reader: Any) -> GuardAnswer:
+    return GuardAnswer(
+        number=reader.number,
+        accepted=reader.accepted,
+        term=reader.term,
+        sequence=reader.sequence,
+        clock_ms=reader.clockMs,
+        ranges=tuple(map(_read_owned_range, reader.ranges)),
+        busy=reader.busy,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class GuardGrant:
+    """The message ``GuardGrant`` of messages.capnp."""
+
+    number: int
+    service: str
+    target: str
+    term: int
+    sequence: int
+    clock_ms: int
+    lifetime_ms: int
+    ranges: tuple[OwnedRange, ...]
+    replaces: bool
+
+
+def _write_guard_grant(message: GuardGrant, builder: Any) -> None:
+    builder.number = message.number
+    builder.service = message.service
+    builder.target = message.target
+    builder.term = message.term
+    builder.sequence = message.sequence
+    builder.clockMs = message.clock_ms
+    builder.lifetimeMs = message.lifetime_ms
+    parts = message.ranges
+    slots = builder.init('ranges', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_owned_range(part, slot)
+    builder.replaces = message.replaces
+
+
+def _read_guard_grant(reader: Any) -> GuardGrant:
+    return GuardGrant(
+        number=reader.number,
+        service=reader.service,
+        target=reader.target,
+        term=reader.term,
+        sequence=reader.sequence,
+        clock_ms=reader.clockMs,
+        lifetime_ms=reader.lifetimeMs,
+        ranges=tuple(map(_read_owned_range, reader.ranges)),
+        replaces=reader.replaces,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class GuardSeal:
+    """The message ``GuardSeal`` of messages.capnp."""
+
+    number: int
+    service: str
+    target: str
+    term: int
+
+
+def _write_guard_seal(message: GuardSeal, builder: Any) -> None:
+    builder.number = message.number
+    builder.service = message.service
+    builder.target = message.target
+    builder.term = message.term
+
+
+def _read_guard_seal(reader: Any) -> GuardSeal:
+    return GuardSeal(
+        number=reader.number,
+        service=reader.service,
+        target=reader.target,
+        term=reader.term,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """The message ``HandOver`` of messages.capnp."""
+
+    service: str
+    data_centre: str
+
+
+def _write_hand_over(message: HandOver, builder: Any) -> None:
+    builder.service = message.service
+    builder.dataCentre = message.data_centre
+
+
+def _read_hand_over(reader: Any) -> HandOver:
+    return HandOver(
+        service=reader.service,
+        data_centre=reader.dataCentre,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Header:
+    """The message ``Header`` of messages.capnp."""
+
+    name: str
+    value: str
+
+
+def _write_header(message: Header, builder: Any) -> None:
+    builder.name = message.name
+    builder.value = message.value
+
+
+def _read_header(reader: Any) -> Header:
+    return Header(
+        name=reader.name,
+        value=reader.value,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """The message ``Heartbeat`` of messages.capnp."""
+
+    daemon: str
+    incarnation: int
+    sequence: int
+    leaving: bool
+    digest: int
+
+
+def _write_heartbeat(message: Heartbeat, builder: Any) -> None:
+    builder.daemon = message.daemon
+    builder.incarnation = message.incarnation
+    builder.sequence = message.sequence
+    builder.leaving = message.leaving
+    builder.digest = message.digest
+
+
+def _read_heartbeat(reader: Any) -> Heartbeat:
+    return Heartbeat(
+        daemon=reader.daemon,
+        incarnation=reader.incarnation,
+        sequence=reader.sequence,
+        leaving=reader.leaving,
+        digest=reader.digest,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """The message ``Hello`` of messages.capnp."""
+
+    daemon: str
+    incarnation: int
+    data_centre: str
+
+
+def _write_hello(message: Hello, builder: Any) -> None:
+    builder.daemon = message.daemon
+    builder.incarnation = message.incarnation
+    builder.dataCentre = message.data_centre
+
+
+def _read_hello(reader: Any) -> Hello:
+    return Hello(
+        daemon=reader.daemon,
+        incarnation=reader.incarnation,
+        data_centre=reader.dataCentre,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The message ``LoadReport`` of messages.capnp."""
+
+    service: str
+    ranges: tuple[RangeLoad, ...]
+
+
+def _write_load_report(message: LoadReport, builder: Any) -> None:
+    builder.service = message.service
+    parts = message.ranges
+    slots = builder.init('ranges', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_range_load(part, slot)
+
+
+def _read_load_report(reader: Any) -> LoadReport:
+    return LoadReport(
+        service=reader.service,
+        ranges=tuple(map(_read_range_load, reader.ranges)),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """The message ``Member`` of messages.capnp."""
+
+    daemon: str
+    incarnation: int
+    data_centre: str
+    region: str
+    peer_address: str
+    leaving: bool
+
+
+def _write_member(message: Member, builder: Any) -> None:
+    builder.daemon = message.daemon
+    builder.incarnation = message.incarnation
+    builder.dataCentre = message.data_centre
+    builder.region = message.region
+    builder.peerAddress = message.peer_address
+    builder.leaving = message.leaving
+
+
+def _read_member(reader: Any) -> Member:
+    return Member(
+        daemon=reader.daemon,
+        incarnation=reader.incarnation,
+        data_centre=reader.dataCentre,
+        region=reader.region,
+        peer_address=reader.peerAddress,
+        leaving=reader.leaving,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedRange:
+    """The message ``OwnedRange`` of messages.capnp."""
+
+    start: int
+    last: int
+    target: str
+
+
+def _write_owned_range(message: OwnedRange, builder: Any) -> None:
+    builder.start = message.start
+    builder.last = message.last
+    builder.target = message.target
+
+
+def _read_owned_range(reader: Any) -> OwnedRange:
+    return OwnedRange(
+        start=reader.start,
+        last=reader.last,
+        target=reader.target,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class RangeLoad:
+    """The message ``RangeLoad`` of messages.capnp."""
+
+    start: int
+    last: int
+    requests: int
+    busy_ms: int
+    hot_key: int
+    hot_requests: int
+
+
+def _write_range_load(message: RangeLoad, builder: Any) -> None:
+    builder.start = message.start
+    builder.last = message.last
+    builder.requests = message.requests
+    builder.busyMs = message.busy_ms
+    builder.hotKey = message.hot_key
+    builder.hotRequests = message.hot_requests
+
+
+def _read_range_load(reader: Any) -> RangeLoad:
+    return RangeLoad(
+        start=reader.start,
+        last=reader.last,
+        requests=reader.requests,
+        busy_ms=reader.busyMs,
+        hot_key=reader.hotKey,
+        hot_requests=reader.hotRequests,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Submit:
+    """The message ``Submit`` of messages.capnp."""
+
+    number: int
+    request_id: str
+    service: str
+    target: str
+    customer: str
+    key: str
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    deadline_ms: int
+    repeatable: bool
+    ticket: str
+    hops: int
+
+
+def _write_submit(message: Submit, builder: Any) -> None:
+    builder.number = message.number
+    builder.requestId = message.request_id
+    builder.service = message.service
+    builder.target = message.target
+    builder.customer = message.customer
+    builder.key = message.key
+    builder.method = message.method
+    builder.path = message.path
+    parts = message.headers
+    slots = builder.init('headers', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_header(part, slot)
+    builder.body = message.body
+    builder.deadlineMs = message.deadline_ms
+    builder.repeatable = message.repeatable
+    builder.ticket = message.ticket
+    builder.hops = message.hops
+
+
+def _read_submit(reader: Any) -> Submit:
+    return Submit(
+        number=reader.number,
+        request_id=reader.requestId,
+        service=reader.service,
+        target=reader.target,
+        customer=reader.customer,
+        key=reader.key,
+        method=reader.method,
+        path=reader.path,
+        headers=tuple(map(_read_header, reader.headers)),
+        body=reader.body,
+        deadline_ms=reader.deadlineMs,
+        repeatable=reader.repeatable,
+        ticket=reader.ticket,
+        hops=reader.hops,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitAnswer:
+    """The message ``SubmitAnswer`` of messages.capnp."""
+
+    number: int
+    kind: str
+    detail: str
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+def _write_submit_answer(message: SubmitAnswer, builder: Any) -> None:
+    builder.number = message.number
+    builder.kind = message.kind
+    builder.detail = message.detail
+    builder.status = message.status
+    parts = message.headers
+    slots = builder.init('headers', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_header(part, slot)
+    builder.body = message.body
+
+
+def _read_submit_answer(reader: Any) -> SubmitAnswer:
+    return SubmitAnswer(
+        number=reader.number,
+        kind=reader.kind,
+        detail=reader.detail,
+        status=reader.status,
+        headers=tuple(map(_read_header, reader.headers)),
+        body=reader.body,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Versions:
+    """The message ``Versions`` of messages.capnp."""
+
+    documents: tuple[DocumentVersion, ...]
+    members: tuple[Member, ...]
+    reply: bool
+
+
+def _write_versions(message: Versions, builder: Any) -> None:
+    parts = message.documents
+    slots = builder.init('documents', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_document_version(part, slot)
+    parts = message.members
+    slots = builder.init('members', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_member(part, slot)
+    builder.reply = message.reply
+
+
+def _read_versions(reader: Any) -> Versions:
+    return Versions(
+        documents=tuple(map(_read_document_version, reader.documents)),
+        members=tuple(map(_read_member, reader.members)),
+        reply=reader.reply,
+    )
+
+
+Message = (
+    Hello
+    | Submit
+    | SubmitAnswer
+    | Cancel
+    | Heartbeat
+    | Versions
+    | FetchDocument
+    | Document
+    | LoadReport
+    | HandOver
+    | GuardSeal
+    | GuardGrant
+    | GuardAnswer
+)
+
+_WRITERS: dict[type, Any] = {
+    Hello: ('hello', _write_hello),
+    Submit: ('submit', _write_submit),
+    SubmitAnswer: ('submitAnswer', _write_submit_answer),
+    Cancel: ('cancel', _write_cancel),
+    Heartbeat: ('heartbeat', _write_heartbeat),
+    Versions: ('versions', _write_versions),
+    FetchDocument: ('fetchDocument', _write_fetch_document),
+    Document: ('document', _write_document),
+    LoadReport: ('loadReport', _write_load_report),
+    HandOver: ('handOver', _write_hand_over),
+    GuardSeal: ('guardSeal', _write_guard_seal),
+    GuardGrant: ('guardGrant', _write_guard_grant),
+    GuardAnswer: ('guardAnswer', _write_guard_answer),
+}
+_READERS: dict[str, Any] = {
+    'hello': _read_hello,
+    'submit': _read_submit,
+    'submitAnswer': _read_submit_answer,
+    'cancel': _read_cancel,
+    'heartbeat': _read_heartbeat,
+    'versions': _read_versions,
+    'fetchDocument': _read_fetch_document,
+    'document': _read_document,
+    'loadReport': _read_load_report,
+    'handOver': _read_hand_over,
+    'guardSeal': _read_guard_seal,
+    'guardGrant': _read_guard_grant,
+    'guardAnswer': _read_guard_answer,
+}
+
+
+def encode(message: Message) -> bytes:
+    """Return the bytes of a message in its envelope."""
+    wire, write = _WRITERS[type(message)]
+    envelope = _schema.Envelope.new_message()
+    write(message, envelope.init(wire))
+    return envelope.to_bytes()
+
+
+def decode(frame: bytes) -> Message:
+    """Return the message of an envelope.
+
+    Raises
+    ------
+    capnp.KjException
+        If the bytes are no envelope of this schema.
+    """
+    with _schema.Envelope.from_bytes(frame) as envelope:
+        wire = str(envelope.which())
+        return _READERS[wire](getattr(envelope, wire))
+
+
+def encode_assignment(assignment: Assignment) -> bytes:
+    """Return the packed bytes of an assignment, as the store keeps it."""
+    builder = _schema.Assignment.new_message()
+    _write_assignment(assignment, builder)
+    return builder.to_bytes_packed()
+
+
+def decode_assignment(content: bytes) -> Assignment:
+    """Return the assignment of packed bytes.
+
+    Raises
+    ------
+    capnp.KjException
+        If the bytes are no assignment of this schema.
+    """
+    return _read_assignment(_schema.Assignment.from_bytes_packed(content))
--- /dev/null
+++ b/src/laburnumyard/schema/messages.capnp
@@ -0,0 +1,177 @@
+# The messages between daemons. Each struct becomes a frozen dataclass in
+# _generated/messages.py; run `make generate` after a change.
+@0xd6b3f1a2c4e59781;
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+# The first message on a link, in both directions.
+struct Hello {
+  daemon @0 :Text;
+  incarnation @1 :UInt64;
+  dataCentre @2 :Text;
+}
+
+# A request on its way from the entry to the dispatcher of its target, or
+# to the issuer of its ticket. The deadline is relative to the arrival.
+struct Submit {
+  number @0 :UInt64;
+  requestId @1 :Text;
+  service @2 :Text;
+  target @3 :Text;
+  customer @4 :Text;
+  key @5 :Text;
+  method @6 :Text;
+  path @7 :Text;
+  headers @8 :List(Header);
+  body @9 :Data;
+  deadlineMs @10 :UInt32;
+  repeatable @11 :Bool;
+  ticket @12 :Text;
+  hops @13 :UInt8;
+}
+
+# The whole answer to one Submit. `kind` is empty where the target answered.
+struct SubmitAnswer {
+  number @0 :UInt64;
+  kind @1 :Text;
+  detail @2 :Text;
+  status @3 :UInt16;
+  headers @4 :List(Header);
+  body @5 :Data;
+}
+
+# The caller of a Submit no longer waits for its answer.
+struct Cancel {
+  number @0 :UInt64;
+}
+
+# One member as another member knows it.
+struct Member {
+  daemon @0 :Text;
+  incarnation @1 :UInt64;
+  dataCentre @2 :Text;
+  region @3 :Text;
+  peerAddress @4 :Text;
+  leaving @5 :Bool;
+}
+
+struct Heartbeat {
+  daemon @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  leaving @3 :Bool;
+  # Digest of the sender's member table, configuration and assignments.
+  digest @4 :UInt64;
+}
+
+# The versions that the sender holds; asks for nothing by itself.
+struct Versions {
+  documents @0 :List(DocumentVersion);
+  members @1 :List(Member);
+  reply @2 :Bool;
+}
+
+struct DocumentVersion {
+  name @0 :Text;
+  version @1 :UInt64;
+}
+
+struct FetchDocument {
+  name @0 :Text;
+  knownVersion @1 :UInt64;
+}
+
+# A whole document, such as the configuration or a service's assignment.
+struct Document {
+  name @0 :Text;
+  version @1 :UInt64;
+  content @2 :Data;
+}
+
+struct OwnedRange {
+  start @0 :UInt64;
+  # The last hash in the range, inclusive, so that it fits 64 bits.
+  last @1 :UInt64;
+  target @2 :Text;
+}
+
+# The stored assignment of one service: every range and its owner.
+struct Assignment {
+  service @0 :Text;
+  ranges @1 :List(OwnedRange);
+}
+
+# What one dispatcher saw of its targets since its last report.
+struct LoadReport {
+  service @0 :Text;
+  ranges @1 :List(RangeLoad);
+}
+
+struct RangeLoad {
+  start @0 :UInt64;
+  last @1 :UInt64;
+  requests @2 :UInt32;
+  busyMs @3 :UInt32;
+  # The busiest single key of the range and its requests.
+  hotKey @4 :UInt64;
+  hotRequests @5 :UInt32;
+}
+
+# A daemon that leaves hands the scope of a lease manager over.
+struct HandOver {
+  service @0 :Text;
+  dataCentre @1 :Text;
+}
+
+# Grants to the daemon that guards a target without fencing. They have the
+# meaning of the target API's calls of the same names.
+struct GuardSeal {
+  number @0 :UInt64;
+  service @1 :Text;
+  target @2 :Text;
+  term @3 :UInt64;
+}
+
+struct GuardGrant {
+  number @0 :UInt64;
+  service @1 :Text;
+  target @2 :Text;
+  term @3 :UInt64;
+  sequence @4 :UInt64;
+  clockMs @5 :UInt64;
+  lifetimeMs @6 :UInt32;
+  ranges @7 :List(OwnedRange);
+  # False for a renewal, which leaves the ranges as they are.
+  replaces @8 :Bool;
+}
+
+struct GuardAnswer {
+  number @0 :UInt64;
+  accepted @1 :Bool;
+  term @2 :UInt64;
+  sequence @3 :UInt64;
+  clockMs @4 :UInt64;
+  ranges @5 :List(OwnedRange);
+  busy @6 :UInt32;
+}
+
+struct Envelope {
+  union {
+    hello @0 :Hello;
+    submit @1 :Submit;
+    submitAnswer @2 :SubmitAnswer;
+    cancel @3 :Cancel;
+    heartbeat @4 :Heartbeat;
+    versions @5 :Versions;
+    fetchDocument @6 :FetchDocument;
+    document @7 :Document;
+    loadReport @8 :LoadReport;
+    handOver @9 :HandOver;
+    guardSeal @10 :GuardSeal;
+    guardGrant @11 :GuardGrant;
+    guardAnswer @12 :GuardAnswer;
+  }
+}
--- /dev/null
+++ b/src/laburnumyard/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Links between daemons and the codec of their messages."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,37 @@
+import json
+import os
+
+import pytest
+
+from tests.support.matrix import Fault, Step
+
+CELLS_FILE = 'LABURNUMYARD_CELLS'
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(item, call):
+    """Note the outcome of each test that proves a cell of the matrix."""
+    report = yield
+    if report.when == 'call' and os.environ.get(CELLS_FILE):
+        _note_cells(item, report)
+    return report
+
+
+def _note_cells(item, report):
+    with open(os.environ[CELLS_FILE], 'a') as cells:
+        for mark in item.iter_markers('cell'):
+            row = {
+                'step': Step(mark.kwargs['step']).value,
+                'fault': Fault(mark.kwargs['fault']).value,
+                'test': item.nodeid,
+                'outcome': report.outcome,
+            }
+            cells.write(f'{json.dumps(row)}\n')
+
+
+def pytest_collection_modifyitems(items):
+    """Refuse a mark that names no cell of the matrix."""
+    for item in items:
+        for mark in item.iter_markers('cell'):
+            Step(mark.kwargs['step'])
+            Fault(mark.kwargs['fault'])
