Lease manager, grant holder and first planner as pure state machines

One head per service is swapped for every takeover and move. Grants count their lifetime from the holder's own clock reading.

Beyond the agreed design: terms rise over the whole service, not per scope, so that a target can change its data centre; each scope keeps the id of its own last change, so that a lost answer is settled even after other managers changed the head; and a target process that a manager meets for the first time gets no range that it does not report itself until the head has been read again, since a restarted target has forgotten the seal.

--- /dev/null
+++ b/src/laburnumyard/core/ownership/__init__.py
@@ -0,0 +1,164 @@
+"""Who owns which keys: terms, grants, moves and takeovers.
+
+A daemon drives one ``LeaseManager`` for each scope, which is a service and a
+data centre of its targets, for which it may be the manager: never in its own
+data centre. The state machine does nothing by itself:
+
+1. Make it with ``ManagerSettings`` and ``service_plan(objects, ...)``; it is
+   idle. Feed ``HeadRead`` with ``asked_at=None`` for each head that arrives
+   from peers, and ``PlanChanged`` for each new configuration.
+2. Feed ``TakeOver`` when this daemon is first in the rendezvous order of
+   ``SERVICE/DATA_CENTRE`` over the live daemons of other data centres, and the
+   head names no manager or one that is suspected.
+3. Call ``handle(event, now)`` with a boot-time clock for everything that
+   happens, and ``handle(Tick(), now)`` at ``wake_at(now)``. Run the returned
+   effects in order:
+
+   - ``ReadHead``: read ``assignment/SERVICE/head`` and the chunks that are not
+     at hand; ``decode_head`` and ``assemble`` check them. Answer ``HeadRead``
+     with the time at which the store was asked, or ``HeadUnreadable``. Each
+     ``ReadHead`` gets exactly one of both.
+   - ``SwapHead``: write the chunks, then ``encode_head(effect.head)`` with
+     ``if-match: revision`` (``if-none-match: *`` for ``None``). Answer with one
+     of ``SwapDone``, ``SwapRefused`` (412, or the swap was surely not sent) and
+     ``SwapUnknown`` (no answer). Do not try a swap again: the manager does.
+   - ``SendSeal``, ``SendGrant``, ``SendRenew``: one call of the target API, or
+     a message to ``effect.guard`` for a target without fencing; not after
+     ``not_after``. Answer ``TargetAnswer`` with ``call`` and ``guard`` copied;
+     a failed call needs no event.
+   - ``AssignmentChanged``: route by it, and pass it on to the other daemons
+     with its revision; it is acknowledged. The managers of other scopes grant
+     what a move gave to their targets once they are fed the head.
+   - ``OfferScope``: send ``HandOver`` to the next daemon in the order, which
+     feeds ``TakeOver``. After ``Leave`` the daemon may stop when ``is_idle``.
+   - ``LogDecision``: write one log line.
+
+4. Feed the hints as they come: ``TargetDraining``, ``TargetGone``,
+   ``TargetDown``, ``GuardCandidates``, ``MoveRequested``, ``MergeRequested``.
+
+A guard, and a target, hold their grants in a ``GrantHolder``.
+"""
+
+from laburnumyard.core.ownership._chunks import (
+    Chunk,
+    assemble,
+    split_assignment,
+)
+from laburnumyard.core.ownership._effects import (
+    AssignmentChanged,
+    Detail,
+    Effect,
+    LogDecision,
+    OfferScope,
+    ReadHead,
+    SwapHead,
+)
+from laburnumyard.core.ownership._events import (
+    Event,
+    Leave,
+    TakeOver,
+    TargetAnswer,
+    Tick,
+)
+from laburnumyard.core.ownership._grant_holder import GrantHolder, HolderAnswer
+from laburnumyard.core.ownership._head import (
+    Head,
+    MalformedContent,
+    Scope,
+    Snapshot,
+    decode_head,
+    encode_head,
+)
+from laburnumyard.core.ownership._manager import LeaseManager
+from laburnumyard.core.ownership._messages import (
+    SendGrant,
+    SendRenew,
+    SendSeal,
+)
+from laburnumyard.core.ownership._plan import (
+    FencedTarget,
+    GuardedTarget,
+    KeyRangePlan,
+    ServicePlan,
+    service_plan,
+)
+from laburnumyard.core.ownership._planner import (
+    destinations,
+    initial_assignment,
+)
+from laburnumyard.core.ownership._ranges import (
+    hash_range,
+    owner_of,
+    ranges_by_target,
+)
+from laburnumyard.core.ownership._state import ManagerSettings, Phase
+from laburnumyard.core.ownership._store_events import (
+    HeadRead,
+    HeadUnreadable,
+    SwapDone,
+    SwapRefused,
+    SwapUnknown,
+)
+from laburnumyard.core.ownership._wishes import (
+    GuardCandidates,
+    MergeRequested,
+    MoveRequested,
+    PlanChanged,
+    TargetDown,
+    TargetDraining,
+    TargetGone,
+)
+
+__all__ = (
+    'AssignmentChanged',
+    'Chunk',
+    'Detail',
+    'Effect',
+    'Event',
+    'FencedTarget',
+    'GrantHolder',
+    'GuardCandidates',
+    'GuardedTarget',
+    'Head',
+    'HeadRead',
+    'HeadUnreadable',
+    'HolderAnswer',
+    'KeyRangePlan',
+    'LeaseManager',
+    'Leave',
+    'LogDecision',
+    'MalformedContent',
+    'ManagerSettings',
+    'MergeRequested',
+    'MoveRequested',
+    'OfferScope',
+    'Phase',
+    'PlanChanged',
+    'ReadHead',
+    'Scope',
+    'SendGrant',
+    'SendRenew',
+    'SendSeal',
+    'ServicePlan',
+    'Snapshot',
+    'SwapDone',
+    'SwapHead',
+    'SwapRefused',
+    'SwapUnknown',
+    'TakeOver',
+    'TargetAnswer',
+    'TargetDown',
+    'TargetDraining',
+    'TargetGone',
+    'Tick',
+    'assemble',
+    'decode_head',
+    'destinations',
+    'encode_head',
+    'hash_range',
+    'initial_assignment',
+    'owner_of',
+    'ranges_by_target',
+    'service_plan',
+    'split_assignment',
+)
--- /dev/null
+++ b/src/laburnumyard/core/ownership/_changing.py
@@ -0,0 +1,132 @@
+"""Which change of the head is due, and the swap that makes it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from laburnumyard.core.ids import (
+    ChangeId,
+    DataCentre,
+    Seconds,
+    TargetName,
+    Term,
+    Version,
+)
+from laburnumyard.core.keys import HashRange
+from laburnumyard.core.ownership._chunks import new_chunks, split_assignment
+from laburnumyard.core.ownership._drafting import (
+    Draft,
+    merge_ranges,
+    move_lost,
+    move_released,
+    replace_guards,
+    start_draft,
+    withdraw,
+)
+from laburnumyard.core.ownership._effects import Detail, LogDecision, SwapHead
+from laburnumyard.core.ownership._head import Head, Scope
+from laburnumyard.core.ownership._state import Change, ManagerState
+
+
+@dataclass(frozen=True, slots=True)
+class DueChange:
+    """A change and the log line about its decision."""
+
+    change: Change
+    log: LogDecision
+
+
+def swap_effect(change: Change) -> SwapHead:
+    """Return the effect that asks for a change."""
+    return SwapHead(
+        change.change,
+        change.revision,
+        change.head,
+        change.chunks,
+    )
+
+
+def takeover(state: ManagerState, now: Seconds) -> Change:
+    """Return the change that takes the scope with a new term."""
+    authority = state.authority
+    highest = authority.highest_term
+    if state.snapshot:
+        highest = max(highest, state.snapshot.head.highest_term)
+    authority.term = Term(highest + 1)
+    return _change(state, start_draft(state), now)
+
+
+def due_change(state: ManagerState, now: Seconds) -> DueChange | None:
+    """Return the change of the assignment that is due, if any."""
+    draft = start_draft(state)
+    withdraw(state, draft, now)
+    replace_guards(state, draft, now)
+    lost = move_lost(state, draft, now)
+    released = move_released(state, draft, now)
+    merge_ranges(state, draft)
+    if draft.is_same(start_draft(state)):
+        return None
+    change = _change(state, draft, now)
+    details = (
+        Detail('version', str(change.head.version)),
+        Detail('lost', _owners_text(lost)),
+        Detail('released', _owners_text(released)),
+        Detail('withdrawn', ','.join(sorted(draft.withdrawn))),
+    )
+    return DueChange(change, LogDecision('assign', details))
+
+
+def _change(state: ManagerState, draft: Draft, now: Seconds) -> Change:
+    settings = state.settings
+    state.change_count += 1
+    change = ChangeId(
+        f'{settings.daemon}/{settings.incarnation}/{settings.data_centre}/'
+        f'{state.change_count}',
+    )
+    stored = state.snapshot.head if state.snapshot else None
+    chunks = split_assignment(draft.assignment)
+    scope = Scope(
+        state.authority.term,
+        settings.daemon,
+        settings.incarnation,
+        change,
+    )
+    scopes = dict(stored.scopes) if stored else {}
+    head = Head(
+        version=Version(state.version + 1),
+        change=change,
+        chunks=tuple(chunk.digest for chunk in chunks),
+        scopes={**scopes, settings.data_centre: scope},
+        homes=_homes(state, draft),
+        withdrawn=tuple(sorted(draft.withdrawn)),
+        guards=draft.guards,
+    )
+    return Change(
+        change=change,
+        revision=state.snapshot.revision if state.snapshot else None,
+        head=head,
+        assignment=draft.assignment,
+        chunks=new_chunks(chunks, stored),
+        sent_at=now,
+        frozen=draft.frozen,
+    )
+
+
+def _homes(
+    state: ManagerState,
+    draft: Draft,
+) -> dict[TargetName, DataCentre]:
+    # A target's home stays as it was when it got its first range, whatever
+    # the configuration says later: its manager holds its grants.
+    homes = {
+        name: kind.data_centre for name, kind in state.plan.targets.items()
+    }
+    if state.snapshot:
+        homes.update(state.snapshot.head.homes)
+    owning = {TargetName(owned.target) for owned in draft.assignment.ranges}
+    return {name: homes[name] for name in sorted(owning)}
+
+
+def _owners_text(owners: Mapping[HashRange, TargetName]) -> str:
+    return ','.join(
+        f'{part.start:x}:{target}' for part, target in owners.items()
+    )
--- /dev/null
+++ b/src/laburnumyard/core/ownership/_drafting.py
@@ -0,0 +1,179 @@
+"""The parts of the next head that a change of the assignment touches."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from functools import partial
+
+from laburnumyard.core.ids import DaemonName, Seconds, TargetName
+from laburnumyard.core.keys import HashRange
+from laburnumyard.core.ownership._lease import TargetLease
+from laburnumyard.core.ownership._membership import (
+    available_targets,
+    is_leaving,
+)
+from laburnumyard.core.ownership._plan import GuardedTarget
+from laburnumyard.core.ownership._planner import (
+    destinations,
+    initial_assignment,
+)
+from laburnumyard.core.ownership._ranges import merged, reassigned, within
+from laburnumyard.core.ownership._releasing import is_released
+from laburnumyard.core.ownership._state import ManagerState
+from laburnumyard.schema._generated.messages import Assignment, OwnedRange
+
+# A target that came back takes ranges again after answering this long, so that
+# one that freezes now and then does not cost a change each time.
+REJOIN_AFTER = 5.0
+
+
+@dataclass(slots=True)
+class Draft:
+    """The parts of the next head that a change may touch.
+
+    Parameters
+    ----------
+    assignment
+        Every range and its owner.
+    withdrawn
+        Targets that take no further ranges.
+    guards
+        The daemon that holds the grants of each target without fencing.
+    frozen
+        Targets that get no grant or renewal until the change is settled.
+    """
+
+    assignment: Assignment
+    withdrawn: frozenset[TargetName]
+    guards: Mapping[TargetName, DaemonName]
+    frozen: frozenset[TargetName] = frozenset()
+
+    def is_same(self, other: 'Draft') -> bool:
+        """Tell whether a swap from one to the other would change nothing."""
+        return (
+            self.assignment == other.assignment
+            and self.withdrawn == other.withdrawn
+            and self.guards == other.guards
+        )
+
+
+def movable_parts(
+    state: ManagerState,
+    lease: TargetLease,
+    now: Seconds,
+) -> tuple[HashRange, ...]:
+    """Return the ranges of a lost target that nobody can still be holding."""
+    owned = state.owned_by(lease.name)
+    waited = now >= state.authority.taken_at + state.settings.inherited_wait
+    if lease.sealed or waited:
+        return owned
+    return tuple(
+        part
+        for part in owned
+        if not any(part.overlaps(held) for held in lease.inherited)
+    )
+
+
+def start_draft(state: ManagerState) -> Draft:
+    """Return a draft of the newest assignment, or of the first one."""
+    if state.snapshot is None:
+        return Draft(initial_assignment(state.plan), frozenset(), {})
+    head = state.snapshot.head
+    known = {*state.plan.targets, *head.homes}
+    return Draft(
+        state.snapshot.assignment,
+        frozenset(known.intersection(head.withdrawn)),
+        {name: head.guards[name] for name in known & head.guards.keys()},
+    )
+
+
+def withdraw(state: ManagerState, draft: Draft, now: Seconds) -> None:
+    """Note which targets take no further ranges, and which do again."""
+    for lease in state.leases.values():
+        name = lease.name
+        is_lost = lease.is_lost(now) and not lease.guard
+        if is_lost or is_leaving(state, name) or name in state.down:
+            draft.withdrawn |= {name}
+        elif now >= lease.answering_since + REJOIN_AFTER:
+            draft.withdrawn -= {name}
+
+
+def replace_guards(state: ManagerState, draft: Draft, now: Seconds) -> None:
+    """Give each guarded target a guard, and another where its own is lost."""
+    guards = dict(draft.guards)
+    for lease in state.leases.values():
+        if not isinstance(lease.kind, GuardedTarget):
+            continue
+        candidates = state.guards.get(lease.name, ())
+        others = [name for name in candidates if name != lease.guard]
+        if others and (not lease.guard or _is_free(state, lease, now)):
+            guards[lease.name] = others[0]
+            draft.frozen |= {lease.name}
+    draft.guards = guards
+
+
+def move_lost(
+    state: ManagerState,
+    draft: Draft,
+    now: Seconds,
+) -> dict[HashRange, TargetName]:
+    """Give the ranges of lost targets to others; return the new owners."""
+    parts: list[HashRange] = []
+    for lease in state.leases.values():
+        if lease.is_lost(now) and not lease.guard:
+            parts.extend(movable_parts(state, lease, now))
+            draft.frozen |= {lease.name}
+    available = available_targets(state, now, draft.withdrawn)
+    owners = destinations(draft.assignment, parts, state.plan, available)
+    draft.assignment = reassigned(draft.assignment, owners)
+    return owners
+
+
+def move_released(
+    state: ManagerState,
+    draft: Draft,
+    now: Seconds,
+) -> dict[HashRange, TargetName]:
+    """Give released ranges to their new owners, and return these."""
+    available = available_targets(state, now, draft.withdrawn)
+    owners: dict[HashRange, TargetName] = {}
+    unplaced: list[HashRange] = []
+    for lease in state.leases.values():
+        if not is_released(state, lease, now):
+            continue
+        for part, to in lease.released.items():
+            if to in available:
+                owners[part] = to
+            elif to is None:
+                unplaced.append(part)
+    draft.assignment = reassigned(draft.assignment, owners)
+    chosen = destinations(draft.assignment, unplaced, state.plan, available)
+    draft.assignment = reassigned(draft.assignment, chosen)
+    return owners | chosen
+
+
+def merge_ranges(state: ManagerState, draft: Draft) -> None:
+    """Make one range of neighbours that the planner wants merged."""
+    if not state.merges:
+        return
+    fixed = [part for lease in state.leases.values() for part in lease.released]
+    may_merge = partial(_may_merge, state, fixed)
+    draft.assignment = merged(draft.assignment, may_merge)
+
+
+def _may_merge(
+    state: ManagerState,
+    fixed: list[HashRange],
+    left: OwnedRange,
+    right: OwnedRange,
+) -> bool:
+    lease = state.leases.get(TargetName(left.target))
+    span = HashRange(left.start, right.last + 1)
+    is_wanted = within(span, state.merges)
+    is_fixed = any(part.overlaps(span) for part in fixed)
+    return bool(lease and lease.sealed and is_wanted and not is_fixed)
+
+
+def _is_free(state: ManagerState, lease: TargetLease, now: Seconds) -> bool:
+    owned = state.owned_by(lease.name)
+    is_movable = movable_parts(state, lease, now) == owned
+    return lease.is_lost(now) and is_movable
--- /dev/null
+++ b/src/laburnumyard/core/ownership/_leases.py
@@ -0,0 +1,63 @@
+"""The leases of a manager: one for each target of its scope."""
+
+from laburnumyard.core.ids import Seconds, TargetName
+from laburnumyard.core.ownership._lease import NEVER, TargetLease
+from laburnumyard.core.ownership._plan import FencedTarget, work_after_expiry
+from laburnumyard.core.ownership._state import ManagerState
+
+
+def sync_leases(state: ManagerState, now: Seconds) -> None:
+    """Keep one lease for each target of the scope."""
+    names = _targets_of_scope(state)
+    for gone in state.leases.keys() - names:
+        state.leases.pop(gone)
+    for name in sorted(names):
+        lease = state.leases.get(name)
+        if lease is None:
+            lease = _new_lease(state, name, now)
+            state.leases[name] = lease
+        lease.kind = state.plan.targets.get(name, lease.kind)
+        _follow_guard(state, lease, now)
+
+
+def _targets_of_scope(state: ManagerState) -> set[TargetName]:
+    home = state.settings.data_centre
+    homes = state.snapshot.head.homes if state.snapshot else {}
+    owning = {name for name, place in homes.items() if place == home}
+    configured = {
+        name
+        for name, kind in state.plan.targets.items()
+        if kind.data_centre == home and name not in homes
+    }
+    return owning | configured
+
+
+def _new_lease(
+    state: ManagerState,
+    name: TargetName,
+    now: Seconds,
+) -> TargetLease:
+    unknown = FencedTarget(state.settings.data_centre)
+    return TargetLease(
+        name=name,
+        kind=state.plan.targets.get(name, unknown),
+        guard=state.snapshot.head.guards.get(name) if state.snapshot else None,
+        expires_by=Seconds(now + state.settings.longest_grant),
+    )
+
+
+def _follow_guard(
+    state: ManagerState,
+    lease: TargetLease,
+    now: Seconds,
+) -> None:
+    head = state.snapshot.head if state.snapshot else None
+    guard = head.guards.get(lease.name) if head else None
+    if guard == lease.guard:
+        return
+    lease.work_until = Seconds(lease.expires_by + work_after_expiry(lease.kind))
+    lease.guard = guard
+    lease.forget()
+    lease.inherited = ()
+    lease.expires_by = Seconds(now + state.settings.longest_grant)
+    lease.send_at = NEVER
--- /dev/null
+++ b/src/laburnumyard/core/ownership/_manager.py
@@ -0,0 +1,128 @@
+"""The lease manager of one scope as a state machine."""
+
+from laburnumyard.core.ids import Seconds
+from laburnumyard.core.ownership._changing import (
+    due_change,
+    swap_effect,
+    takeover,
+)
+from laburnumyard.core.ownership._effects import Effect, OfferScope
+from laburnumyard.core.ownership._events import Event
+from laburnumyard.core.ownership._lease import LATER
+from laburnumyard.core.ownership._plan import ServicePlan
+from laburnumyard.core.ownership._reading import due_reading
+from laburnumyard.core.ownership._releasing import (
+    give_up_releases,
+    start_releases,
+)
+from laburnumyard.core.ownership._sending import due_messages
+from laburnumyard.core.ownership._state import (
+    ManagerSettings,
+    ManagerState,
+    Phase,
+)
+from laburnumyard.core.ownership._taking import take_event
+
+OFFER_INTERVAL = 0.5
+
+
+class LeaseManager:
+    """Grants, renews and moves the ranges of one data centre's targets.
+
+    Runs in a daemon of another data centre, so that one loss never takes both
+    the manager and its targets. Deterministic: feed events, run effects.
+
+    Parameters
+    ----------
+    settings
+        Who the manager is.
+    plan
+        What the configuration says about the service.
+    """
+
+    def __init__(self, settings: ManagerSettings, plan: ServicePlan) -> None:
+        """Start idle, without knowledge of the store."""
+        self.state = ManagerState(settings, plan)
+        self.last_event_at: Seconds | None = None
+
+    def handle(self, event: Event, now: Seconds) -> list[Effect]:
+        """Take one event and return what to do, in order.
+
+        Parameters
+        ----------
+        event
+            What has happened.
+        now
+            The daemon's boot-time clock, in seconds.
+
+        Returns
+        -------
+        list of Effect
+            What the daemon must do.
+        """
+        self._notice_sleep(now)
+        effects = take_event(event, self.state, now)
+        effects.extend(self._advance(now))
+        return effects
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the manager manages nothing; its daemon may stop."""
+        return self.state.authority.phase is Phase.IDLE
+
+    def wake_at(self, now: Seconds) -> Seconds:
+        """Return when the next ``Tick`` is due, in seconds."""
+        state = self.state
+        times = [Seconds(now + state.settings.timing.renew_interval_s)]
+        for lease in state.leases.values():
+            times.extend((lease.send_at, lease.expires_by))
+        return min(moment for moment in times if moment > now)
+
+    def _notice_sleep(self, now: Seconds) -> None:
+        # A manager that slept may have been replaced. What it had sent before
+        # is fenced, and it sends nothing more before it has asked the store.
+        last = self.last_event_at
+        self.last_event_at = now
+        if last is None:
+            return
+        if now - last > self.state.settings.timing.grant_life_s:
+            self.state.reading.awake_at = now
+
+    def _advance(self, now: Seconds) -> list[Effect]:
+        effects: list[Effect] = []
+        if self.state.authority.phase is Phase.HOLDING:
+            effects.extend(self._change_assignment(now))
+            effects.extend(due_messages(self.state, now))
+            effects.extend(self._offer(now))
+        if self.state.authority.phase is Phase.TAKING:
+            effects.extend(self._take(now))
+        effects.extend(due_reading(self.state, now))
+        return effects
+
+    def _take(self, now: Seconds) -> list[Effect]:
+        state = self.state
+        is_known = state.snapshot or state.reading.is_absent
+        if state.change or state.reading.is_stale or not is_known:
+            return []
+        state.change = takeover(state, now)
+        return [swap_effect(state.change)]
+
+    def _change_assignment(self, now: Seconds) -> list[Effect]:
+        state = self.state
+        if state.change or not state.is_confirmed(now):
+            return []
+        give_up_releases(state, now)
+        due = None if state.reading.is_stale else due_change(state, now)
+        if due:
+            state.change = due.change
+            return [due.log, swap_effect(due.change)]
+        if state.authority.offer_at == LATER:
+            start_releases(state, now)
+        return []
+
+    def _offer(self, now: Seconds) -> list[Effect]:
+        authority = self.state.authority
+        if now < authority.offer_at:
+            return []
+        authority.offer_at = Seconds(now + OFFER_INTERVAL)
+        return [OfferScope()]
--- /dev/null
+++ b/src/laburnumyard/core/ownership/_noting.py
@@ -0,0 +1,95 @@
+"""What others want of a manager, or know about its targets."""
+
+from functools import singledispatch
+
+from laburnumyard.core.ids import Seconds
+from laburnumyard.core.ownership import _wishes as wishes
+from laburnumyard.core.ownership._lease import NEVER
+from laburnumyard.core.ownership._settling import sync_leases
+from laburnumyard.core.ownership._state import ManagerState, Phase
+
+# More wishes than this are dropped; the planner asks again.
+MAX_WISHES = 64
+
+
+@singledispatch
+def note(event: wishes.Wish, state: ManagerState, now: Seconds) -> None:
+    """Note a wish or a hint; the manager acts on it when it can."""
+    raise TypeError(f'event {event!r} has no handler; register one')
+
+
+@note.register
+def _draining(
+    event: wishes.TargetDraining,
+    state: ManagerState,
+    now: Seconds,
+) -> None:
+    if event.draining:
+        state.draining.add(event.target)
+    else:
+        state.draining.discard(event.target)
+
+
+@note.register
+def _gone(
+    event: wishes.TargetGone,
+    state: ManagerState,
+    now: Seconds,
+) -> None:
+    lease = state.leases.get(event.target)
+    if lease is None or not state.settings.timing.removal_means_stopped:
+        return
+    lease.inherited = ()
+    lease.expires_by = NEVER
+
+
+@note.register
+def _down(
+    event: wishes.TargetDown,
+    state: ManagerState,
+    now: Seconds,
+) -> None:
+    if event.down:
+        state.down.add(event.target)
+    else:
+        state.down.discard(event.target)
+
+
+@note.register
+def _guards(
+    event: wishes.GuardCandidates,
+    state: ManagerState,
+    now: Seconds,
+) -> None:
+    state.guards[event.target] = event.daemons
+
+
+@note.register
+def _move(
+    event: wishes.MoveRequested,
+    state: ManagerState,
+    now: Seconds,
+) -> None:
+    if len(state.moves) < MAX_WISHES:
+        state.moves[event.part] = event.to
+
+
+@note.register
+def _merge(
+    event: wishes.MergeRequested,
+    state: ManagerState,
+    now: Seconds,
+) -> None:
+    if len(state.merges) < MAX_WISHES:
+        state.merges.append(event.span)
+
+
+@note.register
+def _plan(
+    event: wishes.PlanChanged,
+    state: ManagerState,
+    now: Seconds,
+) -> None:
+    state.plan = event.plan
+    if state.authority.phase is Phase.HOLDING:
+        sync_leases(state, now)
--- /dev/null
+++ b/src/laburnumyard/core/ownership/_planner.py
@@ -0,0 +1,101 @@
+"""Which target is to own which range: first, and after a loss."""
+
+from collections.abc import Collection, Iterable
+
+from laburnumyard.core.ids import TargetName
+from laburnumyard.core.keys import HashRange, split_evenly
+from laburnumyard.core.ownership._plan import KeyRangePlan, ServicePlan
+from laburnumyard.core.ownership._ranges import hash_range, owned_range
+from laburnumyard.schema._generated.messages import Assignment, OwnedRange
+
+
+def initial_assignment(plan: ServicePlan) -> Assignment:
+    """Spread the key ranges of a service evenly over their targets.
+
+    Parameters
+    ----------
+    plan
+        What the configuration says.
+
+    Returns
+    -------
+    Assignment
+        ``ranges_per_target`` ranges for each target of a key range, in order
+        of the hash space. Draining targets get none where others can serve.
+    """
+    ranges: list[OwnedRange] = []
+    for key_range in plan.key_ranges:
+        ranges.extend(_spread(plan, key_range))
+    return Assignment(plan.service, tuple(ranges))
+
+
+def destinations(
+    assignment: Assignment,
+    parts: Iterable[HashRange],
+    plan: ServicePlan,
+    available: Collection[TargetName],
+) -> dict[HashRange, TargetName]:
+    """Choose new owners for ranges that must leave theirs.
+
+    Parameters
+    ----------
+    assignment
+        The assignment before the change.
+    parts
+        The ranges to place.
+    plan
+        What the configuration says.
+    available
+        Targets that can take ranges.
+
+    Returns
+    -------
+    dict
+        The new owner of each part, the one with the smallest part of the hash
+        space first. A part that no available target may own is left out.
+    """
+    loads = _sizes(assignment)
+    chosen: dict[HashRange, TargetName] = {}
+    for part in sorted(parts):
+        allowed = _allowed(plan, part)
+        candidates = [name for name in allowed if name in available]
+        if not candidates:
+            continue
+        target = min((loads.get(name, 0), name) for name in candidates)[1]
+        loads[target] = loads.get(target, 0) + part.stop - part.start
+        chosen[part] = target
+    return chosen
+
+
+def may_own(plan: ServicePlan, target: TargetName, part: HashRange) -> bool:
+    """Tell whether the configuration lets a target own a range."""
+    return target in _allowed(plan, part)
+
+
+def _spread(plan: ServicePlan, key_range: KeyRangePlan) -> list[OwnedRange]:
+    staying = [
+        name for name in key_range.targets if not plan.targets[name].draining
+    ]
+    targets = staying or list(key_range.targets)
+    parts = split_evenly(key_range.span, len(targets) * plan.ranges_per_target)
+    return [
+        owned_range(part, targets[place % len(targets)])
+        for place, part in enumerate(parts)
+    ]
+
+
+def _allowed(plan: ServicePlan, part: HashRange) -> tuple[TargetName, ...]:
+    for key_range in plan.key_ranges:
+        span = key_range.span
+        if span.start <= part.start and part.stop <= span.stop:
+            return key_range.targets
+    return ()
+
+
+def _sizes(assignment: Assignment) -> dict[TargetName, int]:
+    sizes: dict[TargetName, int] = {}
+    for owned in assignment.ranges:
+        part = hash_range(owned)
+        name = TargetName(owned.target)
+        sizes[name] = sizes.get(name, 0) + part.stop - part.start
+    return sizes
--- /dev/null
+++ b/src/laburnumyard/core/ownership/_ranges.py
@@ -0,0 +1,146 @@
+"""Questions to an assignment and changes of it, without a decision."""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
+from operator import attrgetter
+
+from laburnumyard.core.ids import TargetName
+from laburnumyard.core.keys import HashRange
+from laburnumyard.schema._generated.messages import Assignment, OwnedRange
+
+
+def hash_range(owned: OwnedRange) -> HashRange:
+    """Return the part of the hash space that an entry covers."""
+    return HashRange(owned.start, owned.last + 1)
+
+
+def owned_range(part: HashRange, target: TargetName) -> OwnedRange:
+    """Return the entry that gives a part of the hash space to a target."""
+    return OwnedRange(part.start, part.stop - 1, target)
+
+
+def ranges_by_target(
+    assignment: Assignment,
+) -> dict[TargetName, tuple[HashRange, ...]]:
+    """Return the ranges of each target that owns any."""
+    owners: dict[TargetName, list[HashRange]] = {}
+    for owned in assignment.ranges:
+        ranges = owners.setdefault(TargetName(owned.target), [])
+        ranges.append(hash_range(owned))
+    return {target: tuple(ranges) for target, ranges in owners.items()}
+
+
+def owner_of(assignment: Assignment, part: HashRange) -> TargetName | None:
+    """Return the owner of a range if one entry covers the whole of it."""
+    for owned in assignment.ranges:
+        if owned.start <= part.start and part.stop <= owned.last + 1:
+            return TargetName(owned.target)
+    return None
+
+
+def reassigned(
+    assignment: Assignment,
+    owners: Mapping[HashRange, TargetName],
+) -> Assignment:
+    """Give ranges to new owners, splitting the entries that contain them.
+
+    Parameters
+    ----------
+    assignment
+        The assignment to change.
+    owners
+        The new owner of each range; none of them overlap.
+
+    Returns
+    -------
+    Assignment
+        The changed assignment, in order of the hash space.
+    """
+    if not owners:
+        return assignment
+    ranges = [owned_range(part, to) for part, to in owners.items()]
+    for owned in assignment.ranges:
+        ranges.extend(_remainders(hash_range(owned), owned.target, owners))
+    ranges.sort(key=attrgetter('start'))
+    return replace(assignment, ranges=tuple(ranges))
+
+
+def subtract(
+    ranges: Iterable[HashRange],
+    removed: Iterable[HashRange],
+) -> tuple[HashRange, ...]:
+    """Return what is left of ranges without the removed parts."""
+    left = tuple(ranges)
+    for part in removed:
+        left = tuple(piece for whole in left for piece in _without(whole, part))
+    return left
+
+
+def joined(ranges: Iterable[HashRange]) -> tuple[HashRange, ...]:
+    """Return ranges in order, with adjacent ones made one."""
+    result: list[HashRange] = []
+    for part in sorted(ranges):
+        if result and result[-1].stop == part.start:
+            part = HashRange(result.pop().start, part.stop)
+        result.append(part)
+    return tuple(result)
+
+
+def within(part: HashRange, ranges: Iterable[HashRange]) -> bool:
+    """Tell whether ranges together contain the whole of a part."""
+    return any(
+        whole.start <= part.start and part.stop <= whole.stop
+        for whole in joined(ranges)
+    )
+
+
+def merged(
+    assignment: Assignment,
+    may_merge: Callable[[OwnedRange, OwnedRange], bool],
+) -> Assignment:
+    """Make one entry of adjacent entries of one owner.
+
+    Parameters
+    ----------
+    assignment
+        The assignment to change.
+    may_merge
+        Tells whether two adjacent ranges of one owner become one.
+
+    Returns
+    -------
+    Assignment
+        The changed assignment; no hash changes its owner.
+    """
+    ranges = list(assignment.ranges[:1])
+    for owned in assignment.ranges[1:]:
+        last = ranges[-1]
+        adjacent = last.target == owned.target and last.last + 1 == owned.start
+        if adjacent and may_merge(last, owned):
+            ranges[-1] = replace(last, last=owned.last)
+        else:
+            ranges.append(owned)
+    return replace(assignment, ranges=tuple(ranges))
+
+
+def _remainders(
+    whole: HashRange,
+    target: str,
+    owners: Mapping[HashRange, TargetName],
+) -> list[OwnedRange]:
+    touched = [part for part in owners if part.overlaps(whole)]
+    return [
+        owned_range(piece, TargetName(target))
+        for piece in subtract([whole], touched)
+    ]
+
+
+def _without(whole: HashRange, part: HashRange) -> list[HashRange]:
+    if not whole.overlaps(part):
+        return [whole]
+    pieces = []
+    if whole.start < part.start:
+        pieces.append(HashRange(whole.start, part.start))
+    if part.stop < whole.stop:
+        pieces.append(HashRange(part.stop, whole.stop))
+    return pieces
--- /dev/null
+++ b/src/laburnumyard/core/ownership/_settling.py
@@ -0,0 +1,203 @@
+"""What a reading of the head settles: changes, authority, assignments."""
+
+from dataclasses import replace
+
+from laburnumyard.core.ids import Seconds
+from laburnumyard.core.ownership._effects import (
+    AssignmentChanged,
+    Detail,
+    Effect,
+    LogDecision,
+)
+from laburnumyard.core.ownership._head import Snapshot
+from laburnumyard.core.ownership._leases import sync_leases
+from laburnumyard.core.ownership._ranges import ranges_by_target
+from laburnumyard.core.ownership._releasing import end_releases
+from laburnumyard.core.ownership._state import Change, ManagerState, Phase
+
+
+def adopt(
+    state: ManagerState,
+    snapshot: Snapshot,
+    now: Seconds,
+) -> list[Effect]:
+    """Take in an assignment that the store has acknowledged.
+
+    Parameters
+    ----------
+    state
+        The manager.
+    snapshot
+        The assignment; an older one than the known one changes nothing.
+    now
+        The time.
+
+    Returns
+    -------
+    list of Effect
+        What the daemon must know.
+    """
+    if snapshot.head.version <= state.version:
+        return []
+    state.snapshot = snapshot
+    state.owners = ranges_by_target(snapshot.assignment)
+    state.merges.clear()
+    if state.authority.phase is Phase.HOLDING:
+        sync_leases(state, now)
+        end_releases(state)
+    return [AssignmentChanged(snapshot)]
+
+
+def settle(state: ManagerState, snapshot: Snapshot | None) -> Change | None:
+    """Compare the unsettled change with a reading of the head.
+
+    Returns
+    -------
+    Change or None
+        The change, if the reading shows that the store has made it.
+    """
+    change = state.change
+    if change is None or snapshot is None:
+        return None
+    scope = snapshot.head.scopes.get(state.settings.data_centre)
+    if scope and scope.change == change.change:
+        state.change = None
+        return change
+    if change.revision is None or snapshot.revision > change.revision:
+        # The head has moved on without it, so it can never be made.
+        state.change = None
+    return None
+
+
+def finish(
+    state: ManagerState,
+    change: Change,
+    snapshot: Snapshot,
+    now: Seconds,
+) -> list[Effect]:
+    """Act on a change that the store has made.
+
+    Parameters
+    ----------
+    state
+        The manager.
+    change
+        The change.
+    snapshot
+        The head with it, and maybe with later changes of other managers.
+    now
+        The time.
+
+    Returns
+    -------
+    list of Effect
+        What the daemon must know.
+    """
+    authority = state.authority
+    authority.contact = max(authority.contact, change.sent_at)
+    effects = adopt(state, snapshot, now)
+    if authority.phase is Phase.TAKING and is_mine(state):
+        start_holding(state, now)
+        effects.append(log_phase(state, 'take-over'))
+    return effects
+
+
+def review_authority(
+    state: ManagerState,
+    asked_at: Seconds | None,
+    now: Seconds,
+) -> list[Effect]:
+    """Compare the phase with the newest head after it has been read.
+
+    Parameters
+    ----------
+    state
+        The manager.
+    asked_at
+        When the store was asked; ``None`` if a peer passed the head on.
+    now
+        The time.
+
+    Returns
+    -------
+    list of Effect
+        What the daemon must know.
+    """
+    authority = state.authority
+    if authority.phase is Phase.HOLDING and not is_mine(state):
+        return [stop(state, Phase.IDLE)]
+    if authority.phase is Phase.HOLDING and asked_at is not None:
+        authority.contact = max(authority.contact, asked_at)
+    if authority.phase is Phase.DOUBTING and asked_at is not None:
+        if not is_mine(state):
+            return [stop(state, Phase.IDLE)]
+        # Only a target knows the higher term, so the store's is too low.
+        begin_takeover(state)
+    if authority.phase is Phase.TAKING and state.change is None:
+        return _review_takeover(state)
+    return []
+
+
+def begin_takeover(state: ManagerState) -> None:
+    """Prepare to swap a new term into the head."""
+    state.authority.phase = Phase.TAKING
+    state.authority.replacing = state.scope.term if state.scope else None
+    state.change = None
+
+
+def _review_takeover(state: ManagerState) -> list[Effect]:
+    scope = state.scope
+    replacing = state.authority.replacing
+    if scope is None or scope.term == replacing:
+        return []
+    if replacing is None:
+        state.authority.replacing = scope.term
+        return []
+    return [stop(state, Phase.IDLE)]
+
+
+def is_mine(state: ManagerState) -> bool:
+    """Tell whether the newest head names this manager with its term."""
+    scope = state.scope
+    settings = state.settings
+    return (
+        scope is not None
+        and scope.term == state.authority.term
+        and scope.manager == settings.daemon
+        and scope.incarnation == settings.incarnation
+    )
+
+
+def start_holding(state: ManagerState, now: Seconds) -> None:
+    """Begin to manage the scope, its predecessor's grants still live."""
+    state.authority.phase = Phase.HOLDING
+    state.authority.taken_at = now
+    state.leases.clear()
+    sync_leases(state, now)
+    for lease in state.leases.values():
+        lease.inherited = state.owned_by(lease.name)
+
+
+def stop(state: ManagerState, phase: Phase) -> LogDecision:
+    """Stop all grants and renewals at once."""
+    state.authority.phase = phase
+    state.change = None
+    state.moves.clear()
+    return log_phase(state, phase.value)
+
+
+def mark_unknown(state: ManagerState) -> None:
+    """Note that the answer to the swap was lost."""
+    if state.change:
+        state.change = replace(state.change, unknown=True)
+
+
+def log_phase(state: ManagerState, action: str) -> LogDecision:
+    """Return the log line of a change of phase."""
+    return LogDecision(
+        action,
+        (
+            Detail('scope', state.settings.data_centre),
+            Detail('term', str(state.authority.term)),
+        ),
+    )
--- /dev/null
+++ b/src/laburnumyard/core/ownership/_wishes.py
@@ -0,0 +1,72 @@
+"""What others want of a lease manager, or know about its targets."""
+
+from dataclasses import dataclass
+
+from laburnumyard.core.ids import DaemonName, TargetName
+from laburnumyard.core.keys import HashRange
+from laburnumyard.core.ownership._plan import ServicePlan
+
+
+@dataclass(frozen=True, slots=True)
+class TargetDraining:
+    """A target is leaving, by its own word or the platform's list."""
+
+    target: TargetName
+    draining: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class TargetGone:
+    """A target's VM was on the platform's list and no longer is."""
+
+    target: TargetName
+
+
+@dataclass(frozen=True, slots=True)
+class TargetDown:
+    """The guard of a target without fencing cannot reach it, or can again."""
+
+    target: TargetName
+    down: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class GuardCandidates:
+    """The daemons that may guard a target, the preferred one first."""
+
+    target: TargetName
+    daemons: tuple[DaemonName, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MoveRequested:
+    """The planner wants a range, or a part of one, at another target."""
+
+    part: HashRange
+    to: TargetName
+
+
+@dataclass(frozen=True, slots=True)
+class MergeRequested:
+    """The planner wants adjacent ranges of one owner to become one."""
+
+    span: HashRange
+
+
+@dataclass(frozen=True, slots=True)
+class PlanChanged:
+    """A new configuration is in force."""
+
+    plan: ServicePlan
+
+
+# What others want of the manager, or know about its targets.
+Wish = (
+    TargetDraining
+    | TargetGone
+    | TargetDown
+    | GuardCandidates
+    | MoveRequested
+    | MergeRequested
+    | PlanChanged
+)
--- /dev/null
+++ b/tests/core/ownership/fleet.py
@@ -0,0 +1,325 @@
+"""Daemons and targets in virtual time: a shell around the state machines."""
+
+from functools import partial, singledispatchmethod
+
+from laburnumyard.core import ownership
+from laburnumyard.core.keys import HASH_SPACE, HashRange
+from laburnumyard.core.rendezvous import rank
+from laburnumyard.schema._generated.settings import TimingSettings
+from tests.core.ownership.world import Node, Store, World
+
+TIMING = TimingSettings()
+WHOLE = HashRange(0, HASH_SPACE)
+DATA_CENTRES = ('lima-1', 'lima-2', 'lima-3')
+SERVICE = 'orders'
+
+
+class Target(Node):
+    """A target that checks fencing tokens."""
+
+    def __init__(self, world: World, name: str, data_centre: str) -> None:
+        super().__init__(world, name, data_centre)
+        self.holder = ownership.GrantHolder(self.clock)
+        self.busy = 0
+        self.on_change = _ignore
+
+    def start(self) -> None:
+        super().start()
+        self.holder = ownership.GrantHolder(self.clock)
+
+    def serve(self, message) -> ownership.HolderAnswer:
+        """Do what a message asks and answer it."""
+        answer = self._apply(message)
+        self.on_change(self)
+        return answer
+
+    @singledispatchmethod
+    def _apply(self, message) -> ownership.HolderAnswer:
+        raise TypeError(message)
+
+    @_apply.register
+    def _seal(self, message: ownership.SendSeal) -> ownership.HolderAnswer:
+        return self.holder.seal(message.term, self.clock)
+
+    @_apply.register
+    def _grant(self, message: ownership.SendGrant) -> ownership.HolderAnswer:
+        return self.holder.grant(
+            message.term,
+            message.sequence,
+            message.clock_ms,
+            message.lifetime_ms,
+            message.ranges,
+            self.clock,
+        )
+
+    @_apply.register
+    def _renew(self, message: ownership.SendRenew) -> ownership.HolderAnswer:
+        return self.holder.renew(
+            message.term,
+            message.sequence,
+            message.clock_ms,
+            message.lifetime_ms,
+            self.clock,
+        )
+
+
+class Daemon(Node):
+    """A daemon that runs lease managers and hears of others by heartbeats."""
+
+    def __init__(self, world: World, name: str, place: str, fleet) -> None:
+        super().__init__(world, name, place)
+        self.fleet = fleet
+        self.incarnation = 0
+        self.start()
+
+    def start(self) -> None:
+        super().start()
+        self.incarnation += 1
+        self.heard: dict[str, float] = {}
+        self.snapshot = None
+        self.is_leaving = False
+        self.managers = {
+            place: self.fleet.manager_class(
+                ownership.ManagerSettings(
+                    self.name,
+                    self.incarnation,
+                    place,
+                    self.fleet.timing,
+                ),
+                self.fleet.plan,
+            )
+            for place in DATA_CENTRES
+            if place != self.data_centre
+        }
+        for place in self.managers:
+            self._tick(place)
+        self._beat()
+
+    def feed(self, place: str, event) -> None:
+        """Give an event to a manager and run its effects."""
+        for effect in self.managers[place].handle(event, self.clock):
+            Effects(self).run(effect, place)
+
+    def live(self) -> list[str]:
+        """The members that were heard lately."""
+        limit = self.clock - TIMING.suspect_after_s
+        heard = [name for name, at in self.heard.items() if at > limit]
+        return heard if self.is_leaving else [*heard, self.name]
+
+    def candidates(self, place: str) -> tuple[str, ...]:
+        """The daemons that may manage a scope, the preferred one first."""
+        homes = self.fleet.homes
+        allowed = [name for name in self.live() if homes[name] != place]
+        return rank(f'{SERVICE}/{place}', allowed)
+
+    def learn(self, snapshot, asked_at=None) -> None:
+        """Take a head that a peer or one of the own managers has seen."""
+        known = self.snapshot.head.version if self.snapshot else 0
+        if snapshot.head.version <= known:
+            return
+        self.snapshot = snapshot
+        for place in self.managers:
+            self.feed(place, ownership.HeadRead(snapshot, asked_at))
+        self._tell_others(lambda other: other.learn(snapshot))
+
+    def _tick(self, place: str) -> None:
+        manager = self.managers[place]
+        if self._should_take_over(place):
+            self.feed(place, ownership.TakeOver())
+        else:
+            self.feed(place, ownership.Tick())
+        delay = manager.wake_at(self.clock) - self.clock
+        self.later(max(delay, 0.001), lambda: self._tick(place))
+
+    def _beat(self) -> None:
+        if not self.is_leaving:
+            name, snapshot = self.name, self.snapshot
+
+            def hear(other):
+                other.heard[name] = other.clock
+                if snapshot:
+                    other.learn(snapshot)
+
+            self._tell_others(hear)
+        self.later(TIMING.heartbeat_interval_s, self._beat)
+
+    def _should_take_over(self, place: str) -> bool:
+        order = self.candidates(place)
+        if not order or order[0] != self.name:
+            return False
+        scopes = self.snapshot.head.scopes if self.snapshot else {}
+        scope = scopes.get(place)
+        if scope is None:
+            return self.clock - self.offset > 1
+        is_self = scope.manager == self.name
+        if is_self:
+            return scope.incarnation != self.incarnation
+        return scope.manager not in self.live()
+
+    def _tell_others(self, action) -> None:
+        for other in self.fleet.daemons.values():
+            if other is not self:
+                self.world.send(self, other, partial(action, other))
+
+
+class Effects:
+    """Runs the effects of the managers of one daemon."""
+
+    def __init__(self, daemon: Daemon) -> None:
+        self.daemon = daemon
+
+    @singledispatchmethod
+    def run(self, effect, place: str) -> None:
+        raise TypeError(effect)
+
+    @run.register
+    def _read(self, effect: ownership.ReadHead, place: str) -> None:
+        asked_at = self.daemon.clock
+
+        def answer(outcome):
+            if outcome is None:
+                self.daemon.feed(place, ownership.HeadUnreadable())
+                return
+            event = ownership.HeadRead(_snapshot(*outcome), asked_at)
+            self.daemon.feed(place, event)
+
+        self.daemon.fleet.store.read(self.daemon, answer)
+
+    @run.register
+    def _swap(self, effect: ownership.SwapHead, place: str) -> None:
+        def answer(outcome):
+            if outcome is None:
+                event = ownership.SwapUnknown(effect.change)
+            elif outcome == 'refused':
+                event = ownership.SwapRefused(effect.change)
+            else:
+                event = ownership.SwapDone(effect.change, outcome)
+            self.daemon.feed(place, event)
+
+        content = ownership.encode_head(effect.head)
+        self.daemon.fleet.store.swap(self.daemon, effect, content, answer)
+
+    @run.register(ownership.SendSeal)
+    @run.register(ownership.SendGrant)
+    @run.register(ownership.SendRenew)
+    def _send(self, effect, place: str) -> None:
+        target = self.daemon.fleet.targets[effect.target]
+
+        def serve():
+            self._answer(effect, place, target, target.serve(effect))
+
+        self.daemon.world.send(self.daemon, target, serve)
+
+    def _answer(self, effect, place: str, target: Target, held) -> None:
+        answer = ownership.TargetAnswer(
+            effect.target,
+            effect.call,
+            held.accepted,
+            held.term,
+            held.sequence,
+            held.clock_ms,
+            held.ranges,
+            target.busy,
+        )
+        self.daemon.world.send(
+            target, self.daemon, lambda: self.daemon.feed(place, answer)
+        )
+
+    @run.register
+    def _changed(
+        self,
+        effect: ownership.AssignmentChanged,
+        place: str,
+    ) -> None:
+        self.daemon.fleet.acknowledged.append(effect.snapshot)
+        self.daemon.learn(effect.snapshot)
+
+    @run.register
+    def _offer(self, effect: ownership.OfferScope, place: str) -> None:
+        names = self.daemon.candidates(place)
+        for name in [one for one in names if one != self.daemon.name][:1]:
+            other = self.daemon.fleet.daemons[name]
+            action = partial(other.feed, place, ownership.TakeOver())
+            self.daemon.world.send(self.daemon, other, action)
+
+    @run.register
+    def _log(self, effect: ownership.LogDecision, place: str) -> None:
+        self.daemon.fleet.log.append(
+            (self.daemon.world.now, self.daemon.name, place, effect)
+        )
+
+
+class Fleet:
+    """Three data centres with daemons and targets of one service."""
+
+    def __init__(
+        self,
+        seed: int,
+        manager_class=ownership.LeaseManager,
+        timing: TimingSettings = TIMING,
+    ) -> None:
+        self.world = World(seed)
+        self.manager_class = manager_class
+        self.timing = timing
+        self.store = Store(self.world)
+        names = [(f'target-{number}', number % 3) for number in range(6)]
+        kinds = {
+            name: ownership.FencedTarget(DATA_CENTRES[place])
+            for name, place in names
+        }
+        key_range = ownership.KeyRangePlan(WHOLE, tuple(kinds))
+        self.plan = ownership.ServicePlan(SERVICE, (key_range,), kinds, 2)
+        self.targets = {
+            name: Target(self.world, name, kind.data_centre)
+            for name, kind in kinds.items()
+        }
+        self.acknowledged: list = []
+        self.log: list = []
+        self.homes = {
+            f'daemon-{number}': DATA_CENTRES[number % 3] for number in range(6)
+        }
+        self.daemons: dict[str, Daemon] = {}
+        for name, place in self.homes.items():
+            self.daemons[name] = Daemon(self.world, name, place, self)
+
+    @property
+    def head(self):
+        """The head that the store holds now."""
+        return ownership.decode_head(self.store.head).ok
+
+    @property
+    def owners(self):
+        """The ranges of each target that the store holds now."""
+        snapshot = _snapshot(
+            self.store.head,
+            self.store.revision,
+            self.store.chunks,
+        )
+        return ownership.ranges_by_target(snapshot.assignment)
+
+    def manager_of(self, place: str) -> Daemon:
+        """The daemon that the store names as the manager of a scope."""
+        return self.daemons[self.head.scopes[place].manager]
+
+    def run(self, seconds: float) -> None:
+        """Let true time pass."""
+        self.world.run_until(self.world.now + seconds)
+
+    def feed_all(self, event) -> None:
+        """Give an event to every manager that can take it."""
+        for daemon in self.daemons.values():
+            for place in daemon.managers:
+                action = partial(daemon.feed, place, event)
+                daemon.run(action, daemon.generation)
+
+
+def _ignore(target) -> None:
+    """Stand in for an observer."""
+
+
+def _snapshot(content, revision, chunks):
+    if content is None:
+        return None
+    head = ownership.decode_head(content).ok
+    assignment = ownership.assemble(SERVICE, head, chunks).ok
+    return ownership.Snapshot(head, assignment, revision)
