--- a/src/laburnumyard/core/ownership/_leases.py
+++ b/src/laburnumyard/core/ownership/_leases.py
@@ -5,6 +5,9 @@
 from laburnumyard.core.ownership._plan import FencedTarget, work_after_expiry
 from laburnumyard.core.ownership._state import ManagerState
 
+# Renewal intervals that a target has to answer a manager that was silent.
+RESUME_INTERVALS = 2
+
 
 def sync_leases(state: ManagerState, now: Seconds) -> None:
     """Keep one lease for each target of the scope."""
@@ -20,6 +23,19 @@
         _follow_guard(state, lease, now)
 
 
+def resume(state: ManagerState, now: Seconds) -> None:
+    """Ask every target again before calling it lost.
+
+    A manager that could not send for a while has not heard from anybody, which
+    says nothing about its targets.
+    """
+    interval = state.settings.timing.renew_interval_s
+    patience = Seconds(now + RESUME_INTERVALS * interval)
+    for lease in state.leases.values():
+        lease.expires_by = max(lease.expires_by, patience)
+        lease.send_at = now
+
+
 def _targets_of_scope(state: ManagerState) -> set[TargetName]:
     home = state.settings.data_centre
     homes = state.snapshot.head.homes if state.snapshot else {}
--- a/src/laburnumyard/core/ownership/_manager.py
+++ b/src/laburnumyard/core/ownership/_manager.py
@@ -9,6 +9,7 @@
 from laburnumyard.core.ownership._effects import Effect, OfferScope
 from laburnumyard.core.ownership._events import Event
 from laburnumyard.core.ownership._lease import LATER
+from laburnumyard.core.ownership._leases import resume
 from laburnumyard.core.ownership._plan import ServicePlan
 from laburnumyard.core.ownership._reading import due_reading
 from laburnumyard.core.ownership._releasing import (
@@ -91,6 +92,7 @@
     def _advance(self, now: Seconds) -> list[Effect]:
         effects: list[Effect] = []
         if self.state.authority.phase is Phase.HOLDING:
+            self._notice_silence(now)
             effects.extend(self._change_assignment(now))
             effects.extend(due_messages(self.state, now))
             effects.extend(self._offer(now))
@@ -99,6 +101,13 @@
         effects.extend(due_reading(self.state, now))
         return effects
 
+    def _notice_silence(self, now: Seconds) -> None:
+        authority = self.state.authority
+        is_silent = not self.state.is_confirmed(now)
+        if authority.is_silent and not is_silent:
+            resume(self.state, now)
+        authority.is_silent = is_silent
+
     def _take(self, now: Seconds) -> list[Effect]:
         state = self.state
         is_known = state.snapshot or state.reading.is_absent
--- a/src/laburnumyard/core/ownership/_reading.py
+++ b/src/laburnumyard/core/ownership/_reading.py
@@ -17,6 +17,8 @@
 from laburnumyard.core.ownership._store_events import HeadRead
 
 REGULAR_INTERVAL = 10.0
+# Regular reads in the time that a manager may act without one.
+READS_PER_HOLD = 4
 RETRY_INTERVAL = 0.2
 # Between two urgent reads, so that a crowd of targets shares one.
 URGENT_INTERVAL = 0.02
@@ -87,7 +89,9 @@
     reading = state.reading
     reading.asked = False
     reading.is_stale = False
-    reading.regular_at = Seconds(now + REGULAR_INTERVAL)
+    hold = state.settings.timing.outage_hold_s
+    interval = min(REGULAR_INTERVAL, hold / READS_PER_HOLD)
+    reading.regular_at = Seconds(now + interval)
     reading.retry_at = Seconds(now + URGENT_INTERVAL)
     if reading.awake_at is not None and asked_at >= reading.awake_at:
         reading.awake_at = None
--- a/src/laburnumyard/core/ownership/_state.py
+++ b/src/laburnumyard/core/ownership/_state.py
@@ -125,6 +125,8 @@
     replacing
         The term that its takeover replaces; another one in the head means
         that somebody else was faster.
+    is_silent
+        Whether it has been unable to send since its last message.
     offer_at
         When its daemon, if it leaves, offers the scope to another.
     """
@@ -135,6 +137,7 @@
     taken_at: Seconds = NEVER
     highest_term: Term = NO_TERM
     replacing: Term | None = None
+    is_silent: bool = False
     offer_at: Seconds = LATER
 
 
--- a/tests/core/ownership/fleet.py
+++ b/tests/core/ownership/fleet.py
@@ -23,8 +23,7 @@
         self.busy = 0
         self.on_change = _ignore
 
-    def start(self) -> None:
-        super().start()
+    def boot(self) -> None:
         self.holder = ownership.GrantHolder(self.clock)
 
     def serve(self, message) -> ownership.HolderAnswer:
@@ -70,10 +69,9 @@
         super().__init__(world, name, place)
         self.fleet = fleet
         self.incarnation = 0
-        self.start()
+        self.boot()
 
-    def start(self) -> None:
-        super().start()
+    def boot(self) -> None:
         self.incarnation += 1
         self.heard: dict[str, float] = {}
         self.snapshot = None
@@ -112,6 +110,13 @@
         allowed = [name for name in self.live() if homes[name] != place]
         return rank(f'{SERVICE}/{place}', allowed)
 
+    def leave(self) -> None:
+        """Hand over the scopes and stop."""
+        self.is_leaving = True
+        for place in self.managers:
+            self.feed(place, ownership.Leave())
+        self._stop_when_idle()
+
     def learn(self, snapshot, asked_at=None) -> None:
         """Take a head that a peer or one of the own managers has seen."""
         known = self.snapshot.head.version if self.snapshot else 0
@@ -122,6 +127,11 @@
             self.feed(place, ownership.HeadRead(snapshot, asked_at))
         self._tell_others(lambda other: other.learn(snapshot))
 
+    def _stop_when_idle(self) -> None:
+        if all(manager.is_idle for manager in self.managers.values()):
+            self.kill()
+        self.later(TIMING.heartbeat_interval_s, self._stop_when_idle)
+
     def _tick(self, place: str) -> None:
         manager = self.managers[place]
         if self._should_take_over(place):
@@ -301,6 +311,11 @@
         """The daemon that the store names as the manager of a scope."""
         return self.daemons[self.head.scopes[place].manager]
 
+    def targets_in(self, place: str) -> list[Target]:
+        """The targets of a data centre."""
+        targets = self.targets.values()
+        return [one for one in targets if one.data_centre == place]
+
     def run(self, seconds: float) -> None:
         """Let true time pass."""
         self.world.run_until(self.world.now + seconds)
--- a/tests/core/ownership/world.py
+++ b/tests/core/ownership/world.py
@@ -68,6 +68,11 @@
             self.cuts.add((other, one))
 
 
+    def heal(self, one: str, other: str) -> None:
+        """Open the ways between two nodes or data centres."""
+        self.cuts -= {(one, other), (other, one)}
+
+
 class Node:
     """A process with its own clock that can pause, die and start again."""
 
@@ -125,8 +130,13 @@
         self.inbox.clear()
 
     def start(self) -> None:
-        """Start a new process on the same VM."""
-        self.is_alive = True
+        """Start a new process on the same VM unless one is running."""
+        if not self.is_alive:
+            self.is_alive = True
+            self.boot()
+
+    def boot(self) -> None:
+        """Forget what the process before knew."""
 
 
 class Store(Node):
