Prove ownership in virtual time: cells, pairs, bounds, drawn faults

An observer reads the targets' own record on true time after each message: one owner per hash, no grant against the store, no acknowledged version lost. Ten faults at seven steps with four offsets each, 45 pairs of faults at rotating steps, the users' bounds, and faults drawn from fixed seeds. Eight deliberately broken variants are caught.

Found on the way, each mended: - an answer to a message of an earlier term hid all later answers of a target for half a minute (drawn seeds 42 and 166): messages are now numbered over the manager's life, not per lease; - a manager that learnt of its successor stopped renewing targets that the successor could not reach, so their keys stood still for a whole outage_hold: it now renews these, unchanged, until its own hold is over, which is the time that the successor waits anyway.

--- a/src/laburnumyard/core/ownership/_answers.py
+++ b/src/laburnumyard/core/ownership/_answers.py
@@ -7,8 +7,8 @@
 from laburnumyard.core.ownership._events import TargetAnswer
 from laburnumyard.core.ownership._head import Snapshot
 from laburnumyard.core.ownership._sending import take_answer
-from laburnumyard.core.ownership._settling import finish, mark_unknown, stop
-from laburnumyard.core.ownership._state import ManagerState, Phase
+from laburnumyard.core.ownership._settling import finish, mark_unknown, retire
+from laburnumyard.core.ownership._state import ACTIVE_PHASES, ManagerState
 from laburnumyard.core.ownership._store_events import (
     SwapAnswer,
     SwapDone,
@@ -109,7 +109,7 @@
     """
     lease = state.leases.get(answer.target)
     authority = state.authority
-    if lease is None or authority.phase is not Phase.HOLDING:
+    if lease is None or authority.phase not in ACTIVE_PHASES:
         return []
     if answer.guard != lease.guard or answer.call <= lease.answered:
         return []
@@ -117,6 +117,8 @@
         return []
     if answer.term > authority.term:
         authority.highest_term = max(authority.highest_term, answer.term)
-        return [stop(state, Phase.DOUBTING)]
+        state.leases.pop(lease.name)
+        state.reading.is_stale = True
+        return retire(state)
     take_answer(state, lease, answer, now)
     return []
--- a/src/laburnumyard/core/ownership/_lease.py
+++ b/src/laburnumyard/core/ownership/_lease.py
@@ -4,7 +4,13 @@
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
-from laburnumyard.core.ids import DaemonName, Seconds, Sequence, TargetName
+from laburnumyard.core.ids import (
+    DaemonName,
+    Seconds,
+    Sequence,
+    TargetName,
+    Version,
+)
 from laburnumyard.core.keys import HashRange
 from laburnumyard.core.ownership._plan import TargetKind
 
@@ -65,6 +71,28 @@
         return self.ranges is not None and self.acknowledged >= self.sequence
 
 
+@dataclass(frozen=True, slots=True)
+class GrantBasis:
+    """What the ranges of a grant were worked out from.
+
+    Parameters
+    ----------
+    version
+        The version of the assignment.
+    release
+        The release under way.
+    is_met
+        Whether the store has named the manager since it met the holder.
+    reported
+        What the holder reported, where that matters.
+    """
+
+    version: Version
+    release: Release | None
+    is_met: bool
+    reported: tuple[HashRange, ...]
+
+
 @dataclass(slots=True)
 class TargetLease:
     """What a lease manager knows about one target of its scope.
@@ -81,6 +109,8 @@
         The bound on the end of anything it may hold, on the manager's clock.
     holding
         Its grant.
+    basis
+        What the ranges of that grant were worked out from.
     sealed
         Whether it has answered a seal of the manager's term.
     met_at
@@ -101,10 +131,9 @@
         Ranges that it kept because their work in flight took too long.
     send_at
         When the next message is due.
-    calls
-        The number of the last message sent.
     answered
-        The number of the newest message answered.
+        The number of the newest message answered; answers to older ones are
+        late and count for nothing.
     """
 
     name: TargetName
@@ -112,6 +141,7 @@
     guard: DaemonName | None
     expires_by: Seconds
     holding: Holding = field(default_factory=Holding)
+    basis: GrantBasis | None = None
     sealed: bool = False
     met_at: Seconds | None = None
     answering_since: Seconds = LATER
@@ -122,7 +152,6 @@
     drain_since: Seconds | None = None
     passed_over: set[HashRange] = field(default_factory=set)
     send_at: Seconds = NEVER
-    calls: int = 0
     answered: int = 0
 
     @property
@@ -137,6 +166,7 @@
     def forget(self) -> None:
         """Start anew with a holder that knows nothing of this manager."""
         self.holding = Holding(sequence=self.holding.sequence)
+        self.basis = None
         self.sealed = False
         self.met_at = None
         self.answering_since = LATER
--- a/src/laburnumyard/core/ownership/_leases.py
+++ b/src/laburnumyard/core/ownership/_leases.py
@@ -59,6 +59,7 @@
         kind=state.plan.targets.get(name, unknown),
         guard=state.snapshot.head.guards.get(name) if state.snapshot else None,
         expires_by=Seconds(now + state.settings.longest_grant),
+        answered=state.call_count,
     )
 
 
--- a/src/laburnumyard/core/ownership/_manager.py
+++ b/src/laburnumyard/core/ownership/_manager.py
@@ -16,7 +16,10 @@
     give_up_releases,
     start_releases,
 )
-from laburnumyard.core.ownership._sending import due_messages
+from laburnumyard.core.ownership._sending import (
+    due_messages,
+    last_renewals,
+)
 from laburnumyard.core.ownership._state import (
     ManagerSettings,
     ManagerState,
@@ -62,8 +65,10 @@
             What the daemon must do.
         """
         self._notice_sleep(now)
+        self.state.is_settled = False
         effects = take_event(event, self.state, now)
-        effects.extend(self._advance(now))
+        if not self.state.is_settled:
+            effects.extend(self._advance(now))
         return effects
 
     @property
@@ -98,6 +103,8 @@
             effects.extend(self._offer(now))
         if self.state.authority.phase is Phase.TAKING:
             effects.extend(self._take(now))
+        if self.state.authority.phase is Phase.RETIRING:
+            effects.extend(last_renewals(self.state, now))
         effects.extend(due_reading(self.state, now))
         return effects
 
--- a/src/laburnumyard/core/ownership/_planner.py
+++ b/src/laburnumyard/core/ownership/_planner.py
@@ -1,6 +1,6 @@
 """Which target is to own which range: first, and after a loss."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 
 from laburnumyard.core.ids import TargetName
 from laburnumyard.core.keys import HashRange, split_evenly
@@ -31,7 +31,7 @@
 
 def destinations(
     assignment: Assignment,
-    parts: Iterable[HashRange],
+    parts: Collection[HashRange],
     plan: ServicePlan,
     available: Collection[TargetName],
 ) -> dict[HashRange, TargetName]:
@@ -54,6 +54,8 @@
         The new owner of each part, the one with the smallest part of the hash
         space first. A part that no available target may own is left out.
     """
+    if not parts:
+        return {}
     loads = _sizes(assignment)
     chosen: dict[HashRange, TargetName] = {}
     for part in sorted(parts):
--- a/src/laburnumyard/core/ownership/_reading.py
+++ b/src/laburnumyard/core/ownership/_reading.py
@@ -114,12 +114,14 @@
 def _needs_reading(state: ManagerState, now: Seconds) -> bool:
     reading = state.reading
     phase = state.authority.phase
-    if reading.is_stale or phase is Phase.DOUBTING:
+    if reading.is_stale:
         return True
     if phase is Phase.TAKING:
         return state.snapshot is None and not reading.is_absent
     if reading.awake_at is not None:
         return True
+    if phase is Phase.RETIRING:
+        return False
     is_old = now >= state.authority.contact + FRESH_CONTACT
     if is_old and wants_release(state):
         return True
--- a/src/laburnumyard/core/ownership/_sending.py
+++ b/src/laburnumyard/core/ownership/_sending.py
@@ -4,14 +4,18 @@
 from laburnumyard.core.keys import HashRange
 from laburnumyard.core.ownership._effects import Effect
 from laburnumyard.core.ownership._events import TargetAnswer
-from laburnumyard.core.ownership._lease import Holding, TargetLease
+from laburnumyard.core.ownership._lease import (
+    GrantBasis,
+    Holding,
+    TargetLease,
+)
 from laburnumyard.core.ownership._messages import (
     SendGrant,
     SendRenew,
     SendSeal,
 )
 from laburnumyard.core.ownership._ranges import joined, subtract, within
-from laburnumyard.core.ownership._state import ManagerState
+from laburnumyard.core.ownership._state import ManagerState, Phase
 
 MS_PER_SECOND = 1000
 
@@ -35,6 +39,22 @@
     return effects
 
 
+def last_renewals(state: ManagerState, now: Seconds) -> list[Effect]:
+    """Return the due renewals of a manager that has a successor."""
+    for lease in tuple(state.leases.values()):
+        is_held = lease.sealed and lease.holding.is_acknowledged
+        if lease.is_lost(now) or not is_held:
+            state.leases.pop(lease.name)
+    if not state.leases:
+        state.authority.phase = Phase.IDLE
+    due = [one for one in state.leases.values() if now >= one.send_at]
+    if not state.is_confirmed(now):
+        return []
+    for lease in due:
+        lease.send_at = Seconds(now + state.settings.timing.renew_interval_s)
+    return [_message(state, one, now) for one in due]
+
+
 def take_answer(
     state: ManagerState,
     lease: TargetLease,
@@ -55,11 +75,11 @@
         When it arrived.
     """
     term = state.authority.term
-    holding = lease.holding
+    state.is_settled = _is_routine(state, lease, answer, now)
     lease.answered = answer.call
     was_lost = lease.is_lost(now)
     has_restarted = lease.sealed and answer.term < term
-    if has_restarted or answer.sequence < holding.acknowledged:
+    if has_restarted or answer.sequence < lease.holding.acknowledged:
         lease.forget()
     if lease.met_at is None:
         lease.met_at = now
@@ -79,6 +99,24 @@
         lease.send_at = now
 
 
+def _is_routine(
+    state: ManagerState,
+    lease: TargetLease,
+    answer: TargetAnswer,
+    now: Seconds,
+) -> bool:
+    # Most answers only carry a newer reading of the clock, and nothing else
+    # need be looked at before the next tick.
+    holding = lease.holding
+    is_known = lease.sealed and is_met_before_contact(state, lease)
+    is_steady = is_known and holding.is_acknowledged and not lease.release
+    is_same = (
+        answer.term == state.authority.term
+        and answer.sequence == holding.acknowledged
+    )
+    return bool(is_steady and is_same and not lease.is_lost(now))
+
+
 def _take_token(lease: TargetLease, answer: TargetAnswer) -> None:
     holding = lease.holding
     if not lease.sealed:
@@ -93,6 +131,12 @@
     lease: TargetLease,
     now: Seconds,
 ) -> None:
+    is_met = is_met_before_contact(state, lease)
+    reported = () if is_met else lease.holding.reported
+    basis = GrantBasis(state.version, lease.release, is_met, reported)
+    if basis == lease.basis:
+        return
+    lease.basis = basis
     wanted = _grantable(state, lease)
     holding = lease.holding
     if holding.ranges is None or set(holding.ranges) != set(wanted):
@@ -123,7 +167,7 @@
 def _message(state: ManagerState, lease: TargetLease, now: Seconds) -> Effect:
     is_frozen = state.change and lease.name in state.change.frozen
     holding = lease.holding
-    lease.calls += 1
+    state.call_count += 1
     if not lease.sealed or lease.is_lost(now) or is_frozen:
         return _seal(state, lease, now)
     if holding.is_acknowledged:
@@ -135,7 +179,7 @@
     return SendSeal(
         lease.name,
         lease.guard,
-        lease.calls,
+        state.call_count,
         state.authority.term,
         _not_after(state, now),
     )
@@ -150,7 +194,7 @@
     return SendGrant(
         lease.name,
         lease.guard,
-        lease.calls,
+        state.call_count,
         state.authority.term,
         holding.sequence,
         lease.clock_ms,
@@ -164,7 +208,7 @@
     return SendRenew(
         lease.name,
         lease.guard,
-        lease.calls,
+        state.call_count,
         state.authority.term,
         lease.holding.sequence,
         lease.clock_ms,
--- a/src/laburnumyard/core/ownership/_settling.py
+++ b/src/laburnumyard/core/ownership/_settling.py
@@ -124,13 +124,13 @@
         What the daemon must know.
     """
     authority = state.authority
-    if authority.phase is Phase.HOLDING and not is_mine(state):
-        return [stop(state, Phase.IDLE)]
+    is_named = is_mine(state)
+    if authority.phase is Phase.HOLDING and not is_named:
+        return retire(state)
     if authority.phase is Phase.HOLDING and asked_at is not None:
         authority.contact = max(authority.contact, asked_at)
-    if authority.phase is Phase.DOUBTING and asked_at is not None:
-        if not is_mine(state):
-            return [stop(state, Phase.IDLE)]
+    is_asked = asked_at is not None
+    if authority.phase is Phase.RETIRING and is_named and is_asked:
         # Only a target knows the higher term, so the store's is too low.
         begin_takeover(state)
     if authority.phase is Phase.TAKING and state.change is None:
@@ -153,7 +153,7 @@
     if replacing is None:
         state.authority.replacing = scope.term
         return []
-    return [stop(state, Phase.IDLE)]
+    return retire(state)
 
 
 def is_mine(state: ManagerState) -> bool:
@@ -178,12 +178,21 @@
         lease.inherited = state.owned_by(lease.name)
 
 
-def stop(state: ManagerState, phase: Phase) -> LogDecision:
-    """Stop all grants and renewals at once."""
-    state.authority.phase = phase
+def retire(state: ManagerState) -> list[Effect]:
+    """Leave the scope to the manager with the higher term.
+
+    Targets that its successor has not sealed yet are renewed as they are: the
+    successor moves none of their ranges before ``inherited_wait`` is over.
+    """
+    if state.authority.phase is Phase.RETIRING:
+        return []
+    state.authority.phase = Phase.RETIRING
+    frozen = state.change.frozen if state.change else ()
+    for name in state.leases.keys() & set(frozen):
+        state.leases.pop(name)
     state.change = None
     state.moves.clear()
-    return log_phase(state, phase.value)
+    return [log_phase(state, 'retire')]
 
 
 def mark_unknown(state: ManagerState) -> None:
--- a/src/laburnumyard/core/ownership/_state.py
+++ b/src/laburnumyard/core/ownership/_state.py
@@ -34,8 +34,12 @@
     TAKING = 'taking'
     # It grants and renews.
     HOLDING = 'holding'
-    # A target has seen a higher term; it is silent until it has read the head.
-    DOUBTING = 'doubting'
+    # A higher term exists. It renews where that has not been seen yet, and
+    # neither grants nor moves anything.
+    RETIRING = 'retiring'
+
+
+ACTIVE_PHASES = (Phase.HOLDING, Phase.RETIRING)
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,6 +190,8 @@
         Its ranges by target.
     change
         The swap that is not settled.
+    change_count, call_count
+        How many changes and messages it has made; they number the next.
     leases
         The targets of the scope, while it holds the term.
     draining
@@ -196,6 +202,8 @@
         The daemons that may guard each target.
     moves
         Moves that the planner has asked for.
+    is_settled
+        Whether the last event left nothing to look at before the next tick.
     merges
         Spans whose ranges the planner wants to be one.
     """
@@ -210,6 +218,7 @@
     )
     change: Change | None = None
     change_count: int = 0
+    call_count: int = 0
     leases: dict[TargetName, TargetLease] = field(default_factory=dict)
     draining: set[TargetName] = field(default_factory=set)
     down: set[TargetName] = field(default_factory=set)
@@ -217,6 +226,7 @@
         default_factory=dict,
     )
     moves: dict[HashRange, TargetName] = field(default_factory=dict)
+    is_settled: bool = False
     merges: list[HashRange] = field(default_factory=list)
 
     @property
@@ -240,7 +250,7 @@
         authority = self.authority
         hold = self.settings.timing.outage_hold_s
         return (
-            authority.phase is Phase.HOLDING
+            authority.phase in ACTIVE_PHASES
             and self.reading.awake_at is None
             and now < authority.contact + hold
         )
--- a/src/laburnumyard/core/ownership/_taking.py
+++ b/src/laburnumyard/core/ownership/_taking.py
@@ -65,7 +65,7 @@
     state: ManagerState,
     now: Seconds,
 ) -> list[Effect]:
-    if state.authority.phase is Phase.IDLE:
+    if state.authority.phase in {Phase.IDLE, Phase.RETIRING}:
         begin_takeover(state)
     return []
 
--- /dev/null
+++ b/tests/core/ownership/test_cells.py
@@ -0,0 +1,96 @@
+"""Every fault at every step of ownership, then pairs of faults."""
+
+from itertools import combinations, cycle
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, LessThan
+
+from laburnumyard.schema._generated.settings import TimingSettings
+from tests.core.ownership.conftest import Scene, build_scene
+from tests.core.ownership.faults import FAULTS, begin
+from tests.core.ownership.steps import (
+    PLACE,
+    STEPS,
+    begin_step,
+    is_done,
+    prepare,
+)
+from tests.support.matrix import Fault, Step
+
+TIMING = TimingSettings(outage_hold_s=3)
+RECOVERY_S = 12
+# When the fault begins, counted from the step: before it, while the store
+# makes the change, while targets answer, and while work drains.
+OFFSETS_S = (-0.3, 0.003, 0.008, 0.1)
+# The store is down for less than the hold; LEASE_LAPSED outlasts a grant.
+PAUSE_S = 0.5
+LENGTH_S = 2
+# Faults that must not make a key unavailable while nothing else happens.
+HARMLESS = frozenset(
+    (
+        Fault.PAUSE,
+        Fault.KILL,
+        Fault.LEASE_LAPSED,
+        Fault.STORE_DOWN,
+        Fault.STORE_SLOW,
+        Fault.WRITE_ANSWER_LOST,
+    )
+)
+
+
+def cells():
+    for step in STEPS:
+        for fault in FAULTS:
+            mark = pytest.mark.cell(step=step.value, fault=fault.value)
+            name = f'{step.value}-{fault.value}'
+            yield pytest.param(step, fault, marks=mark, id=name)
+
+
+def pairs():
+    steps = cycle(STEPS)
+    for (one, other), step in zip(
+        combinations(FAULTS, 2),
+        steps,
+        strict=False,
+    ):
+        name = f'{step.value}-{one.value}-{other.value}'
+        yield pytest.param(step, (one, other), id=name)
+
+
+def run_cell(step: Step, faults, offset: float, seed: int) -> Scene:
+    """Let faults hit a step, and end them."""
+    scene = build_scene(seed, timing=TIMING)
+    fleet = scene.fleet
+    prepare(step, fleet)
+    start = fleet.world.now + max(-offset, 0)
+    fleet.world.at(start, lambda: begin_step(step, fleet))
+    for fault in faults:
+        fleet.run(max(start + offset - fleet.world.now, 0))
+        running = begin(fault, fleet, PLACE)
+        length = PAUSE_S if fault is Fault.PAUSE else LENGTH_S
+        fleet.world.at(fleet.world.now + length, running.end)
+    fleet.run(LENGTH_S + 1)
+    return scene
+
+
+@pytest.mark.parametrize(('step', 'fault'), tuple(cells()))
+def test_a_fault_at_a_step(step, fault):
+    for offset in OFFSETS_S:
+        scene = run_cell(step, [fault], offset, seed=11)
+        if step is Step.RENEW:
+            bound = 0.001 if fault in HARMLESS else 2
+            assert_that(scene.observer.worst, LessThan(bound))
+        scene.recover(RECOVERY_S)
+        scene.fleet.run(1)
+        assert_that(scene.observer.worst, Equals(0))
+        assert_that(is_done(step, scene.fleet), Is(True))
+
+
+@pytest.mark.parametrize(('step', 'faults'), tuple(pairs()))
+def test_two_faults_at_a_step(step, faults):
+    scene = run_cell(step, faults, 0.003, seed=12)
+    scene.recover(RECOVERY_S)
+    scene.fleet.run(1)
+    assert_that(scene.observer.worst, Equals(0))
+    assert_that(is_done(step, scene.fleet), Is(True))
--- /dev/null
+++ b/tests/core/ownership/test_observer.py
@@ -0,0 +1,101 @@
+"""Faults drawn from fixed seeds; the observer catches broken variants."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from laburnumyard.core import ownership
+from laburnumyard.schema._generated.settings import TimingSettings
+from tests.core.ownership import broken
+from tests.core.ownership.conftest import build_scene
+from tests.core.ownership.drawing import draw
+from tests.core.ownership.faults import exile
+from tests.core.ownership.fleet import DATA_CENTRES
+from tests.core.ownership.observer import Breach
+
+PLACE = DATA_CENTRES[0]
+TIMING = TimingSettings(outage_hold_s=20)
+# 42: an answer to a message of an earlier term hid all later ones.
+SEEDS = (*range(12), 42, 166)
+MOST_DRAWS = 20
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_drawn_faults(seed):
+    scene = draw(seed)
+    assert_that(scene.observer.worst, Equals(0))
+    assert_that(scene.fleet.head.withdrawn, Equals(()))
+
+
+@pytest.mark.parametrize(
+    ('seed', 'variant'),
+    [
+        (0, {'holder_class': broken.ArrivalHolder}),
+        (3, {'holder_class': broken.TermlessHolder}),
+        (0, {'manager_class': broken.HastyManager}),
+        (0, {'manager_class': broken.EagerManager}),
+        (0, {'manager_class': broken.UnfrozenManager}),
+        (23, {'manager_class': broken.ImpatientManager}),
+    ],
+)
+def test_drawn_faults_show_a_broken_variant(seed, variant):
+    with pytest.raises(Breach):
+        for later in range(seed, seed + MOST_DRAWS):
+            draw(later, **variant)
+
+
+def unsealed_target(manager_class):
+    """Let a manager that nobody else hears renew what no other can seal."""
+    scene = build_scene(1, timing=TIMING, manager_class=manager_class)
+    fleet = scene.fleet
+    manager = fleet.manager_of(PLACE)
+    exile(fleet, PLACE)
+    for name in set(fleet.daemons) - {manager.name}:
+        fleet.world.cut(name, 'target-0')
+    fleet.run(5)
+    return scene
+
+
+@pytest.mark.cell(step='take-over', fault='cut')
+def test_an_unsealed_target_keeps_its_ranges():
+    scene = unsealed_target(ownership.LeaseManager)
+    held = scene.fleet.targets['target-0'].holder
+    assert_that(held.ranges, Equals(scene.fleet.owners['target-0']))
+    assert_that(scene.observer.worst, Equals(0))
+
+
+def test_moving_from_an_unsealed_target_is_caught():
+    with pytest.raises(Breach, match='target-0'):
+        unsealed_target(broken.NoHoldManager)
+
+
+def restarted_target(manager_class):
+    """Let a forgotten manager meet a target that has forgotten its seal."""
+    scene = build_scene(1, timing=TIMING, manager_class=manager_class)
+    fleet = scene.fleet
+    manager = fleet.manager_of(PLACE)
+    target = fleet.targets['target-0']
+    exile(fleet, PLACE)
+    for name in ('target-0', 'target-3'):
+        fleet.world.cut(manager.name, name)
+    fleet.run(2)
+    target.kill()
+    fleet.run(3)
+    for name in set(fleet.daemons) - {manager.name}:
+        fleet.world.cut(name, target.name)
+    target.start()
+    fleet.world.heal(manager.name, target.name)
+    fleet.run(3)
+    return scene
+
+
+@pytest.mark.cell(step='join', fault='cut')
+def test_a_restarted_target_gets_nothing_from_a_stale_manager():
+    scene = restarted_target(ownership.LeaseManager)
+    assert_that(scene.fleet.targets['target-0'].holder.ranges, Equals(()))
+    assert_that('target-0' in scene.fleet.owners, Equals(False))
+
+
+def test_granting_to_a_restarted_target_unasked_is_caught():
+    with pytest.raises(Breach, match='target-0'):
+        restarted_target(broken.TrustingManager)
