--- a/src/laburnumyard/core/ownership/__init__.py
+++ b/src/laburnumyard/core/ownership/__init__.py
@@ -39,6 +39,7 @@
 A guard, and a target, hold their grants in a ``GrantHolder``.
 """
 
+from laburnumyard.core.ownership._balancing import BalanceSettings, LoadPlanner
 from laburnumyard.core.ownership._chunks import (
     Chunk,
     assemble,
@@ -111,6 +112,7 @@
 
 __all__ = (
     'AssignmentChanged',
+    'BalanceSettings',
     'Chunk',
     'Detail',
     'Effect',
@@ -126,6 +128,7 @@
     'KeyRangePlan',
     'LeaseManager',
     'Leave',
+    'LoadPlanner',
     'LogDecision',
     'MalformedContent',
     'ManagerSettings',
--- a/src/laburnumyard/core/ownership/_plan.py
+++ b/src/laburnumyard/core/ownership/_plan.py
@@ -28,10 +28,13 @@
         Where it runs.
     draining
         Whether its ranges are to move away.
+    slots
+        How many requests it runs at once.
     """
 
     data_centre: DataCentre
     draining: bool = False
+    slots: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +47,8 @@
         Where it runs.
     draining
         Whether its ranges are to move away.
+    slots
+        How many requests it runs at once.
     longest_deadline
         The longest deadline of a request that it may still be running after
         its guard has stopped sending, in seconds.
@@ -51,6 +56,7 @@
 
     data_centre: DataCentre
     draining: bool = False
+    slots: int = 1
     longest_deadline: Seconds = LONGEST_DEADLINE
 
 
@@ -189,5 +195,10 @@
 ) -> TargetKind:
     home = DataCentre(target.data_centre)
     if target.fencing is Fencing.none:
-        return GuardedTarget(home, target.draining, longest_deadline)
-    return FencedTarget(home, target.draining)
+        return GuardedTarget(
+            home,
+            target.draining,
+            target.slots,
+            longest_deadline,
+        )
+    return FencedTarget(home, target.draining, target.slots)
