Configurations change assignments in force; wishes of planner and platform

Ranges are cut at the edges of key ranges, holes get an owner, and ranges whose owner may no longer own them move gracefully.

--- a/src/laburnumyard/core/ownership/_changing.py
+++ b/src/laburnumyard/core/ownership/_changing.py
@@ -13,6 +13,7 @@
 )
 from laburnumyard.core.keys import HashRange
 from laburnumyard.core.ownership._chunks import new_chunks, split_assignment
+from laburnumyard.core.ownership._conforming import conform
 from laburnumyard.core.ownership._drafting import (
     Draft,
     merge_ranges,
@@ -24,7 +25,11 @@
 )
 from laburnumyard.core.ownership._effects import Detail, LogDecision, SwapHead
 from laburnumyard.core.ownership._head import Head, Scope
-from laburnumyard.core.ownership._state import Change, ManagerState
+from laburnumyard.core.ownership._state import (
+    Change,
+    ConformedTo,
+    ManagerState,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,12 +63,15 @@
 def due_change(state: ManagerState, now: Seconds) -> DueChange | None:
     """Return the change of the assignment that is due, if any."""
     draft = start_draft(state)
+    basis = ConformedTo(state.version, state.plan)
     withdraw(state, draft, now)
     replace_guards(state, draft, now)
     lost = move_lost(state, draft, now)
     released = move_released(state, draft, now)
     merge_ranges(state, draft)
+    is_whole = state.conformed == basis or conform(state, draft, now)
     if draft.is_same(start_draft(state)):
+        state.conformed = basis if is_whole else None
         return None
     change = _change(state, draft, now)
     details = (
--- a/src/laburnumyard/core/ownership/_chunks.py
+++ b/src/laburnumyard/core/ownership/_chunks.py
@@ -24,7 +24,6 @@
 
 RANGES_PER_CHUNK = 256
 MAX_CHUNK_BYTES = 1_048_576
-MAX_CHUNKS = 4096
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/laburnumyard/core/ownership/_conforming.py
@@ -0,0 +1,63 @@
+"""What a new configuration changes about an assignment in force."""
+
+from itertools import pairwise
+
+from laburnumyard.core.ids import Seconds, TargetName
+from laburnumyard.core.keys import HashRange
+from laburnumyard.core.ownership._drafting import Draft
+from laburnumyard.core.ownership._membership import available_targets
+from laburnumyard.core.ownership._planner import destinations
+from laburnumyard.core.ownership._ranges import (
+    hash_range,
+    joined,
+    reassigned,
+    subtract,
+)
+from laburnumyard.core.ownership._state import ManagerState
+from laburnumyard.schema._generated.messages import Assignment
+
+
+def conform(state: ManagerState, draft: Draft, now: Seconds) -> bool:
+    """Cut ranges at the edges of key ranges, and give holes an owner.
+
+    Parameters
+    ----------
+    state
+        The manager.
+    draft
+        The draft to change. No hash that has an owner gets another one.
+    now
+        The time.
+
+    Returns
+    -------
+    bool
+        Whether every hash of the key ranges has an owner.
+    """
+    spans = [key_range.span for key_range in state.plan.key_ranges]
+    edges = {edge for span in spans for edge in (span.start, span.stop)}
+    draft.assignment = _cut(state, draft.assignment, edges)
+    owned = joined(map(hash_range, draft.assignment.ranges))
+    holes = subtract(spans, owned)
+    available = available_targets(state, now, draft.withdrawn)
+    owners = destinations(draft.assignment, holes, state.plan, available)
+    draft.assignment = reassigned(draft.assignment, owners)
+    return len(owners) == len(holes)
+
+
+def _cut(
+    state: ManagerState,
+    assignment: Assignment,
+    edges: set[int],
+) -> Assignment:
+    pieces: dict[HashRange, TargetName] = {}
+    for owned in assignment.ranges:
+        part = hash_range(owned)
+        name = TargetName(owned.target)
+        inner = {edge for edge in edges if part.start < edge < part.stop}
+        lease = state.leases.get(name)
+        if inner and lease and lease.sealed and not lease.release:
+            bounds = [part.start, *sorted(inner), part.stop]
+            for start, stop in pairwise(bounds):
+                pieces[HashRange(start, stop)] = name
+    return reassigned(assignment, pieces)
--- a/src/laburnumyard/core/ownership/_head.py
+++ b/src/laburnumyard/core/ownership/_head.py
@@ -26,6 +26,7 @@
 
 MAX_COUNTER = 9_223_372_036_854_775_807
 MAX_NAME_LENGTH = 256
+MAX_CHUNKS = 4096
 _STRICT = ConfigDict(extra='forbid', strict=True)
 
 _COUNTER = Field(ge=0, le=MAX_COUNTER)
@@ -87,7 +88,7 @@
 
     version: Annotated[Version, _COUNTER]
     change: Annotated[ChangeId, _TEXT]
-    chunks: tuple[_Digest, ...]
+    chunks: Annotated[tuple[_Digest, ...], Field(max_length=MAX_CHUNKS)]
     scopes: Mapping[
         Annotated[DataCentre, _TEXT],
         Scope,
--- a/src/laburnumyard/core/ownership/_manager.py
+++ b/src/laburnumyard/core/ownership/_manager.py
@@ -79,7 +79,12 @@
     def wake_at(self, now: Seconds) -> Seconds:
         """Return when the next ``Tick`` is due, in seconds."""
         state = self.state
-        times = [Seconds(now + state.settings.timing.renew_interval_s)]
+        reading = state.reading
+        times = [
+            Seconds(now + state.settings.timing.renew_interval_s),
+            reading.retry_at,
+            reading.regular_at,
+        ]
         for lease in state.leases.values():
             times.extend((lease.send_at, lease.expires_by))
         return min(moment for moment in times if moment > now)
--- a/src/laburnumyard/core/ownership/_noting.py
+++ b/src/laburnumyard/core/ownership/_noting.py
@@ -99,5 +99,6 @@
     now: Seconds,
 ) -> None:
     state.plan = event.plan
+    state.may_be_misplaced = True
     if state.authority.phase is Phase.HOLDING:
         sync_leases(state, now)
--- a/src/laburnumyard/core/ownership/_releasing.py
+++ b/src/laburnumyard/core/ownership/_releasing.py
@@ -10,7 +10,7 @@
     available_targets,
     leaving_targets,
 )
-from laburnumyard.core.ownership._planner import destinations
+from laburnumyard.core.ownership._planner import destinations, may_own
 from laburnumyard.core.ownership._ranges import within
 from laburnumyard.core.ownership._state import ManagerState
 
@@ -76,6 +76,8 @@
         else:
             lease.drain_since = None
             _start_move(state, lease, available, now)
+    if state.may_be_misplaced:
+        _start_misplaced(state, available, now)
 
 
 def end_releases(state: ManagerState) -> None:
@@ -145,6 +147,26 @@
         lease.release = Release(parts, now)
 
 
+def _start_misplaced(
+    state: ManagerState,
+    available: Collection[TargetName],
+    now: Seconds,
+) -> None:
+    state.may_be_misplaced = False
+    for lease in state.leases.values():
+        parts = [
+            part
+            for part in state.owned_by(lease.name)
+            if not may_own(state.plan, lease.name, part)
+        ]
+        state.may_be_misplaced |= bool(parts)
+        chosen = _placeable(state, parts, available)
+        is_held = lease.sealed and not lease.is_lost(now)
+        if chosen and is_held and _can_release(state, lease, now):
+            part = min(chosen)
+            lease.release = Release({part: chosen[part]}, now)
+
+
 def _can_release(
     state: ManagerState,
     lease: TargetLease,
@@ -175,7 +197,7 @@
 
 def wants_release(state: ManagerState) -> bool:
     """Tell whether a release waits for a fresh contact to the store."""
-    if state.moves:
+    if state.moves or state.may_be_misplaced:
         return True
     leases = [state.leases[name] for name in leaving_targets(state)]
     return any(
--- a/src/laburnumyard/core/ownership/_settling.py
+++ b/src/laburnumyard/core/ownership/_settling.py
@@ -172,6 +172,7 @@
     """Begin to manage the scope, its predecessor's grants still live."""
     state.authority.phase = Phase.HOLDING
     state.authority.taken_at = now
+    state.may_be_misplaced = True
     state.leases.clear()
     sync_leases(state, now)
     for lease in state.leases.values():
--- a/src/laburnumyard/core/ownership/_state.py
+++ b/src/laburnumyard/core/ownership/_state.py
@@ -126,6 +126,14 @@
     drop_at: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class ConformedTo:
+    """What the assignment was last compared with the configuration at."""
+
+    version: Version
+    plan: ServicePlan
+
+
 @dataclass(slots=True)
 class Authority:
     """What entitles a manager to act.
@@ -218,6 +226,10 @@
         The daemons that may guard each target.
     moves
         Moves that the planner has asked for.
+    conformed
+        The state at which the assignment last agreed with the plan.
+    may_be_misplaced
+        Whether a target may own ranges against the configuration.
     is_settled
         Whether the last event left nothing to look at before the next tick.
     merges
@@ -242,6 +254,8 @@
         default_factory=dict,
     )
     moves: dict[HashRange, WantedMove] = field(default_factory=dict)
+    conformed: ConformedTo | None = None
+    may_be_misplaced: bool = True
     is_settled: bool = False
     merges: list[HashRange] = field(default_factory=list)
 
