--- /dev/null
+++ b/src/laburnumyard/core/callers.py
@@ -0,0 +1,267 @@
+"""What a caller asks for, read from the head of its HTTP request."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from expression import Error, Ok, Result
+
+from laburnumyard.core.errors import ErrorKind, Failure
+from laburnumyard.core.ids import (
+    CustomerName,
+    KeyHash,
+    RequestId,
+    Seconds,
+    ServiceName,
+    TicketId,
+)
+from laburnumyard.core.keys import hash_key
+from laburnumyard.schema._generated.settings import LimitSettings
+
+MILLISECONDS_PER_SECOND = 1000
+MAX_KEY_LENGTH = 512
+# How many characters of a bad value an error names.
+SHOWN = 20
+SAFE_METHODS = frozenset(('GET', 'HEAD'))
+METHODS = SAFE_METHODS | {'POST', 'PUT', 'PATCH', 'DELETE'}
+PREFIX = 'laburnumyard-'
+# Headers of one connection, which a router must not pass on.
+HOP_HEADERS = frozenset(
+    (
+        'authorization',
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """The head of an HTTP request as it arrived.
+
+    Parameters
+    ----------
+    method
+        The method in capitals.
+    path
+        The path with its query.
+    headers
+        Names in lower case and values, as bytes.
+    """
+
+    method: str
+    path: str
+    headers: tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A checked request of a caller.
+
+    Parameters
+    ----------
+    request_id
+        The name of this request in logs and answers.
+    service, operation
+        The first and second segment of the path.
+    customer
+        The customer that the caller claims to be; empty for none.
+    token
+        The bearer token that proves the claim.
+    key, key_hash
+        The key and its place in the hash space.
+    timeout
+        The time that the caller gives, in seconds.
+    repeatable
+        Whether the request may run more than once.
+    ticket
+        The ticket of a request that must not be repeated; empty for none.
+    method, path, headers, body
+        What the target is sent.
+    """
+
+    request_id: RequestId
+    service: ServiceName
+    operation: str
+    customer: CustomerName
+    token: str
+    key: str
+    key_hash: KeyHash
+    timeout: Seconds
+    repeatable: bool
+    ticket: TicketId
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes = b''
+
+    def with_body(self, body: bytes) -> 'CallerRequest':
+        """Return the same request with its body."""
+        return replace(self, body=body)
+
+
+class _RefusedError(Exception):
+    """Carries a failure out of the nested checks of one head."""
+
+    def __init__(self, kind: ErrorKind, detail: str) -> None:
+        super().__init__(detail)
+        self.failure = Failure(kind, detail)
+
+
+def parse_head(
+    head: RequestHead,
+    request_id: RequestId,
+    limits: LimitSettings,
+) -> Result[CallerRequest, Failure]:
+    """Check the head of a request.
+
+    Parameters
+    ----------
+    head
+        The head as it arrived; it is not trusted.
+    request_id
+        The name that the daemon gave the request.
+    limits
+        The bounds of the daemon's settings.
+
+    Returns
+    -------
+    Result
+        The request without its body, or a failure of kind
+        ``bad-request``, ``headers-too-large`` or ``body-too-large`` that
+        names the bad value and the remedy.
+    """
+    try:
+        return Ok(_parse(head, request_id, limits))
+    except _RefusedError as refused:
+        return Error(refused.failure)
+
+
+def _parse(
+    head: RequestHead,
+    request_id: RequestId,
+    limits: LimitSettings,
+) -> CallerRequest:
+    _check_size(head, limits)
+    if head.method not in METHODS:
+        raise _bad(f'method {head.method!r}: use one of {sorted(METHODS)}')
+    headers = _decode_headers(head.headers)
+    own = {name: text for name, text in headers if name.startswith(PREFIX)}
+    service, operation = _split_path(head.path)
+    key = _read_key(own)
+    return CallerRequest(
+        request_id=request_id,
+        service=service,
+        operation=operation,
+        customer=CustomerName(own.get('laburnumyard-customer', '')),
+        token=_read_token(headers),
+        key=key,
+        key_hash=hash_key(key),
+        timeout=_read_timeout(own, limits),
+        repeatable=_read_repeatable(own, head.method),
+        ticket=TicketId(own.get('laburnumyard-ticket', '')),
+        method=head.method,
+        path=head.path,
+        headers=_forwarded(headers),
+    )
+
+
+def _bad(detail: str) -> _RefusedError:
+    return _RefusedError(ErrorKind.BAD_REQUEST, detail)
+
+
+def _check_size(head: RequestHead, limits: LimitSettings) -> None:
+    size = len(head.path)
+    for name, text in head.headers:
+        size += len(name) + len(text)
+        if name == b'content-length':
+            _check_length(text, limits)
+    if size > limits.header_bytes:
+        raise _RefusedError(
+            ErrorKind.HEADERS_TOO_LARGE,
+            f'the head has {size} bytes; send at most {limits.header_bytes}',
+        )
+
+
+def _check_length(text: bytes, limits: LimitSettings) -> None:
+    if not text.isdigit():
+        raise _bad(f'content-length {text!r}: send a number of bytes')
+    if int(text) > limits.body_bytes:
+        raise _RefusedError(
+            ErrorKind.BODY_TOO_LARGE,
+            f'the body has {int(text)} bytes; send at most {limits.body_bytes}',
+        )
+
+
+def _decode_headers(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in headers
+    )
+
+
+def _split_path(path: str) -> tuple[ServiceName, str]:
+    service, _, rest = path.partition('?')[0].lstrip('/').partition('/')
+    if not service:
+        raise _bad(f'path {path!r}: send /SERVICE/OPERATION')
+    return ServiceName(service), rest.partition('/')[0]
+
+
+def _read_key(own: dict[str, str]) -> str:
+    key = own.get('laburnumyard-key', '')
+    if not key or len(key) > MAX_KEY_LENGTH:
+        raise _bad(
+            f'laburnumyard-key has {len(key)} characters: '
+            f'send 1 to {MAX_KEY_LENGTH}',
+        )
+    return key
+
+
+def _read_token(headers: Iterable[tuple[str, str]]) -> str:
+    for name, text in headers:
+        if name == 'authorization' and text[:7].lower() == 'bearer ':
+            return text[7:].strip()
+    return ''
+
+
+def _read_timeout(own: dict[str, str], limits: LimitSettings) -> Seconds:
+    text = own.get('laburnumyard-deadline-ms')
+    if text is None:
+        return Seconds(limits.deadline_default_s)
+    longest = int(limits.deadline_max_s * MILLISECONDS_PER_SECOND)
+    if not text.isdecimal() or not text.isascii():
+        raise _bad(f'laburnumyard-deadline-ms {text[:SHOWN]!r}: send a number')
+    timeout = int(text[:SHOWN])
+    if timeout < 1 or timeout > longest:
+        raise _bad(f'laburnumyard-deadline-ms {timeout}: send 1 to {longest}')
+    return Seconds(timeout / MILLISECONDS_PER_SECOND)
+
+
+def _read_repeatable(own: dict[str, str], method: str) -> bool:
+    text = own.get('laburnumyard-repeatable')
+    if text is None:
+        return method in SAFE_METHODS
+    if text not in {'yes', 'no'}:
+        raise _bad(
+            f"laburnumyard-repeatable {text[:SHOWN]!r}: send 'yes' or 'no'"
+        )
+    return text == 'yes'
+
+
+def _forwarded(
+    headers: Iterable[tuple[str, str]],
+) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, text)
+        for name, text in headers
+        if name not in HOP_HEADERS and not name.startswith(PREFIX)
+    )
--- a/src/laburnumyard/core/errors.py
+++ b/src/laburnumyard/core/errors.py
@@ -34,6 +34,7 @@
     TICKET_REQUIRED = 'ticket-required'
     TICKET_VOID = 'ticket-void'
     TICKET_CONFLICT = 'ticket-conflict'
+    TICKET_UNSETTLED = 'ticket-unsettled'
     STILL_RUNNING = 'still-running'
     QUARANTINED = 'quarantined'
     OVER_SHARE = 'over-share'
@@ -161,6 +162,11 @@
             'The ticket was used for a different request.',
             'Ask for a new ticket.',
         ),
+        ErrorKind.TICKET_UNSETTLED: _unknown(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The issuer of the ticket could not be asked.',
+            'Send it again with the same ticket.',
+        ),
         ErrorKind.STILL_RUNNING: _unknown(
             HTTPStatus.TOO_EARLY,
             'The first submission of the ticket has not ended.',
--- /dev/null
+++ b/src/laburnumyard/core/routing.py
@@ -0,0 +1,46 @@
+"""The routing table: which target owns a key of a service."""
+
+from bisect import bisect_right
+
+from laburnumyard.core.ids import KeyHash, ServiceName, TargetName, Version
+from laburnumyard.schema._generated.messages import Assignment
+
+
+class RoutingTable:
+    """The owners of one service's ranges, indexed for look-up.
+
+    Parameters
+    ----------
+    assignment
+        Every owned range of the service.
+    version
+        The version of the assignment's head.
+    """
+
+    def __init__(self, assignment: Assignment, version: Version) -> None:
+        """Sort the ranges once, so that each look-up is a bisection."""
+        self.service = ServiceName(assignment.service)
+        self.version = version
+        self.ranges = sorted(assignment.ranges, key=lambda owned: owned.start)
+        self.starts = [owned.start for owned in self.ranges]
+
+    def owner(self, key_hash: KeyHash) -> TargetName | None:
+        """Return the target that owns a key, or None in a hole.
+
+        Parameters
+        ----------
+        key_hash
+            The key's place in the hash space.
+
+        Returns
+        -------
+        TargetName or None
+            The owner as of this version.
+        """
+        position = bisect_right(self.starts, key_hash) - 1
+        if position < 0:
+            return None
+        owned = self.ranges[position]
+        if key_hash > owned.last:
+            return None
+        return TargetName(owned.target)
--- /dev/null
+++ b/src/laburnumyard/daemon/_answers.py
@@ -0,0 +1,72 @@
+"""The HTTP answers of the daemon, from responses and from failures."""
+
+from dataclasses import dataclass
+
+from laburnumyard.core.errors import Failure, Ran
+from laburnumyard.core.ids import RequestId, TicketId
+
+MAX_DETAIL = 400
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """A whole answer.
+
+    Parameters
+    ----------
+    status
+        The HTTP status.
+    headers
+        Names in lower case and values.
+    body
+        The whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+def completed(response: Response, request_id: RequestId) -> Response:
+    """Return a target's answer as its caller gets it."""
+    headers = (
+        *response.headers,
+        ('laburnumyard-request-id', request_id),
+        ('laburnumyard-ran', Ran.RAN.value),
+    )
+    return Response(response.status, headers, response.body)
+
+
+def refused(
+    failure: Failure,
+    request_id: RequestId,
+    ran: Ran | None = None,
+    ticket: TicketId | None = None,
+) -> Response:
+    """Return the answer that tells a caller of a failure.
+
+    Parameters
+    ----------
+    failure
+        What went wrong.
+    request_id
+        The name of the request.
+    ran
+        What is known of its execution, where that differs from the table.
+    ticket
+        A fresh ticket that comes with a ``ticket-required``.
+    """
+    answer = failure.answer
+    promised = answer.ran if ran is None else ran
+    detail = failure.detail[:MAX_DETAIL]
+    body = f'{failure.kind.value}: {answer.meaning} {detail} {answer.remedy}\n'
+    headers = [
+        ('content-type', 'text/plain; charset=utf-8'),
+        ('laburnumyard-request-id', request_id),
+        ('laburnumyard-error', failure.kind.value),
+        ('laburnumyard-ran', promised.value),
+        ('laburnumyard-may-retry', 'yes' if answer.may_retry else 'no'),
+    ]
+    if ticket is not None:
+        headers.append(('laburnumyard-ticket', ticket))
+    return Response(int(answer.status), tuple(headers), body.encode())
--- /dev/null
+++ b/src/laburnumyard/daemon/_asgi.py
@@ -0,0 +1,84 @@
+"""Reading requests and sending whole answers over ASGI."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from expression import Error, Ok, Result
+
+from laburnumyard.core.callers import RequestHead
+from laburnumyard.core.errors import ErrorKind, Failure
+from laburnumyard.daemon._answers import Response
+from laburnumyard.schema._generated.settings import LimitSettings
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+BODY_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+CALLER_GONE = Failure(ErrorKind.BAD_REQUEST, 'the caller closed the connection')
+
+
+def read_head(scope: dict[str, Any]) -> RequestHead:
+    """Return the head of an ASGI request."""
+    path = scope['raw_path'].decode('latin-1')
+    query = scope['query_string'].decode('latin-1')
+    if query:
+        path = f'{path}?{query}'
+    return RequestHead(scope['method'], path, tuple(scope['headers']))
+
+
+async def read_body(
+    head: RequestHead,
+    receive: Receive,
+    limits: LimitSettings,
+) -> Result[bytes, Failure]:
+    """Read a whole body within the bounds of the settings.
+
+    Returns
+    -------
+    Result
+        The body, or a failure of kind ``body-too-large`` or
+        ``sender-too-slow``.
+    """
+    if not any(name in BODY_HEADERS for name, _ in head.headers):
+        return Ok(b'')
+    with anyio.move_on_after(limits.body_timeout_s):
+        return await _collect(receive, limits.body_bytes)
+    return Error(
+        Failure(
+            ErrorKind.SENDER_TOO_SLOW,
+            f'the body took over {limits.body_timeout_s} s',
+        ),
+    )
+
+
+async def _collect(receive: Receive, longest: int) -> Result[bytes, Failure]:
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            return Error(CALLER_GONE)
+        parts.append(message.get('body', b''))
+        size += len(parts[-1])
+        if size > longest:
+            detail = f'the body has over {longest} bytes'
+            return Error(Failure(ErrorKind.BODY_TOO_LARGE, detail))
+        if not message.get('more_body', False):
+            return Ok(b''.join(parts))
+
+
+async def send_response(send: Send, response: Response) -> None:
+    """Send a whole answer with its length."""
+    headers = [
+        (name.encode('latin-1'), text.encode('latin-1', 'replace'))
+        for name, text in response.headers
+    ]
+    headers.append((b'content-length', b'%d' % len(response.body)))
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': response.status,
+            'headers': headers,
+        }
+    )
+    await send({'type': 'http.response.body', 'body': response.body})
--- /dev/null
+++ b/src/laburnumyard/daemon/_metrics.py
@@ -0,0 +1,55 @@
+"""Counters and latency histograms, shown on the admin address."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from hdrh.histogram import HdrHistogram
+
+from laburnumyard.core.ids import Seconds
+
+MICROSECONDS_PER_SECOND = 1_000_000
+SHORTEST_US = 1
+LONGEST_S = 300
+LONGEST_US = LONGEST_S * MICROSECONDS_PER_SECOND
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50, 90, 99, 99.9)
+
+
+class Metrics:
+    """What one daemon counted since its start."""
+
+    def __init__(self) -> None:
+        """Start with nothing counted."""
+        self.counts: Counter[str] = Counter()
+        self.histograms: dict[str, HdrHistogram] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counts[name] += amount
+
+    def record(self, name: str, duration: Seconds) -> None:
+        """Add a duration in seconds to a histogram."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(
+                SHORTEST_US,
+                LONGEST_US,
+                SIGNIFICANT_DIGITS,
+            )
+            self.histograms[name] = histogram
+        microseconds = int(duration * MICROSECONDS_PER_SECOND)
+        histogram.record_value(max(SHORTEST_US, min(microseconds, LONGEST_US)))
+
+    def lines(self) -> Iterator[str]:
+        """Yield one ``name value`` line a figure, in the order of names."""
+        for name in sorted(self.counts):
+            yield f'{name} {self.counts[name]}'
+        for name in sorted(self.histograms):
+            yield from _histogram_lines(name, self.histograms[name])
+
+
+def _histogram_lines(name: str, histogram: HdrHistogram) -> Iterator[str]:
+    yield f'{name}_count {histogram.get_total_count()}'
+    for percentile in PERCENTILES:
+        microseconds = histogram.get_value_at_percentile(percentile)
+        yield f'{name}_us{{percentile="{percentile}"}} {microseconds}'
