--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,21 @@
 
 lock: setup
 	$(BIN)/python scripts/lock.py
+
+binary: dist/laburnumyard
+
+dist/laburnumyard: $(BIN)/.ready requirements/run.txt $(shell find src/laburnumyard -name '*.py' -o -name '*.capnp')
+	rm -rf build/site
+	$(BIN)/pip install --quiet --require-hashes --requirement requirements/run.txt --target build/site
+	cp -r src/laburnumyard build/site/
+	mkdir -p dist
+	$(BIN)/shiv --site-packages build/site --entry-point laburnumyard.cli:main --python '/usr/bin/env python3.11' --compressed --output-file $@
+
+faults: setup
+	$(BIN)/python -m scripts.faults
+
+demo: setup
+	$(BIN)/python -m demo
+
+bench: setup
+	$(BIN)/python -m bench
--- a/src/laburnumyard/daemon/_clock.py
+++ b/src/laburnumyard/daemon/_clock.py
@@ -6,7 +6,8 @@
 from laburnumyard.core.ids import Incarnation, Seconds
 
 MILLISECONDS_PER_SECOND = 1000
-FRACTION_STEPS = 1 << 53
+FRACTION_BITS = 53
+FRACTION_STEPS = 1 << FRACTION_BITS
 
 
 def boot_time() -> Seconds:
--- a/tests/support/matrix.py
+++ b/tests/support/matrix.py
@@ -1,6 +1,7 @@
 """The rows and columns of the fault matrix."""
 
 from enum import Enum
+from types import MappingProxyType
 
 
 class Step(Enum):
@@ -39,3 +40,44 @@
     RACING_OPERATORS = 'racing-operators'
     POISON_REQUEST = 'poison-request'
     SILENT_CONNECTION = 'silent-connection'
+
+
+_NO_STORE = 'the step makes no call to the store'
+_NO_OPERATOR = 'operators do not take part in the step'
+_NO_WRITE = 'the step writes nothing to the store'
+_NO_TARGET = 'the step does not reach a target'
+
+NOT_POSSIBLE = MappingProxyType(
+    {
+        **{
+            (step, fault): reason
+            for step in (
+                Step.ISSUE_TICKET,
+                Step.ADMIT,
+                Step.QUEUE,
+                Step.SEND,
+                Step.ANSWER,
+                Step.CANCEL,
+                Step.RETRY,
+            )
+            for fault, reason in (
+                (Fault.STORE_SLOW, _NO_STORE),
+                (Fault.WRITE_ANSWER_LOST, _NO_WRITE),
+                (Fault.RACING_OPERATORS, _NO_OPERATOR),
+            )
+        },
+        (Step.RENEW, Fault.RACING_OPERATORS): _NO_OPERATOR,
+        (Step.RENEW, Fault.WRITE_ANSWER_LOST): _NO_WRITE,
+        (Step.SEAL, Fault.RACING_OPERATORS): _NO_OPERATOR,
+        (Step.SEAL, Fault.POISON_REQUEST): 'a seal carries no request',
+        (Step.RENEW, Fault.POISON_REQUEST): 'a renewal carries no request',
+        (Step.TAKE_OVER, Fault.POISON_REQUEST): 'no request takes part',
+        (Step.PUBLISH, Fault.POISON_REQUEST): 'no request takes part',
+        (Step.PUBLISH, Fault.TARGET_FREEZE): _NO_TARGET,
+        (Step.DISSEMINATE, Fault.POISON_REQUEST): 'no request takes part',
+        (Step.DISSEMINATE, Fault.TARGET_FREEZE): _NO_TARGET,
+        (Step.ISSUE_TICKET, Fault.TARGET_FREEZE): _NO_TARGET,
+        (Step.ISSUE_TICKET, Fault.POISON_REQUEST): _NO_TARGET,
+        (Step.ISSUE_TICKET, Fault.STORE_DOWN): _NO_STORE,
+    }
+)
