--- /dev/null
+++ b/src/laburnumyard/daemon/_callers_gone.py
@@ -0,0 +1,78 @@
+"""Notices callers that close their connection before their answer."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import anyio
+
+from laburnumyard.daemon._asgi import Receive
+
+SWEEP_INTERVAL_S = 0.05
+
+
+class WatchedCaller:
+    """A caller that waits for its answer.
+
+    Parameters
+    ----------
+    receive
+        Returns once the caller has closed the connection.
+    """
+
+    def __init__(self, receive: Receive) -> None:
+        """Start unwatched; most answers come before the next sweep."""
+        self.receive = receive
+        self.scope = anyio.CancelScope()
+        self.is_gone = False
+        self.is_served = False
+        self.watcher: anyio.CancelScope | None = None
+
+    async def wait_gone(self) -> None:
+        """Cancel the work for the caller once it is gone."""
+        self.watcher = anyio.CancelScope()
+        with self.watcher:
+            await self.receive()
+            if not self.is_served:
+                self.is_gone = True
+                self.scope.cancel()
+
+
+class CallerWatch:
+    """Watches the callers whose answer takes long.
+
+    A task for each request would cost more than most requests; a sweep starts
+    one only for those that are still in flight at the second sweep.
+    """
+
+    def __init__(self) -> None:
+        """Start with no caller."""
+        self.fresh: set[WatchedCaller] = set()
+        self.settled: set[WatchedCaller] = set()
+
+    @contextmanager
+    def watching(self, receive: Receive) -> Iterator[WatchedCaller]:
+        """Cancel the block once the caller is gone."""
+        caller = WatchedCaller(receive)
+        self.fresh.add(caller)
+        try:
+            with caller.scope:
+                yield caller
+        finally:
+            self._forget(caller)
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await anyio.sleep(SWEEP_INTERVAL_S)
+                for caller in self.settled:
+                    tasks.start_soon(caller.wait_gone)
+                self.settled = self.fresh
+                self.fresh = set()
+
+    def _forget(self, caller: WatchedCaller) -> None:
+        caller.is_served = True
+        self.fresh.discard(caller)
+        self.settled.discard(caller)
+        if caller.watcher is not None:
+            caller.watcher.cancel()
--- /dev/null
+++ b/src/laburnumyard/daemon/_dispatcher.py
@@ -0,0 +1,194 @@
+"""Runs requests at one target: its queue, its slots and its connections."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from types import MappingProxyType
+
+import anyio
+from expression import Error, Result
+
+from laburnumyard.core import requests
+from laburnumyard.core.errors import ErrorKind, Failure
+from laburnumyard.core.ids import RequestId, Seconds
+from laburnumyard.daemon._answers import Response
+from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._jobs import Job
+
+# Runs a job at the target; never raises but for cancellation.
+Runner = Callable[[Job], 'asyncio.Future[Result[Response, Failure]]']
+
+OUTCOMES = MappingProxyType(
+    {
+        ErrorKind.TARGET_SHED: requests.Outcome.SHED,
+        ErrorKind.NOT_OWNER: requests.Outcome.SHED,
+        ErrorKind.NO_OWNER: requests.Outcome.SHED,
+        ErrorKind.TARGET_UNREACHABLE: requests.Outcome.UNREACHABLE,
+    }
+)
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """A job and what the queue last said of it.
+
+    Parameters
+    ----------
+    job
+        The job.
+    turn
+        Set once the queue has decided.
+    queued
+        Whether the queue still counts the job.
+    failure
+        What the caller is told, where the job was refused or cancelled.
+    scope
+        The run at the target, from the queue's word until its end.
+    """
+
+    job: Job
+    turn: anyio.Event = field(default_factory=anyio.Event)
+    queued: bool = True
+    failure: Failure | None = None
+    scope: anyio.CancelScope | None = None
+
+
+class Dispatcher:
+    """Runs requests at one target as its queue decides.
+
+    Parameters
+    ----------
+    queue
+        The decisions.
+    run_at_target
+        Sends one job to the target and returns its answer.
+    """
+
+    def __init__(self, queue: requests.TargetQueue, run_at_target) -> None:
+        """Start with no job."""
+        self.queue = queue
+        self.run_at_target = run_at_target
+        self.waiting: dict[RequestId, _Waiting] = {}
+        self.timer: asyncio.TimerHandle | None = None
+
+    async def run(self, job: Job) -> Result[Response, Failure]:
+        """Queue a job, run it in its turn and return the answer.
+
+        Cancelling this call tells the queue that the caller is gone and
+        closes the connection on which the job runs.
+        """
+        if job.request_id in self.waiting:
+            detail = f'request id {job.request_id} is in use; retry'
+            return Error(Failure(ErrorKind.OVERLOADED, detail))
+        waiting = _Waiting(job)
+        self.waiting[job.request_id] = waiting
+        try:
+            return await self._take_turns(waiting)
+        finally:
+            self._forget(waiting)
+
+    def feed(self, event: requests.Event) -> None:
+        """Hand an event to the queue and carry out its effects."""
+        for effect in self.queue.handle(event, boot_time()):
+            self.carry_out(effect)
+
+    async def _take_turns(
+        self,
+        waiting: _Waiting,
+    ) -> Result[Response, Failure]:
+        self.feed(requests.Arrive(_queue_request(waiting.job)))
+        while True:
+            await waiting.turn.wait()
+            if waiting.scope is None:
+                return Error(waiting.failure)
+            waiting.turn = anyio.Event()
+            answer = await self._send(waiting)
+            if answer is not None:
+                waiting.queued = False
+                return answer
+
+    async def _send(
+        self,
+        waiting: _Waiting,
+    ) -> Result[Response, Failure] | None:
+        """Send a job; return None where it was preempted and waits again."""
+        answer = None
+        with waiting.scope:
+            answer = await self.run_at_target(waiting.job)
+        waiting.scope = None
+        self.feed(requests.Finished(waiting.job.request_id, _outcome(answer)))
+        if answer is None and waiting.failure is not None:
+            return Error(waiting.failure)
+        return answer
+
+    def _forget(self, waiting: _Waiting) -> None:
+        """Tell the queue of a caller that left before its answer."""
+        request_id = waiting.job.request_id
+        self.waiting.pop(request_id, None)
+        if not waiting.queued:
+            return
+        self.feed(requests.CallerGone(request_id))
+        if waiting.scope is not None:
+            outcome = requests.Outcome.CANCELLED
+            self.feed(requests.Finished(request_id, outcome))
+
+    @singledispatchmethod
+    def carry_out(self, effect: requests.Effect) -> None:
+        """Carry out one effect of the queue."""
+        raise TypeError(f'no way to carry out {effect!r}; register one')
+
+    @carry_out.register
+    def _send_now(self, effect: requests.Send) -> None:
+        waiting = self.waiting[effect.request_id]
+        # Made here, so that a cancellation before the send is not lost.
+        waiting.scope = anyio.CancelScope()
+        waiting.turn.set()
+
+    @carry_out.register
+    def _refuse(self, effect: requests.Refuse) -> None:
+        waiting = self.waiting.get(effect.request_id)
+        if waiting is None:
+            return
+        waiting.queued = False
+        waiting.failure = effect.failure
+        waiting.turn.set()
+
+    @carry_out.register
+    def _cancel(self, effect: requests.CancelRunning) -> None:
+        waiting = self.waiting.get(effect.request_id)
+        if waiting is not None and waiting.scope is not None:
+            waiting.failure = effect.failure
+            waiting.scope.cancel()
+
+    @carry_out.register
+    def _preempt(self, effect: requests.Preempt) -> None:
+        waiting = self.waiting.get(effect.request_id)
+        if waiting is not None and waiting.scope is not None:
+            waiting.scope.cancel()
+
+    @carry_out.register
+    def _wake_at(self, effect: requests.WakeAt) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        delay = max(Seconds(0), effect.time - boot_time())
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(delay, self.feed, requests.Tick())
+
+
+def _queue_request(job: Job) -> requests.Request:
+    return requests.Request(
+        job.request_id,
+        job.customer,
+        job.operation,
+        job.deadline,
+        job.repeatable,
+    )
+
+
+def _outcome(answer: Result[Response, Failure] | None) -> requests.Outcome:
+    if answer is None:
+        return requests.Outcome.CANCELLED
+    if answer.is_ok():
+        return requests.Outcome.ANSWERED
+    return OUTCOMES.get(answer.error.kind, requests.Outcome.BROKEN_OFF)
--- /dev/null
+++ b/src/laburnumyard/daemon/_entry.py
@@ -0,0 +1,148 @@
+"""The callers' side: checks a request, has it served and answers it."""
+
+from collections.abc import Awaitable, Callable
+from itertools import count
+from typing import Any
+
+from expression import Error, Result
+
+from laburnumyard.core.callers import CallerRequest, parse_head
+from laburnumyard.core.errors import ErrorKind, Failure, Ran
+from laburnumyard.core.ids import RequestId
+from laburnumyard.daemon._answers import Response, completed, refused
+from laburnumyard.daemon._asgi import (
+    Receive,
+    Send,
+    read_body,
+    read_head,
+    send_response,
+)
+from laburnumyard.daemon._callers_gone import CallerWatch
+from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._log import Event, log_event
+from laburnumyard.daemon._metrics import Metrics
+from laburnumyard.schema._generated.settings import Settings
+
+Serve = Callable[[CallerRequest], Awaitable[Result[Response, Failure]]]
+TICKET_HEADER = b'laburnumyard-ticket'
+
+
+class EntryApp:
+    """The ASGI application that callers reach.
+
+    Parameters
+    ----------
+    settings
+        The daemon's settings.
+    serve
+        Has a checked request served.
+    issue_ticket
+        Returns a fresh ticket.
+    metrics
+        Where requests are counted.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        serve: Serve,
+        issue_ticket: Callable[[], str],
+        metrics: Metrics,
+    ) -> None:
+        """Start with no request in flight."""
+        self.limits = settings.limits
+        self.prefix = settings.daemon.name
+        self.serve = serve
+        self.issue_ticket = issue_ticket
+        self.metrics = metrics
+        self.watch = CallerWatch()
+        self.numbers = count(1)
+        self.in_flight = 0
+        self.epoch = hex(int(boot_time()))[2:]
+
+    async def __call__(
+        self,
+        scope: dict[str, Any],
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Answer one request, whatever goes wrong."""
+        started = boot_time()
+        number = next(self.numbers)
+        request_id = RequestId(f'{self.prefix}-{self.epoch}-{number}')
+        self.in_flight += 1
+        try:
+            response = await self._respond(scope, receive, request_id)
+        finally:
+            self.in_flight -= 1
+        if response is not None:
+            await send_response(send, response)
+        self.metrics.record('request', boot_time() - started)
+
+    async def _respond(
+        self,
+        scope: dict[str, Any],
+        receive: Receive,
+        request_id: RequestId,
+    ) -> Response | None:
+        head = read_head(scope)
+        parsed = parse_head(head, request_id, self.limits)
+        if parsed.is_ok():
+            body = await read_body(head, receive, self.limits)
+            parsed = body.map(parsed.ok.with_body)
+        if parsed.is_error():
+            carries_ticket = any(
+                name == TICKET_HEADER for name, _ in head.headers
+            )
+            return self._refuse(parsed.error, request_id, carries_ticket)
+        with self.watch.watching(receive) as caller:
+            outcome = await self._serve(parsed.ok)
+        if caller.is_gone:
+            self.metrics.count('callers_gone')
+            return None
+        if outcome.is_ok():
+            self.metrics.count('answers')
+            return completed(outcome.ok, request_id)
+        return self._refuse(outcome.error, request_id, carries_ticket=False)
+
+    async def _serve(
+        self,
+        request: CallerRequest,
+    ) -> Result[Response, Failure]:
+        try:
+            return await self.serve(request)
+        except Exception as fault:
+            # One request's fault must not close the daemon.
+            log_event(
+                Event.FAULT,
+                'ERROR',
+                request=request.request_id,
+                error=repr(fault),
+            )
+            return Error(Failure(ErrorKind.INTERNAL, type(fault).__name__))
+
+    def _refuse(
+        self,
+        failure: Failure,
+        request_id: RequestId,
+        carries_ticket: bool,
+    ) -> Response:
+        """Answer a failure.
+
+        A refusal before the ledger was asked says nothing about an earlier
+        submission of the same ticket, so that ``not-run`` may not be told.
+        """
+        kind = failure.kind
+        self.metrics.count(f'errors{{kind="{kind.value}"}}')
+        log_event(
+            Event.REFUSED,
+            failure.answer.log_level.value,
+            request=request_id,
+            kind=kind,
+            detail=failure.detail,
+        )
+        ticket = None
+        if kind is ErrorKind.TICKET_REQUIRED:
+            ticket = self.issue_ticket()
+        ran = Ran.UNKNOWN if carries_ticket else None
+        return refused(failure, request_id, ran, ticket)
