Check a daemon's settings as a whole

Every unknown key, wrong type or unit and contradiction is reported at once, each with file, table, field, bad value and remedy. Settings gain an optional [admin] table with the hash of the operators' token.

--- /dev/null
+++ b/src/laburnumyard/core/addresses.py
@@ -0,0 +1,75 @@
+"""IP numbers and ports, as settings and objects write them."""
+
+from ipaddress import AddressValueError, IPv4Address
+from typing import NamedTuple
+
+_LAST_PORT = 65535
+_ANY_HOST = '0.0.0.0'
+
+
+class Endpoint(NamedTuple):
+    """The two parts of an address.
+
+    Parameters
+    ----------
+    host
+        The IP number.
+    port
+        The port, from 1 to 65535 where the address is sound.
+    """
+
+    host: str
+    port: int
+
+
+def parse_address(address: str) -> Endpoint:
+    """Return the parts of an address such as ``10.0.0.1:7000``.
+
+    Parameters
+    ----------
+    address
+        Text of the form that the schema demands.
+
+    Returns
+    -------
+    Endpoint
+        Host and port.
+
+    Examples
+    --------
+    >>> parse_address('10.0.0.1:7000')
+    Endpoint(host='10.0.0.1', port=7000)
+    """
+    host, _, port = address.partition(':')
+    return Endpoint(host, int(port))
+
+
+def find_address_fault(address: str) -> str:
+    """Return the remedy for an impossible address, empty if it is sound.
+
+    Parameters
+    ----------
+    address
+        Text of the form that the schema demands.
+
+    Returns
+    -------
+    str
+        What to write instead.
+    """
+    endpoint = parse_address(address)
+    try:
+        IPv4Address(endpoint.host)
+    except AddressValueError as invalid:
+        return f'give an IP number ({invalid})'
+    if not 0 < endpoint.port <= _LAST_PORT:
+        return f'give a port from 1 to {_LAST_PORT}'
+    return ''
+
+
+def clashes(address: str, other: str) -> bool:
+    """Tell whether two listening addresses can't be served at once."""
+    first, second = parse_address(address), parse_address(other)
+    hosts = {first.host, second.host}
+    same_host = len(hosts) == 1 or _ANY_HOST in hosts
+    return same_host and first.port == second.port
--- /dev/null
+++ b/src/laburnumyard/core/problems.py
@@ -0,0 +1,159 @@
+"""Problems in operators' files, and how models report them."""
+
+import math
+import tomllib
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from difflib import get_close_matches
+from types import MappingProxyType
+from typing import Any
+
+from expression import Error, Ok, Result
+from pydantic_core import ErrorDetails
+
+_LONGEST_VALUE = 60
+_UNITS = MappingProxyType(
+    {
+        '_s': 'a number of seconds',
+        '_per_s': 'a number of calls per second',
+        '_bytes': 'a whole number of bytes',
+    }
+)
+_PATTERNS = MappingProxyType(
+    {
+        '^[a-z][a-z0-9-]{0,62}$': (
+            'give a name of 1 to 63 lower-case letters, digits and hyphens '
+            'that starts with a letter'
+        ),
+        r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$': (
+            'give an IP number and a port, such as 10.0.0.1:7000'
+        ),
+        '^[0-9a-f]{64}$': 'give 64 lower-case hexadecimal digits',
+        '^([0-9a-f]{64})?$': 'give 64 lower-case hexadecimal digits',
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One fault in an operator's file.
+
+    Parameters
+    ----------
+    file
+        The name of the file.
+    object
+        The table or object, such as ``target catalogue-1``.
+    field
+        The field of the object; empty where the whole object is meant.
+    value
+        The bad value as text; empty where there is none.
+    remedy
+        What to write instead.
+    """
+
+    file: str
+    object: str
+    field: str
+    value: str
+    remedy: str
+
+    def __str__(self) -> str:
+        """Return the problem as one line."""
+        place = ': '.join(part for part in (self.file, self.object) if part)
+        if self.field:
+            place = f'{place}: {self.field}'
+        if self.value:
+            place = f'{place} = {self.value}'
+        return f'{place}: {self.remedy}'
+
+
+def show_value(found: object) -> str:
+    """Return a value as short text on one line."""
+    text = repr(found)
+    if len(text) > _LONGEST_VALUE:
+        shown = text[:_LONGEST_VALUE]
+        return f'{shown}...'
+    return text
+
+
+def read_toml(text: str, file: str) -> Result[dict[str, Any], Problem]:
+    """Parse a TOML document; numbers without a value stay text.
+
+    Parameters
+    ----------
+    text
+        The document.
+    file
+        The name of the file, for problems.
+
+    Returns
+    -------
+    Result
+        The document as nested dictionaries, or why it is no TOML.
+    """
+    try:
+        return Ok(tomllib.loads(text, parse_float=_parse_finite))
+    except (tomllib.TOMLDecodeError, RecursionError) as fault:
+        detail = str(fault) or 'nested too deeply'
+        return Error(Problem(file, '', '', '', f'mend the TOML: {detail}'))
+
+
+def find_remedy(fault: ErrorDetails, known: Mapping[str, Any]) -> str:
+    """Return the remedy for a fault that a model reported.
+
+    Parameters
+    ----------
+    fault
+        One entry of ``ValidationError.errors()``.
+    known
+        The fields of the model in which the fault lies.
+
+    Returns
+    -------
+    str
+        What the operator should write instead.
+    """
+    field = str(fault['loc'][-1])
+    if fault['type'] == 'missing':
+        return 'add it; it has no default'
+    if fault['type'] == 'extra_forbidden':
+        return _suggest(field, known)
+    if fault['type'] == 'string_pattern_mismatch':
+        pattern = fault['ctx']['pattern']
+        return _PATTERNS.get(pattern, f'give text that matches {pattern}')
+    if fault['type'].endswith('_type'):
+        wanted = _name_unit(field) or _describe(fault)
+        return f'give {wanted}'
+    return f'give {_describe(fault)}'
+
+
+def _parse_finite(text: str) -> float | str:
+    number = float(text)
+    return number if math.isfinite(number) else text
+
+
+def _suggest(field: str, known: Mapping[str, Any]) -> str:
+    likely = get_close_matches(field, known, n=1)
+    if likely:
+        return f'unknown field; did you mean {likely[0]}?'
+    names = ', '.join(known)
+    return f'unknown field; remove it or use one of {names}'
+
+
+def _describe(fault: ErrorDetails) -> str:
+    wanted = fault['msg']
+    for start in ('Input should be ', 'Input should ', 'String should '):
+        wanted = wanted.removeprefix(start)
+    return wanted
+
+
+def _name_unit(field: str) -> str:
+    units = _matching_units(field)
+    return max(units, key=len, default='')
+
+
+def _matching_units(field: str) -> Iterator[str]:
+    for ending, unit in _UNITS.items():
+        if field.endswith(ending):
+            yield unit
--- a/src/laburnumyard/schema/_generated/settings.py
+++ b/src/laburnumyard/schema/_generated/settings.py
@@ -59,6 +59,20 @@
     """
 
 
+class AdminSettings(BaseModel):
+    """
+    Who may give operators' orders on the admin address.
+    """
+
+    model_config = ConfigDict(
+        extra="forbid",
+    )
+    token_sha256: Annotated[str, Field(pattern="^([0-9a-f]{64})?$")] = ""
+    """
+    The SHA-256 of the operators' token, in hexadecimal; without it every call that changes something is refused.
+    """
+
+
 class StoreSettings(BaseModel):
     """
     The platform's key-value service and its list of VMs.
@@ -223,6 +237,7 @@
     daemon: DaemonSettings
     listen: ListenSettings
     store: StoreSettings
+    admin: Annotated[AdminSettings, Field(validate_default=True)] = {}
     limits: Annotated[LimitSettings, Field(validate_default=True)] = {}
     timing: Annotated[TimingSettings, Field(validate_default=True)] = {}
     log: Annotated[LogSettings, Field(validate_default=True)] = {}
