Check, index, compare and encode the operators' objects

One report over all files: dangling names, duplicates, overlaps and holes of key ranges, contradictions between classes, shares and targets. Documents are kept as content-addressed chunks, so that an unchanged file costs nothing.

Generated models get enum members as defaults (--set-default-enum-member): a plain string default failed 'is Fencing.TOKEN' and made pydantic warn.

--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -211,6 +211,7 @@
             *('--use-field-description', '--use-double-quotes'),
             *('--use-annotated', '--field-constraints'),
             *('--enum-field-as-literal', 'none', '--formatters', 'builtin'),
+            '--set-default-enum-member',
             *('--collapse-root-models', '--strict-nullable'),
         ],
         check=True,
--- /dev/null
+++ b/src/laburnumyard/core/configuration/_checks.py
@@ -0,0 +1,130 @@
+"""Checks of the whole set of objects: references and contradictions."""
+
+from collections import Counter
+from collections.abc import Iterator
+from itertools import chain
+
+from laburnumyard.core.addresses import find_address_fault
+from laburnumyard.core.configuration._catalogue import Catalogue, title_of
+from laburnumyard.core.configuration._index import target_names
+from laburnumyard.core.configuration._priority_checks import (
+    find_priority_problems,
+)
+from laburnumyard.core.configuration._range_checks import find_range_problems
+from laburnumyard.core.problems import Problem
+
+
+def find_problems(catalogue: Catalogue) -> Iterator[Problem]:
+    """Yield every problem of a set of objects that are each valid alone.
+
+    Parameters
+    ----------
+    catalogue
+        The objects of all files.
+
+    Yields
+    ------
+    Problem
+        With the file and the object to mend.
+    """
+    if not catalogue.objects.service:
+        yield Problem('', 'objects', '', '', 'add a [[service]]')
+    yield from chain(
+        _duplicates(catalogue),
+        _dangling(catalogue),
+        _addresses(catalogue),
+        _empty_services(catalogue),
+        _foreign_targets(catalogue),
+        _idle_targets(catalogue),
+        _drained_ranges(catalogue),
+        find_range_problems(catalogue),
+        find_priority_problems(catalogue),
+    )
+
+
+def _duplicates(catalogue: Catalogue) -> Iterator[Problem]:
+    for item, first in catalogue.duplicates():
+        file = catalogue.file_of(first)
+        remedy = f'give another name; {file} has one of this name'
+        yield catalogue.problem(item, 'name', item.name, remedy)
+
+
+def _dangling(catalogue: Catalogue) -> Iterator[Problem]:
+    for item, field, kind, name in _references(catalogue):
+        if name not in catalogue.names(kind):
+            remedy = f'name a {kind} that exists, or add [[{kind}]] {name}'
+            yield catalogue.problem(item, field, name, remedy)
+
+
+def _references(catalogue: Catalogue) -> Iterator[tuple]:
+    objects = catalogue.objects
+    for service in objects.service:
+        yield service, 'common_class', 'priority_class', service.common_class
+    for key_range in objects.key_range:
+        yield key_range, 'service', 'service', key_range.service
+        for name in target_names(key_range):
+            yield key_range, 'targets', 'target', name
+    for target in objects.target:
+        yield target, 'service', 'service', target.service
+    for customer in objects.customer:
+        for share in customer.shares:
+            yield customer, 'shares', 'service', share.service
+            yield customer, 'shares', 'priority_class', share.priority_class
+
+
+def _addresses(catalogue: Catalogue) -> Iterator[Problem]:
+    taken: dict[str, str] = {}
+    for target in catalogue.objects.target:
+        remedy = find_address_fault(target.address)
+        first = taken.setdefault(target.address, target.name)
+        if first != target.name:
+            remedy = f'give another address; target {first} has this one'
+        if remedy:
+            yield catalogue.problem(target, 'address', target.address, remedy)
+
+
+def _empty_services(catalogue: Catalogue) -> Iterator[Problem]:
+    served = catalogue.by_service('target')
+    for service in catalogue.objects.service:
+        if service.name not in served:
+            remedy = f'add a [[target]] with service = "{service.name}"'
+            yield catalogue.problem(service, '', None, remedy)
+
+
+def _foreign_targets(catalogue: Catalogue) -> Iterator[Problem]:
+    targets = catalogue.names('target')
+    for key_range in catalogue.objects.key_range:
+        for name, count in Counter(target_names(key_range)).items():
+            if count > 1:
+                remedy = 'list each target once'
+                yield catalogue.problem(key_range, 'targets', name, remedy)
+            target = targets.get(name)
+            if target and target.service != key_range.service:
+                remedy = (
+                    f'list targets of service {key_range.service}; this one '
+                    f'belongs to {target.service}'
+                )
+                yield catalogue.problem(key_range, 'targets', name, remedy)
+
+
+def _idle_targets(catalogue: Catalogue) -> Iterator[Problem]:
+    listed = set(
+        chain.from_iterable(map(target_names, catalogue.objects.key_range))
+    )
+    for target in catalogue.objects.target:
+        if target.name not in listed and not target.draining:
+            remedy = 'list it in a key range, or set draining = true'
+            yield catalogue.problem(target, 'name', target.name, remedy)
+
+
+def _drained_ranges(catalogue: Catalogue) -> Iterator[Problem]:
+    targets = catalogue.names('target')
+    for key_range in catalogue.objects.key_range:
+        found = [targets.get(name) for name in target_names(key_range)]
+        if all(target and target.draining for target in found):
+            remedy = (
+                'list a target that is not draining, or set draining = false '
+                f'for {title_of(found[0])}'
+            )
+            names = list(target_names(key_range))
+            yield catalogue.problem(key_range, 'targets', names, remedy)
--- /dev/null
+++ b/src/laburnumyard/core/configuration/_difference.py
@@ -0,0 +1,117 @@
+"""What changed between two configurations."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from pydantic import BaseModel
+
+from laburnumyard.core.configuration._index import Configuration, by_name
+from laburnumyard.core.problems import show_value
+from laburnumyard.schema._generated.objects import Objects
+
+
+class Action(Enum):
+    """What happened to an object."""
+
+    ADDED = 'added'
+    REMOVED = 'removed'
+    CHANGED = 'changed'
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One difference between two configurations.
+
+    Parameters
+    ----------
+    action
+        What happened.
+    kind
+        The kind of the object, such as ``target``.
+    name
+        Its name.
+    field
+        The field that changed; empty where the whole object came or went.
+    old
+        The old value as text.
+    new
+        The new value as text.
+    """
+
+    action: Action
+    kind: str
+    name: str
+    field: str = ''
+    old: str = ''
+    new: str = ''
+
+    def __str__(self) -> str:
+        """Return the change as one line."""
+        action = self.action.value
+        subject = f'{action} {self.kind} {self.name}'
+        if not self.field:
+            return subject
+        return f'{subject}: {self.field} {self.old} -> {self.new}'
+
+
+def difference(
+    old: Configuration | None,
+    new: Configuration,
+) -> tuple[Change, ...]:
+    """Return what changed from one configuration to another.
+
+    Parameters
+    ----------
+    old
+        The earlier one; None where nothing was published before.
+    new
+        The later one.
+
+    Returns
+    -------
+    tuple of Change
+        In the order of kinds and names.
+    """
+    earlier = old.objects if old else Objects()
+    return tuple(
+        change
+        for kind in Objects.model_fields
+        for change in _compare_kind(
+            kind,
+            by_name(getattr(earlier, kind)),
+            by_name(getattr(new.objects, kind)),
+        )
+    )
+
+
+def _compare_kind(
+    kind: str,
+    old: Mapping[str, BaseModel],
+    new: Mapping[str, BaseModel],
+) -> Iterator[Change]:
+    for name in sorted(old.keys() | new.keys()):
+        if name not in old:
+            yield Change(Action.ADDED, kind, name)
+        elif name not in new:
+            yield Change(Action.REMOVED, kind, name)
+        else:
+            yield from _compare_objects(kind, old[name], new[name])
+
+
+def _compare_objects(
+    kind: str,
+    old: BaseModel,
+    new: BaseModel,
+) -> Iterator[Change]:
+    before, after = old.model_dump(mode='json'), new.model_dump(mode='json')
+    for field, found in after.items():
+        if before[field] != found:
+            yield Change(
+                Action.CHANGED,
+                kind,
+                after['name'],
+                field,
+                show_value(before[field]),
+                show_value(found),
+            )
--- /dev/null
+++ b/src/laburnumyard/core/configuration/_encoding.py
@@ -0,0 +1,158 @@
+"""A configuration as content-addressed chunks for the store."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from hashlib import sha256
+from types import MappingProxyType
+
+from expression import Error, Result
+
+from laburnumyard.core.configuration._index import Configuration
+from laburnumyard.core.configuration._parsing import parse_objects
+from laburnumyard.core.problems import Problem
+
+# The largest chunk, in bytes; the store takes twice as much.
+CHUNK_BYTES = 524288
+
+
+@dataclass(frozen=True, slots=True)
+class FileChunks:
+    """Which chunks hold one document.
+
+    Parameters
+    ----------
+    name
+        The name of the document's file.
+    digests
+        The SHA-256 of each chunk in order, in hexadecimal.
+    """
+
+    name: str
+    digests: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EncodedConfiguration:
+    """A configuration cut into chunks.
+
+    Parameters
+    ----------
+    files
+        The documents, in the order of their names.
+    chunks
+        The content of each chunk by its digest, at most ``CHUNK_BYTES``.
+        Unchanged documents have the same chunks in every version.
+    """
+
+    files: tuple[FileChunks, ...]
+    chunks: Mapping[str, bytes]
+
+
+def encode_configuration(configuration: Configuration) -> EncodedConfiguration:
+    """Cut a configuration into chunks.
+
+    Parameters
+    ----------
+    configuration
+        A checked configuration.
+
+    Returns
+    -------
+    EncodedConfiguration
+        The same for the same documents.
+    """
+    files = []
+    chunks: dict[str, bytes] = {}
+    for name, text in sorted(configuration.files.items()):
+        parts = tuple(_cut(text.encode()))
+        digests = tuple(map(digest_of, parts))
+        files.append(FileChunks(name, digests))
+        chunks.update(zip(digests, parts, strict=True))
+    return EncodedConfiguration(tuple(files), MappingProxyType(chunks))
+
+
+def decode_configuration(
+    encoded: EncodedConfiguration,
+) -> Result[Configuration, tuple[Problem, ...]]:
+    """Join chunks and check the whole configuration again.
+
+    Parameters
+    ----------
+    encoded
+        Chunks as the store or a peer gave them; they are not trusted.
+
+    Returns
+    -------
+    Result
+        The configuration, or every missing or damaged chunk, or every problem
+        of the objects.
+    """
+    damages = tuple(_find_damages(encoded))
+    if damages:
+        return Error(damages)
+    joined = {
+        item.name: b''.join(map(encoded.chunks.__getitem__, item.digests))
+        for item in encoded.files
+    }
+    return parse_documents(joined)
+
+
+def parse_documents(
+    documents: Mapping[str, bytes],
+) -> Result[Configuration, tuple[Problem, ...]]:
+    """Parse documents of untrusted bytes.
+
+    Parameters
+    ----------
+    documents
+        The bytes of each file by its name.
+
+    Returns
+    -------
+    Result
+        The configuration, or every problem.
+    """
+    texts: dict[str, str] = {}
+    damages: list[Problem] = []
+    for name, content in documents.items():
+        try:
+            texts[name] = content.decode()
+        except UnicodeDecodeError as invalid:
+            remedy = f'save the file as UTF-8 ({invalid.reason})'
+            damages.append(Problem(name, '', '', '', remedy))
+    if damages:
+        return Error(tuple(damages))
+    return parse_objects(texts)
+
+
+def digest_of(content: bytes) -> str:
+    """Return the name of a chunk: its SHA-256 in hexadecimal."""
+    return sha256(content).hexdigest()
+
+
+def _cut(content: bytes) -> Iterator[bytes]:
+    for start in range(0, len(content), CHUNK_BYTES):
+        yield content[start : start + CHUNK_BYTES]
+
+
+def _find_damages(encoded: EncodedConfiguration) -> Iterator[Problem]:
+    for item in encoded.files:
+        for digest in item.digests:
+            remedy = _find_damage(encoded.chunks, digest)
+            if remedy:
+                yield Problem(item.name, 'chunk', 'digest', digest, remedy)
+
+
+def _find_damage(chunks: Mapping[str, bytes], digest: str) -> str:
+    if digest not in chunks:
+        return 'the chunk is missing; publish the configuration again'
+    if digest_of(chunks[digest]) != digest:
+        return 'the chunk is damaged; publish the configuration again'
+    return ''
+
+
+def all_digests(files: Iterable[FileChunks]) -> tuple[str, ...]:
+    """Return the digest of every chunk, each once, in order."""
+    return tuple(
+        dict.fromkeys(digest for item in files for digest in item.digests)
+    )
--- /dev/null
+++ b/src/laburnumyard/core/configuration/_published.py
@@ -0,0 +1,96 @@
+"""A published configuration with its head, as one document for peers."""
+
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+from pydantic import TypeAdapter, ValidationError
+
+from laburnumyard.core.configuration._encoding import (
+    encode_configuration,
+    parse_documents,
+)
+from laburnumyard.core.configuration._head import ConfigurationHead
+from laburnumyard.core.configuration._index import Configuration
+from laburnumyard.core.problems import Problem
+
+
+@dataclass(frozen=True, slots=True)
+class PublishedConfiguration:
+    """A configuration that was accepted, and its head.
+
+    Parameters
+    ----------
+    head
+        Its version, author and chunks.
+    configuration
+        The objects.
+    """
+
+    head: ConfigurationHead
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class _Document:
+    head: ConfigurationHead
+    files: dict[str, str]
+
+
+_DOCUMENTS = TypeAdapter(_Document)
+
+
+def encode_published(published: PublishedConfiguration) -> bytes:
+    """Return the JSON that one daemon sends to another.
+
+    Parameters
+    ----------
+    published
+        A configuration in force.
+
+    Returns
+    -------
+    bytes
+        Head and documents.
+    """
+    files = dict(published.configuration.files)
+    return _DOCUMENTS.dump_json(_Document(published.head, files))
+
+
+def decode_published(
+    content: bytes,
+) -> Result[PublishedConfiguration, tuple[Problem, ...]]:
+    """Read and check a configuration that another daemon sent.
+
+    Parameters
+    ----------
+    content
+        What the peer sent; it is not trusted.
+
+    Returns
+    -------
+    Result
+        The configuration, or every problem. Documents that do not match the
+        digests in the head are refused.
+    """
+    try:
+        document = _DOCUMENTS.validate_json(content)
+    except ValidationError as invalid:
+        detail = invalid.errors()[0]['msg']
+        return Error((_refuse(f'ask another peer ({detail})'),))
+    documents = {name: text.encode() for name, text in document.files.items()}
+    return parse_documents(documents).bind(
+        lambda found: _match_digests(document.head, found),
+    )
+
+
+def _match_digests(
+    head: ConfigurationHead,
+    configuration: Configuration,
+) -> Result[PublishedConfiguration, tuple[Problem, ...]]:
+    if encode_configuration(configuration).files != head.files:
+        return Error((_refuse('the documents do not match their head'),))
+    return Ok(PublishedConfiguration(head, configuration))
+
+
+def _refuse(remedy: str) -> Problem:
+    return Problem('peer', 'configuration', '', '', remedy)
--- a/src/laburnumyard/schema/_generated/objects.py
+++ b/src/laburnumyard/schema/_generated/objects.py
@@ -96,7 +96,7 @@
     """
     How many connections it takes.
     """
-    fencing: Fencing = "token"
+    fencing: Fencing = Fencing.token
     draining: bool = False
     """
     Whether its ranges are to move away.
--- a/src/laburnumyard/schema/_generated/settings.py
+++ b/src/laburnumyard/schema/_generated/settings.py
@@ -216,7 +216,7 @@
     model_config = ConfigDict(
         extra="forbid",
     )
-    level: Level = "INFO"
+    level: Level = Level.INFO
     """
     The least severity that is written.
     """
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -17,9 +17,9 @@
 address = '127.0.0.1:2379'
 """
 
-TIMEOUT_PROBLEM = """
-daemon.toml: [store]: timeout_s = '200ms': give a number of seconds
-""".strip()
+TIMEOUT_PROBLEM = (
+    "daemon.toml: [store]: timeout_s = '200ms': give a number of seconds"
+)
 
 
 def problems_of(text):
@@ -40,8 +40,9 @@
 
 def test_all_faults_are_reported_at_once():
     text = SOUND.replace("region = 'lima'", 'regoin = 3').replace(':7002', '')
-    text += "timeout_s = '200ms'\n[limits]\nbody_bytes = 1.5\n[timing]\nfoo = 1"
-    fields = [problem.field for problem in problems_of(text)]
+    wrong_types = "timeout_s = '200ms'\n[limits]\nbody_bytes = 1.5"
+    problems = problems_of(f'{text}{wrong_types}\n[timing]\nfoo = 1')
+    fields = [problem.field for problem in problems]
     expected = ('region', 'regoin', 'admin', 'timeout_s', 'body_bytes', 'foo')
     assert_that(set(fields), Equals(set(expected)))
 
