Publish configurations by one compare-and-swap

Chunks first, then the head, then the history. Whoever replaces a head enters it into the history before, so that a publisher whose answer was lost finds its change id there even if others have published since. A swap without a definite answer is sent again: it names its base's revision and applies once at most. A racing operator's loser gets both changes.

Until the store's client arrives the calls are those of a protocol in platform/publication/_store.py.

--- /dev/null
+++ b/src/laburnumyard/platform/publication/__init__.py
@@ -0,0 +1,31 @@
+"""Publishing configurations to the store and reading them back."""
+
+from laburnumyard.platform.publication._errors import (
+    Conflict,
+    PublishError,
+    PublishErrorKind,
+)
+from laburnumyard.platform.publication._publishing import (
+    Proposal,
+    Published,
+    publish,
+)
+from laburnumyard.platform.publication._reading import (
+    read_current,
+    read_head,
+    read_history,
+    read_version,
+)
+
+__all__ = (
+    'Conflict',
+    'Proposal',
+    'PublishError',
+    'PublishErrorKind',
+    'Published',
+    'publish',
+    'read_current',
+    'read_head',
+    'read_history',
+    'read_version',
+)
