Links between daemons: frames, pool with requests, server, liveness

One kept link per peer, two lanes (control before bulk), joined writes, numbers by link so that a late answer meets nobody else's request.

--- /dev/null
+++ b/bench/control/__init__.py
@@ -0,0 +1,1 @@
+"""What control costs a daemon, against the size of the fleet."""
--- /dev/null
+++ b/bench/control/links.py
@@ -0,0 +1,90 @@
+"""Requests per second over one link between two processes.
+
+Run ``python -m bench.control.links serve 127.0.0.1:7900`` in one process and
+``python -m bench.control.links ask 127.0.0.1:7900`` in another.
+"""
+
+import asyncio
+import sys
+import time
+
+import uvloop
+
+from laburnumyard.core.ids import DaemonName
+from laburnumyard.schema._generated import messages
+from laburnumyard.wire import LinkPool, LinkServer, Peer
+
+REQUESTS = 40000
+CALLERS = 64
+BODY = b'x' * 1024
+HEADERS = tuple(
+    messages.Header(name=f'header-{place}', value='some value')
+    for place in range(4)
+)
+SERVER = messages.Hello(daemon='server', incarnation=1, data_centre='a')
+CLIENT = messages.Hello(daemon='client', incarnation=1, data_centre='a')
+
+
+def submit() -> messages.Submit:
+    """Return a request with a body of 1 KiB."""
+    return messages.Submit(
+        number=0,
+        request_id='0123456789abcdef',
+        service='catalogue',
+        target='catalogue-1',
+        customer='clinic',
+        key='bench-17',
+        method='GET',
+        path='/catalogue/benches',
+        headers=HEADERS,
+        body=BODY,
+        deadline_ms=1000,
+        repeatable=True,
+        ticket='',
+        hops=1,
+    )
+
+
+def answer_to(link, message) -> None:
+    """Answer a request with a body of 1 KiB."""
+    link.send(
+        messages.SubmitAnswer(
+            number=message.number,
+            kind='',
+            detail='',
+            status=200,
+            headers=HEADERS,
+            body=BODY,
+        ),
+    )
+
+
+async def serve(address: str) -> None:
+    """Answer until the process is ended."""
+    async with LinkServer(address, SERVER, answer_to):
+        await asyncio.sleep(60)
+
+
+async def ask(address: str) -> None:
+    """Ask over one link and print the rate."""
+    peer = Peer(DaemonName('server'), address)
+    async with LinkPool(CLIENT) as pool:
+        started, busy = time.perf_counter(), time.process_time()
+        async with asyncio.TaskGroup() as group:
+            for _ in range(CALLERS):
+                group.create_task(caller(pool, peer))
+        elapsed = time.perf_counter() - started
+        busy = time.process_time() - busy
+    print(f'link_requests_per_s={REQUESTS / elapsed:.0f}')
+    print(f'link_request_asker_us={busy / REQUESTS * 1e6:.1f}')
+
+
+async def caller(pool: LinkPool, peer: Peer) -> None:
+    """Ask one request after another."""
+    for _ in range(REQUESTS // CALLERS):
+        answer = await pool.request(peer, submit(), 5)
+        assert answer.is_ok(), answer.error
+
+
+if __name__ == '__main__':
+    uvloop.run({'serve': serve, 'ask': ask}[sys.argv[1]](sys.argv[2]))
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -396,6 +396,40 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """The message ``Ping`` of messages.capnp."""
+
+    number: int
+
+
+def _write_ping(message: Ping, builder: Any) -> None:
+    builder.number = message.number
+
+
+def _read_ping(reader: Any) -> Ping:
+    return Ping(
+        number=reader.number,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Pong:
+    """The message ``Pong`` of messages.capnp."""
+
+    number: int
+
+
+def _write_pong(message: Pong, builder: Any) -> None:
+    builder.number = message.number
+
+
+def _read_pong(reader: Any) -> Pong:
+    return Pong(
+        number=reader.number,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class RangeLoad:
     """The message ``RangeLoad`` of messages.capnp."""
@@ -565,6 +599,8 @@
     | GuardSeal
     | GuardGrant
     | GuardAnswer
+    | Ping
+    | Pong
 )
 
 _WRITERS: dict[type, Any] = {
@@ -581,6 +617,8 @@
     GuardSeal: ('guardSeal', _write_guard_seal),
     GuardGrant: ('guardGrant', _write_guard_grant),
     GuardAnswer: ('guardAnswer', _write_guard_answer),
+    Ping: ('ping', _write_ping),
+    Pong: ('pong', _write_pong),
 }
 _READERS: dict[str, Any] = {
     'hello': _read_hello,
@@ -596,6 +634,8 @@
     'guardSeal': _read_guard_seal,
     'guardGrant': _read_guard_grant,
     'guardAnswer': _read_guard_answer,
+    'ping': _read_ping,
+    'pong': _read_pong,
 }
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -7,6 +7,15 @@
   value @1 :Text;
 }
 
+# Asks the other end of a link for a Pong with the same number.
+struct Ping {
+  number @0 :UInt64;
+}
+
+struct Pong {
+  number @0 :UInt64;
+}
+
 # The first message on a link, in both directions.
 struct Hello {
   daemon @0 :Text;
@@ -173,5 +182,7 @@
     guardSeal @10 :GuardSeal;
     guardGrant @11 :GuardGrant;
     guardAnswer @12 :GuardAnswer;
+    ping @13 :Ping;
+    pong @14 :Pong;
   }
 }
--- a/src/laburnumyard/wire/__init__.py
+++ b/src/laburnumyard/wire/__init__.py
@@ -1,1 +1,31 @@
-"""Links between daemons and the codec of their messages."""
+"""Links between daemons and the codec of their messages.
+
+A shell enters one `LinkServer` and one `LinkPool`. The server hands every
+message of another daemon to ``on_message(link, message)``; the handler answers
+a request by ``link.send(answer)`` with the request's number, at once or later,
+and learns who asks from ``link.remote``. It appends to ``link.on_closed`` to
+hear that the asker is gone. The pool sends by ``send`` and asks by ``request``;
+it numbers requests itself and sends a `Cancel` for a `Submit` that has left and
+that nobody waits for any more.
+"""
+
+from laburnumyard.wire.connection import Connection
+from laburnumyard.wire.errors import LinkError, LinkErrorKind
+from laburnumyard.wire.framing import FrameError, FrameReader, to_frame
+from laburnumyard.wire.pool import LinkPool, Peer
+from laburnumyard.wire.server import IncomingLink, LinkServer
+from laburnumyard.wire.settings import LinkSettings
+
+__all__ = (
+    'Connection',
+    'FrameError',
+    'FrameReader',
+    'IncomingLink',
+    'LinkError',
+    'LinkErrorKind',
+    'LinkPool',
+    'LinkServer',
+    'LinkSettings',
+    'Peer',
+    'to_frame',
+)
--- /dev/null
+++ b/src/laburnumyard/wire/server.py
@@ -0,0 +1,158 @@
+"""The end of links that other daemons open."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from loguru import logger
+
+from laburnumyard.schema._generated import messages
+from laburnumyard.wire.connection import Connection
+from laburnumyard.wire.errors import LinkErrorKind
+from laburnumyard.wire.framing import FrameError
+from laburnumyard.wire.settings import LinkSettings
+
+# Takes the link, whose `remote` is the sender, and the message. It may answer
+# with `link.send`, at once or later.
+Handler = Callable[['IncomingLink', messages.Message], Awaitable[None] | None]
+# Tells whether a daemon may link; a stale incarnation is refused.
+Admission = Callable[[messages.Hello], bool]
+
+
+def admit_all(hello: messages.Hello) -> bool:
+    """Admit every daemon."""
+    return True
+
+
+class IncomingLink(Connection):
+    """A link that another daemon opened.
+
+    Parameters
+    ----------
+    server
+        The server that owns the link.
+    """
+
+    def __init__(self, server: 'LinkServer') -> None:
+        """Join the links of the server."""
+        super().__init__(server.identity, server.settings)
+        self.server = server
+        self.on_closed.append(server.links.discard)
+        server.links.add(self)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Refuse the link when there are too many already."""
+        if len(self.server.links) > self.settings.incoming_links:
+            self.close(
+                LinkErrorKind.QUEUE_FULL,
+                f'over {self.settings.incoming_links} links',
+            )
+        super().connection_made(transport)
+
+    def check_hello(self, hello: messages.Hello) -> None:
+        """Refuse a daemon that is not admitted."""
+        if not self.server.admits(hello):
+            raise FrameError(
+                LinkErrorKind.WRONG_PEER,
+                f'{hello.daemon} incarnation {hello.incarnation} is refused',
+            )
+
+    def handle(self, message: messages.Message) -> None:
+        """Give the message to the daemon; its faults stay its own."""
+        try:
+            work = self.server.on_message(self, message)
+        except Exception:
+            logger.exception('event=handler-failed peer={}', self.remote.daemon)
+            return
+        if work is not None:
+            self.server.start(work)
+
+
+class LinkServer:
+    """Accepts links from other daemons.
+
+    Parameters
+    ----------
+    address
+        The IP number and the port, such as ``127.0.0.1:7000``.
+    identity
+        The hello of this daemon.
+    on_message
+        Takes each message and the link that it came on.
+    admits
+        Tells whether a daemon may link.
+    settings
+        Bounds and intervals.
+
+    Examples
+    --------
+    ``async with LinkServer('127.0.0.1:7000', hello, take): ...``
+    """
+
+    def __init__(
+        self,
+        address: str,
+        identity: messages.Hello,
+        on_message: Handler,
+        admits: Admission = admit_all,
+        settings: LinkSettings = LinkSettings(),  # noqa: B008
+    ) -> None:
+        """Prepare; nothing listens until the server is entered."""
+        self.address = address
+        self.identity = identity
+        self.on_message = on_message
+        self.admits = admits
+        self.settings = settings
+        self.links: set[Connection] = set()
+        self.tasks: set[asyncio.Future[None]] = set()
+        self.listener: asyncio.Server | None = None
+
+    async def __aenter__(self) -> 'LinkServer':
+        """Listen. The address then holds the port that was bound."""
+        loop = asyncio.get_running_loop()
+        host, port = self.address.rsplit(':', 1)
+        self.listener = await loop.create_server(
+            lambda: IncomingLink(self),
+            host,
+            int(port),
+        )
+        bound = self.listener.sockets[0].getsockname()
+        self.address = f'{bound[0]}:{bound[1]}'
+        self.sweeper = loop.create_task(self.sweep())
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Close the listener, the links and what still runs for them."""
+        self.sweeper.cancel()
+        self.listener.close()
+        for link in tuple(self.links):
+            link.close(LinkErrorKind.CLOSED, 'the daemon stops')
+        for task in tuple(self.tasks):
+            task.cancel()
+
+    def start(self, work: Awaitable[None]) -> None:
+        """Run the rest of a handler beside the link."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.finish)
+
+    def finish(self, task: 'asyncio.Future[None]') -> None:
+        """Log what a handler raised."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            logger.opt(exception=task.exception()).error('event=handler-failed')
+
+    async def sweep(self) -> None:
+        """Close links without a hello, and those that went silent."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self.settings.sweep_interval_s)
+            for link in tuple(self.links):
+                self.check(link, loop.time())
+
+    def check(self, link: Connection, now: float) -> None:
+        """Close a link that never said hello or is silent too long."""
+        quiet = now - link.received_at
+        if link.remote is None and quiet >= self.settings.connect_timeout_s:
+            link.close(LinkErrorKind.TIMEOUT, 'no hello came')
+        elif quiet >= 2 * self.settings.idle_close_after_s:
+            link.close(LinkErrorKind.IDLE, f'unused for {quiet:.1f} s')
