--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that print name=value lines."""
--- a/bench/control/links.py
+++ b/bench/control/links.py
@@ -75,8 +75,10 @@
                 group.create_task(caller(pool, peer))
         elapsed = time.perf_counter() - started
         busy = time.process_time() - busy
-    print(f'link_requests_per_s={REQUESTS / elapsed:.0f}')
-    print(f'link_request_asker_us={busy / REQUESTS * 1e6:.1f}')
+    rate = REQUESTS / elapsed
+    asker_us = busy * 1e6 / REQUESTS
+    print(f'link_requests_per_s={rate:.0f}')
+    print(f'link_request_asker_us={asker_us:.1f}')
 
 
 async def caller(pool: LinkPool, peer: Peer) -> None:
--- a/src/laburnumyard/wire/__init__.py
+++ b/src/laburnumyard/wire/__init__.py
@@ -11,7 +11,7 @@
 
 from laburnumyard.wire.connection import Connection
 from laburnumyard.wire.errors import LinkError, LinkErrorKind
-from laburnumyard.wire.framing import FrameError, FrameReader, to_frame
+from laburnumyard.wire.framing import FrameError, FrameReader, encode_frame
 from laburnumyard.wire.pool import LinkPool, Peer
 from laburnumyard.wire.server import IncomingLink, LinkServer
 from laburnumyard.wire.settings import LinkSettings
@@ -27,5 +27,5 @@
     'LinkServer',
     'LinkSettings',
     'Peer',
-    'to_frame',
+    'encode_frame',
 )
--- a/src/laburnumyard/wire/connection.py
+++ b/src/laburnumyard/wire/connection.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from expression import Error, Ok, Result
+from expression import Error
 from loguru import logger
 
 from laburnumyard.schema._generated import messages
@@ -11,13 +11,12 @@
 from laburnumyard.wire.framing import (
     FrameError,
     FrameReader,
-    to_frame,
-    to_message,
+    decode_envelope,
+    encode_frame,
 )
-from laburnumyard.wire.queue import Outgoing, SendQueue
+from laburnumyard.wire.queue import Outgoing
 from laburnumyard.wire.settings import LinkSettings
-
-Sent = Result[None, LinkError]
+from laburnumyard.wire.writer import FrameWriter, Sent
 
 
 class Connection(asyncio.Protocol):
@@ -49,7 +48,7 @@
         self.loop = asyncio.get_running_loop()
         self.identity = identity
         self.settings = settings
-        self.queue = SendQueue(settings)
+        self.writer = FrameWriter(self.loop, settings)
         self.reader = FrameReader(settings.frame_bytes)
         self.transport: asyncio.Transport | None = None
         self.remote: messages.Hello | None = None
@@ -57,8 +56,6 @@
         self.on_closed: list[Callable[[Connection], None]] = []
         self.received_at = self.loop.time()
         self.pinged_at: float | None = None
-        self.can_write = False
-        self.is_flush_due = False
 
     def send(self, message: messages.Message) -> Sent:
         """Queue a message without waiting.
@@ -73,45 +70,20 @@
         Result
             Nothing, or why the message was not queued.
         """
-        return self.put(message, Outgoing(to_frame(message)))
+        return self.put(message, Outgoing(encode_frame(message)))
 
     def put(self, message: messages.Message, outgoing: Outgoing) -> Sent:
-        """Queue the frame of a message."""
+        """Queue the frame of a message, unless the link is closed."""
         if self.closed_by:
-            return Error(LinkError(self.closed_by.kind, self.closed_by.detail))
-        if len(outgoing.frame) > self.settings.frame_bytes:
-            return Error(
-                LinkError(
-                    LinkErrorKind.OVERSIZE_FRAME,
-                    f'a frame of {len(outgoing.frame)} bytes is over the '
-                    f'limit of {self.settings.frame_bytes}',
-                ),
-            )
-        if not self.queue.put(message, outgoing):
-            return Error(
-                LinkError(LinkErrorKind.QUEUE_FULL, 'the link is congested'),
-            )
-        self.schedule_flush()
-        return Ok(None)
-
-    def schedule_flush(self) -> None:
-        """Write what waits once this turn of the loop has ended."""
-        if self.can_write and not self.is_flush_due:
-            self.is_flush_due = True
-            self.loop.call_soon(self.flush)
-
-    def flush(self) -> None:
-        """Hand the waiting frames to the socket, joined into few writes."""
-        self.is_flush_due = False
-        while self.can_write and self.queue and not self.closed_by:
-            self.transport.write(self.queue.take_batch())
+            return Error(self.closed_by)
+        return self.writer.put(message, outgoing)
 
     def close(self, kind: LinkErrorKind, detail: str = '') -> None:
         """Close the link for good; later calls change nothing."""
         if self.closed_by:
             return
         self.closed_by = LinkError(kind, detail)
-        self.can_write = False
+        self.writer.pause()
         if self.transport:
             self.transport.abort()
         logger.info(
@@ -138,10 +110,8 @@
                 self.pinged_at = now
                 self.send(messages.Ping(number=0))
         elif now - self.pinged_at >= self.settings.silent_after_s:
-            self.close(
-                LinkErrorKind.SILENT,
-                f'nothing came for {now - self.received_at:.3f} s',
-            )
+            quiet = now - self.received_at
+            self.close(LinkErrorKind.SILENT, f'nothing came for {quiet:.3f} s')
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Say hello first."""
@@ -149,41 +119,36 @@
             transport.abort()
             return
         self.transport = transport
-        transport.write(to_frame(self.identity))
+        transport.write(encode_frame(self.identity))
 
     def pause_writing(self) -> None:
         """Keep frames in the queue while the socket takes no more."""
-        self.can_write = False
+        self.writer.pause()
 
     def resume_writing(self) -> None:
         """Go on writing."""
         if self.remote and not self.closed_by:
-            self.can_write = True
-            self.flush()
+            self.writer.resume(self.transport)
 
     def data_received(self, data: bytes) -> None:
         """Take the messages that have arrived; close at the first bad one."""
         self.received_at = self.loop.time()
         self.pinged_at = None
         try:
-            self.take_frames(data)
+            for envelope in self.reader.feed(data):
+                self.take(decode_envelope(envelope))
         except FrameError as error:
             self.close(error.kind, error.detail)
 
-    def take_frames(self, received: bytes) -> None:
-        """Hand each whole message on."""
-        for envelope in self.reader.feed(received):
-            if self.closed_by:
-                return
-            self.take(to_message(envelope))
-
     def take(self, message: messages.Message) -> None:
         """Hand one message on; the first one has to be the hello."""
+        if self.closed_by:
+            return
         if self.remote is None:
             self.take_hello(message)
         elif isinstance(message, messages.Ping):
             self.send(messages.Pong(number=message.number))
-        elif not isinstance(message, messages.Pong):
+        else:
             self.handle(message)
 
     def take_hello(self, message: messages.Message) -> None:
@@ -201,8 +166,7 @@
             )
         self.check_hello(message)
         self.remote = message
-        self.can_write = True
-        self.schedule_flush()
+        self.writer.resume(self.transport)
 
     def check_hello(self, hello: messages.Hello) -> None:
         """Refuse the wrong daemon by a FrameError."""
--- a/src/laburnumyard/wire/framing.py
+++ b/src/laburnumyard/wire/framing.py
@@ -30,7 +30,7 @@
         self.detail = detail
 
 
-def to_frame(message: messages.Message) -> bytes:
+def encode_frame(message: messages.Message) -> bytes:
     """Return the frame of a message.
 
     Parameters
@@ -45,14 +45,14 @@
 
     Examples
     --------
-    >>> len(to_frame(messages.Ping(number=1))) > LENGTH_BYTES
+    >>> len(encode_frame(messages.Ping(number=1))) > LENGTH_BYTES
     True
     """
     envelope = messages.encode(message)
     return LENGTH.pack(len(envelope)) + envelope
 
 
-def to_message(envelope: bytes) -> messages.Message:
+def decode_envelope(envelope: bytes) -> messages.Message:
     """Return the message of an envelope that nobody has checked yet.
 
     Raises
--- a/src/laburnumyard/wire/outgoing.py
+++ b/src/laburnumyard/wire/outgoing.py
@@ -10,7 +10,7 @@
 from laburnumyard.schema._generated import messages
 from laburnumyard.wire.connection import Connection
 from laburnumyard.wire.errors import LinkError, LinkErrorKind
-from laburnumyard.wire.framing import FrameError, to_frame
+from laburnumyard.wire.framing import FrameError, encode_frame
 from laburnumyard.wire.queue import Outgoing
 from laburnumyard.wire.settings import LinkSettings
 
@@ -109,7 +109,7 @@
         number = self.last_number
         pending = Pending(
             number,
-            Outgoing(to_frame(replace(message, number=number))),
+            Outgoing(encode_frame(replace(message, number=number))),
             isinstance(message, messages.Submit),
             self.loop.create_future(),
         )
@@ -154,15 +154,14 @@
     def check_hello(self, hello: messages.Hello) -> None:
         """Refuse another daemon or another incarnation."""
         expected = self.destination
-        is_right = hello.daemon == expected.daemon and (
-            expected.incarnation in {None, hello.incarnation}
-        )
+        is_right = hello.daemon == expected.daemon
+        if expected.incarnation is not None:
+            is_right = is_right and hello.incarnation == expected.incarnation
         if not is_right:
             raise FrameError(
                 LinkErrorKind.WRONG_PEER,
-                f'{hello.daemon} incarnation {hello.incarnation} answered at '
-                f'{expected.address} instead of {expected.daemon} '
-                f'incarnation {expected.incarnation}',
+                f'{hello.daemon} incarnation {hello.incarnation} answered '
+                f'instead of {expected}',
             )
 
     def handle(self, message: messages.Message) -> None:
--- a/src/laburnumyard/wire/pool.py
+++ b/src/laburnumyard/wire/pool.py
@@ -9,10 +9,13 @@
 
 from laburnumyard.core.ids import DaemonName, Incarnation
 from laburnumyard.schema._generated import messages
-from laburnumyard.wire.connection import Sent
 from laburnumyard.wire.errors import LinkError, LinkErrorKind
 from laburnumyard.wire.outgoing import Answered, OutgoingLink
-from laburnumyard.wire.settings import LinkSettings
+from laburnumyard.wire.settings import DEFAULT_LINK_SETTINGS, LinkSettings
+from laburnumyard.wire.writer import Sent
+
+# Keeps the power of two within a float.
+MAX_DOUBLINGS = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +67,7 @@
     def __init__(
         self,
         identity: messages.Hello,
-        settings: LinkSettings = LinkSettings(),  # noqa: B008
+        settings: LinkSettings = DEFAULT_LINK_SETTINGS,
         draw: Callable[[], float] = random.random,
     ) -> None:
         """Prepare; links are opened on demand."""
@@ -109,7 +112,7 @@
         self,
         peer: Peer,
         message: messages.Message,
-        timeout: float,
+        timeout_s: float,
     ) -> Answered:
         """Send a message and wait for the answer with its number.
 
@@ -119,7 +122,7 @@
             The daemon to send it to.
         message
             A message with a number; the pool puts in a number of its own.
-        timeout
+        timeout_s
             The longest wait, in seconds.
 
         Returns
@@ -133,7 +136,7 @@
         if link is None:
             return Error(_backing_off(peer))
         pending = link.ask(message)
-        timer = self.loop.call_later(timeout, link.expire, pending)
+        timer = self.loop.call_later(timeout_s, link.expire, pending)
         try:
             return await pending.answer
         finally:
@@ -151,7 +154,8 @@
         slot = self.slots.get(peer.daemon)
         if slot is None or slot.peer != peer:
             self.forget(peer.daemon)
-            slot = self.slots[peer.daemon] = _Slot(peer)
+            slot = _Slot(peer)
+            self.slots[peer.daemon] = slot
         if slot.link is None and self.loop.time() >= slot.retry_at:
             slot.link = self.open(slot)
         return slot.link
@@ -173,7 +177,9 @@
             slot.failures = 0
             return
         slot.failures += 1
-        pause = self.settings.backoff_first_s * 2 ** min(slot.failures, 16)
+        pause = self.settings.backoff_first_s * 2 ** min(
+            slot.failures, MAX_DOUBLINGS
+        )
         pause = min(pause, self.settings.backoff_max_s)
         slot.retry_at = self.loop.time() + pause * (1 + self.draw()) / 2
 
--- a/src/laburnumyard/wire/queue.py
+++ b/src/laburnumyard/wire/queue.py
@@ -6,9 +6,7 @@
 from laburnumyard.schema._generated import messages
 from laburnumyard.wire.settings import LinkSettings
 
-BULK_MESSAGES = frozenset(
-    (messages.Submit, messages.SubmitAnswer, messages.Document),
-)
+BULK_MESSAGES = (messages.Submit, messages.SubmitAnswer, messages.Document)
 
 
 @dataclass(slots=True, eq=False)
@@ -82,7 +80,7 @@
 
     def put(self, message: messages.Message, outgoing: Outgoing) -> bool:
         """Append the frame of a message and tell whether there was room."""
-        is_bulk = type(message) in BULK_MESSAGES
+        is_bulk = isinstance(message, BULK_MESSAGES)
         lane = self.bulk if is_bulk else self.control
         return lane.put(outgoing)
 
--- a/src/laburnumyard/wire/server.py
+++ b/src/laburnumyard/wire/server.py
@@ -9,7 +9,7 @@
 from laburnumyard.wire.connection import Connection
 from laburnumyard.wire.errors import LinkErrorKind
 from laburnumyard.wire.framing import FrameError
-from laburnumyard.wire.settings import LinkSettings
+from laburnumyard.wire.settings import DEFAULT_LINK_SETTINGS, LinkSettings
 
 # Takes the link, whose `remote` is the sender, and the message. It may answer
 # with `link.send`, at once or later.
@@ -41,11 +41,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Refuse the link when there are too many already."""
-        if len(self.server.links) > self.settings.incoming_links:
-            self.close(
-                LinkErrorKind.QUEUE_FULL,
-                f'over {self.settings.incoming_links} links',
-            )
+        limit = self.settings.incoming_links
+        if len(self.server.links) > limit:
+            self.close(LinkErrorKind.TOO_MANY_LINKS, f'over {limit} links')
         super().connection_made(transport)
 
     def check_hello(self, hello: messages.Hello) -> None:
@@ -58,6 +56,8 @@
 
     def handle(self, message: messages.Message) -> None:
         """Give the message to the daemon; its faults stay its own."""
+        if isinstance(message, messages.Pong):
+            return
         try:
             work = self.server.on_message(self, message)
         except Exception:
@@ -94,7 +94,7 @@
         identity: messages.Hello,
         on_message: Handler,
         admits: Admission = admit_all,
-        settings: LinkSettings = LinkSettings(),  # noqa: B008
+        settings: LinkSettings = DEFAULT_LINK_SETTINGS,
     ) -> None:
         """Prepare; nothing listens until the server is entered."""
         self.address = address
--- a/src/laburnumyard/wire/settings.py
+++ b/src/laburnumyard/wire/settings.py
@@ -5,6 +5,8 @@
 # What an envelope adds to the body and the headers of a request.
 ENVELOPE_SLACK_BYTES = 65536
 DEFAULT_BODY_BYTES = 262144
+DEFAULT_CONTROL_QUEUE_BYTES = 1048576
+DEFAULT_BULK_QUEUE_BYTES = 4194304
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,8 +46,8 @@
     """
 
     body_bytes: int = DEFAULT_BODY_BYTES
-    control_queue_bytes: int = 4 * DEFAULT_BODY_BYTES
-    bulk_queue_bytes: int = 16 * DEFAULT_BODY_BYTES
+    control_queue_bytes: int = DEFAULT_CONTROL_QUEUE_BYTES
+    bulk_queue_bytes: int = DEFAULT_BULK_QUEUE_BYTES
     write_bytes: int = DEFAULT_BODY_BYTES
     incoming_links: int = 2048
     connect_timeout_s: float = 0.5
@@ -61,3 +63,6 @@
     def frame_bytes(self) -> int:
         """The largest frame."""
         return self.body_bytes + ENVELOPE_SLACK_BYTES
+
+
+DEFAULT_LINK_SETTINGS = LinkSettings()
