--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -55,6 +55,26 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class ChunkPatch:
+    """The message ``ChunkPatch`` of messages.capnp."""
+
+    base: str
+    content: bytes
+
+
+def _write_chunk_patch(message: ChunkPatch, builder: Any) -> None:
+    builder.base = message.base
+    builder.content = message.content
+
+
+def _read_chunk_patch(reader: Any) -> ChunkPatch:
+    return ChunkPatch(
+        base=reader.base,
+        content=reader.content,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Document:
     """The message ``Document`` of messages.capnp."""
@@ -78,23 +98,81 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class DocumentPart:
+    """The message ``DocumentPart`` of messages.capnp."""
+
+    name: str
+    version: int
+    base_version: int
+    patch_bytes: int
+    offset: int
+    content: bytes
+
+
+def _write_document_part(message: DocumentPart, builder: Any) -> None:
+    builder.name = message.name
+    builder.version = message.version
+    builder.baseVersion = message.base_version
+    builder.patchBytes = message.patch_bytes
+    builder.offset = message.offset
+    builder.content = message.content
+
+
+def _read_document_part(reader: Any) -> DocumentPart:
+    return DocumentPart(
+        name=reader.name,
+        version=reader.version,
+        base_version=reader.baseVersion,
+        patch_bytes=reader.patchBytes,
+        offset=reader.offset,
+        content=reader.content,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentPatch:
+    """The message ``DocumentPatch`` of messages.capnp."""
+
+    head: bytes
+    chunks: tuple[ChunkPatch, ...]
+
+
+def _write_document_patch(message: DocumentPatch, builder: Any) -> None:
+    builder.head = message.head
+    parts = message.chunks
+    slots = builder.init('chunks', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_chunk_patch(part, slot)
+
+
+def _read_document_patch(reader: Any) -> DocumentPatch:
+    return DocumentPatch(
+        head=reader.head,
+        chunks=tuple(map(_read_chunk_patch, reader.chunks)),
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class DocumentVersion:
     """The message ``DocumentVersion`` of messages.capnp."""
 
     name: str
     version: int
+    confirmed: bool
 
 
 def _write_document_version(message: DocumentVersion, builder: Any) -> None:
     builder.name = message.name
     builder.version = message.version
+    builder.confirmed = message.confirmed
 
 
 def _read_document_version(reader: Any) -> DocumentVersion:
     return DocumentVersion(
         name=reader.name,
         version=reader.version,
+        confirmed=reader.confirmed,
     )
 
 
@@ -104,17 +182,43 @@
 
     name: str
     known_version: int
+    version: int
+    offset: int
 
 
 def _write_fetch_document(message: FetchDocument, builder: Any) -> None:
     builder.name = message.name
     builder.knownVersion = message.known_version
+    builder.version = message.version
+    builder.offset = message.offset
 
 
 def _read_fetch_document(reader: Any) -> FetchDocument:
     return FetchDocument(
         name=reader.name,
         known_version=reader.knownVersion,
+        version=reader.version,
+        offset=reader.offset,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Gossip:
+    """The message ``Gossip`` of messages.capnp."""
+
+    members: tuple[Member, ...]
+
+
+def _write_gossip(message: Gossip, builder: Any) -> None:
+    parts = message.members
+    slots = builder.init('members', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_member(part, slot)
+
+
+def _read_gossip(reader: Any) -> Gossip:
+    return Gossip(
+        members=tuple(map(_read_member, reader.members)),
     )
 
 
@@ -275,6 +379,8 @@
     sequence: int
     leaving: bool
     digest: int
+    interval_ms: int
+    documents: int
 
 
 def _write_heartbeat(message: Heartbeat, builder: Any) -> None:
@@ -283,6 +389,8 @@
     builder.sequence = message.sequence
     builder.leaving = message.leaving
     builder.digest = message.digest
+    builder.intervalMs = message.interval_ms
+    builder.documents = message.documents
 
 
 def _read_heartbeat(reader: Any) -> Heartbeat:
@@ -292,6 +400,8 @@
         sequence=reader.sequence,
         leaving=reader.leaving,
         digest=reader.digest,
+        interval_ms=reader.intervalMs,
+        documents=reader.documents,
     )
 
 
@@ -351,6 +461,8 @@
     region: str
     peer_address: str
     leaving: bool
+    suspected: bool
+    refutation: int
 
 
 def _write_member(message: Member, builder: Any) -> None:
@@ -360,6 +472,8 @@
     builder.region = message.region
     builder.peerAddress = message.peer_address
     builder.leaving = message.leaving
+    builder.suspected = message.suspected
+    builder.refutation = message.refutation
 
 
 def _read_member(reader: Any) -> Member:
@@ -370,6 +484,48 @@
         region=reader.region,
         peer_address=reader.peerAddress,
         leaving=reader.leaving,
+        suspected=reader.suspected,
+        refutation=reader.refutation,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class MemberDigests:
+    """The message ``MemberDigests`` of messages.capnp."""
+
+    buckets: bytes
+    reply: bool
+
+
+def _write_member_digests(message: MemberDigests, builder: Any) -> None:
+    builder.buckets = message.buckets
+    builder.reply = message.reply
+
+
+def _read_member_digests(reader: Any) -> MemberDigests:
+    return MemberDigests(
+        buckets=reader.buckets,
+        reply=reader.reply,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Members:
+    """The message ``Members`` of messages.capnp."""
+
+    members: tuple[Member, ...]
+
+
+def _write_members(message: Members, builder: Any) -> None:
+    parts = message.members
+    slots = builder.init('members', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_member(part, slot)
+
+
+def _read_members(reader: Any) -> Members:
+    return Members(
+        members=tuple(map(_read_member, reader.members)),
     )
 
 
@@ -601,6 +757,11 @@
     | GuardAnswer
     | Ping
     | Pong
+    | Gossip
+    | MemberDigests
+    | Members
+    | DocumentPart
+    | DocumentPatch
 )
 
 _WRITERS: dict[type, Any] = {
@@ -619,6 +780,11 @@
     GuardAnswer: ('guardAnswer', _write_guard_answer),
     Ping: ('ping', _write_ping),
     Pong: ('pong', _write_pong),
+    Gossip: ('gossip', _write_gossip),
+    MemberDigests: ('memberDigests', _write_member_digests),
+    Members: ('members', _write_members),
+    DocumentPart: ('documentPart', _write_document_part),
+    DocumentPatch: ('documentPatch', _write_document_patch),
 }
 _READERS: dict[str, Any] = {
     'hello': _read_hello,
@@ -636,6 +802,11 @@
     'guardAnswer': _read_guard_answer,
     'ping': _read_ping,
     'pong': _read_pong,
+    'gossip': _read_gossip,
+    'memberDigests': _read_member_digests,
+    'members': _read_members,
+    'documentPart': _read_document_part,
+    'documentPatch': _read_document_patch,
 }
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -65,6 +65,9 @@
   region @3 :Text;
   peerAddress @4 :Text;
   leaving @5 :Bool;
+  # Hearsay that the member is lost. The member refutes it by a higher number.
+  suspected @6 :Bool;
+  refutation @7 :UInt32;
 }
 
 struct Heartbeat {
@@ -72,8 +75,30 @@
   incarnation @1 :UInt64;
   sequence @2 :UInt64;
   leaving @3 :Bool;
-  # Digest of the sender's member table, configuration and assignments.
+  # Digest of the sender's member table.
   digest @4 :UInt64;
+  # The next heartbeat follows after this interval.
+  intervalMs @5 :UInt32;
+  # Digest of the versions of the sender's documents.
+  documents @6 :UInt64;
+}
+
+# News of members, which each receiver passes on to a few others once.
+struct Gossip {
+  members @0 :List(Member);
+}
+
+# One digest of 8 bytes for each bucket of the sender's member table. The
+# answer is the members of the buckets that differ.
+struct MemberDigests {
+  buckets @0 :Data;
+  # Whether the receiver should answer with its own digests as well.
+  reply @1 :Bool;
+}
+
+# Members as the sender knows them; they are not passed on.
+struct Members {
+  members @0 :List(Member);
 }
 
 # The versions that the sender holds; asks for nothing by itself.
@@ -86,11 +111,40 @@
 struct DocumentVersion {
   name @0 :Text;
   version @1 :UInt64;
+  # Whether the sender reads the store and had an answer a moment ago.
+  confirmed @2 :Bool;
 }
 
+# Asks for one part of the patch from the known version to the newest one.
 struct FetchDocument {
   name @0 :Text;
   knownVersion @1 :UInt64;
+  # The version that earlier parts belong to, or 0 for the newest.
+  version @2 :UInt64;
+  offset @3 :UInt32;
+}
+
+# A slice of an encoded DocumentPatch. A base version of 0 stands for nothing.
+struct DocumentPart {
+  name @0 :Text;
+  version @1 :UInt64;
+  baseVersion @2 :UInt64;
+  patchBytes @3 :UInt32;
+  offset @4 :UInt32;
+  content @5 :Data;
+}
+
+# What turns one version of a document into another: the head and the chunks
+# that are new, each compressed with what it replaces as the dictionary.
+struct DocumentPatch {
+  head @0 :Data;
+  chunks @1 :List(ChunkPatch);
+}
+
+struct ChunkPatch {
+  # The digest of the chunk that is the dictionary, or empty.
+  base @0 :Text;
+  content @1 :Data;
 }
 
 # A whole document, such as the configuration or a service's assignment.
@@ -184,5 +238,10 @@
     guardAnswer @12 :GuardAnswer;
     ping @13 :Ping;
     pong @14 :Pong;
+    gossip @15 :Gossip;
+    memberDigests @16 :MemberDigests;
+    members @17 :Members;
+    documentPart @18 :DocumentPart;
+    documentPatch @19 :DocumentPatch;
   }
 }
--- a/src/laburnumyard/wire/__init__.py
+++ b/src/laburnumyard/wire/__init__.py
@@ -9,12 +9,12 @@
 that nobody waits for any more.
 """
 
-from laburnumyard.wire.connection import Connection
-from laburnumyard.wire.errors import LinkError, LinkErrorKind
-from laburnumyard.wire.framing import FrameError, FrameReader, encode_frame
-from laburnumyard.wire.pool import LinkPool, Peer
-from laburnumyard.wire.server import IncomingLink, LinkServer
-from laburnumyard.wire.settings import LinkSettings
+from laburnumyard.wire._connection import Connection
+from laburnumyard.wire._errors import LinkError, LinkErrorKind
+from laburnumyard.wire._framing import FrameError, FrameReader, encode_frame
+from laburnumyard.wire._pool import LinkPool, Peer
+from laburnumyard.wire._server import IncomingLink, LinkServer
+from laburnumyard.wire._settings import LinkSettings
 
 __all__ = (
     'Connection',
--- a/src/laburnumyard/wire/connection.py
+++ b/src/laburnumyard/wire/_connection.py
@@ -7,16 +7,16 @@
 from loguru import logger
 
 from laburnumyard.schema._generated import messages
-from laburnumyard.wire.errors import LinkError, LinkErrorKind
-from laburnumyard.wire.framing import (
+from laburnumyard.wire._errors import LinkError, LinkErrorKind
+from laburnumyard.wire._framing import (
     FrameError,
     FrameReader,
     decode_envelope,
     encode_frame,
 )
-from laburnumyard.wire.queue import Outgoing
-from laburnumyard.wire.settings import LinkSettings
-from laburnumyard.wire.writer import FrameWriter, Sent
+from laburnumyard.wire._queue import Outgoing
+from laburnumyard.wire._settings import LinkSettings
+from laburnumyard.wire._writer import FrameWriter, Sent
 
 
 class Connection(asyncio.Protocol):
--- a/src/laburnumyard/wire/framing.py
+++ b/src/laburnumyard/wire/_framing.py
@@ -6,7 +6,7 @@
 import capnp
 
 from laburnumyard.schema._generated import messages
-from laburnumyard.wire.errors import LinkErrorKind
+from laburnumyard.wire._errors import LinkErrorKind
 
 LENGTH = struct.Struct('>I')
 LENGTH_BYTES = LENGTH.size
--- a/src/laburnumyard/wire/outgoing.py
+++ b/src/laburnumyard/wire/_outgoing.py
@@ -8,11 +8,11 @@
 
 from laburnumyard.core.ids import DaemonName, Incarnation
 from laburnumyard.schema._generated import messages
-from laburnumyard.wire.connection import Connection
-from laburnumyard.wire.errors import LinkError, LinkErrorKind
-from laburnumyard.wire.framing import FrameError, encode_frame
-from laburnumyard.wire.queue import Outgoing
-from laburnumyard.wire.settings import LinkSettings
+from laburnumyard.wire._connection import Connection
+from laburnumyard.wire._errors import LinkError, LinkErrorKind
+from laburnumyard.wire._framing import FrameError, encode_frame
+from laburnumyard.wire._queue import Outgoing
+from laburnumyard.wire._settings import LinkSettings
 
 Answered = Result[messages.Message, LinkError]
 
--- a/src/laburnumyard/wire/pool.py
+++ b/src/laburnumyard/wire/_pool.py
@@ -9,10 +9,10 @@
 
 from laburnumyard.core.ids import DaemonName, Incarnation
 from laburnumyard.schema._generated import messages
-from laburnumyard.wire.errors import LinkError, LinkErrorKind
-from laburnumyard.wire.outgoing import Answered, OutgoingLink
-from laburnumyard.wire.settings import DEFAULT_LINK_SETTINGS, LinkSettings
-from laburnumyard.wire.writer import Sent
+from laburnumyard.wire._errors import LinkError, LinkErrorKind
+from laburnumyard.wire._outgoing import Answered, OutgoingLink
+from laburnumyard.wire._settings import DEFAULT_LINK_SETTINGS, LinkSettings
+from laburnumyard.wire._writer import Sent
 
 # Keeps the power of two within a float.
 MAX_DOUBLINGS = 16
--- a/src/laburnumyard/wire/queue.py
+++ b/src/laburnumyard/wire/_queue.py
@@ -4,9 +4,14 @@
 from dataclasses import dataclass
 
 from laburnumyard.schema._generated import messages
-from laburnumyard.wire.settings import LinkSettings
-
-BULK_MESSAGES = (messages.Submit, messages.SubmitAnswer, messages.Document)
+from laburnumyard.wire._settings import LinkSettings
+
+BULK_MESSAGES = (
+    messages.Submit,
+    messages.SubmitAnswer,
+    messages.Document,
+    messages.DocumentPart,
+)
 
 
 @dataclass(slots=True, eq=False)
--- a/src/laburnumyard/wire/server.py
+++ b/src/laburnumyard/wire/_server.py
@@ -6,10 +6,10 @@
 from loguru import logger
 
 from laburnumyard.schema._generated import messages
-from laburnumyard.wire.connection import Connection
-from laburnumyard.wire.errors import LinkErrorKind
-from laburnumyard.wire.framing import FrameError
-from laburnumyard.wire.settings import DEFAULT_LINK_SETTINGS, LinkSettings
+from laburnumyard.wire._connection import Connection
+from laburnumyard.wire._errors import LinkErrorKind
+from laburnumyard.wire._framing import FrameError
+from laburnumyard.wire._settings import DEFAULT_LINK_SETTINGS, LinkSettings
 
 # Takes the link, whose `remote` is the sender, and the message. It may answer
 # with `link.send`, at once or later.
--- a/src/laburnumyard/wire/writer.py
+++ b/src/laburnumyard/wire/_writer.py
@@ -5,9 +5,9 @@
 from expression import Error, Ok, Result
 
 from laburnumyard.schema._generated import messages
-from laburnumyard.wire.errors import LinkError, LinkErrorKind
-from laburnumyard.wire.queue import Outgoing, SendQueue
-from laburnumyard.wire.settings import LinkSettings
+from laburnumyard.wire._errors import LinkError, LinkErrorKind
+from laburnumyard.wire._queue import Outgoing, SendQueue
+from laburnumyard.wire._settings import LinkSettings
 
 Sent = Result[None, LinkError]
 
--- a/tests/wire/test_bad_bytes.py
+++ b/tests/wire/test_bad_bytes.py
@@ -8,8 +8,8 @@
 
 from laburnumyard.schema._generated import messages
 from laburnumyard.wire import FrameError, FrameReader, encode_frame
-from laburnumyard.wire.framing import LENGTH, decode_envelope
-from laburnumyard.wire.queue import Outgoing, SendQueue
+from laburnumyard.wire._framing import LENGTH, decode_envelope
+from laburnumyard.wire._queue import Outgoing, SendQueue
 from tests.wire.conftest import GENEROUS_S, SETTINGS, hello, submit, until
 
 HELLO = encode_frame(hello('raw'))
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -7,7 +7,7 @@
 
 from laburnumyard.schema._generated import messages
 from laburnumyard.wire import LinkErrorKind, Peer
-from laburnumyard.wire.outgoing import OutgoingLink
+from laburnumyard.wire._outgoing import OutgoingLink
 from tests.wire.conftest import GENEROUS_S, relay_to, submit, until
 
 pytestmark = pytest.mark.anyio
