--- a/src/laburnumyard/daemon/_clock.py
+++ b/src/laburnumyard/daemon/_clock.py
@@ -7,6 +7,7 @@
 
 MILLISECONDS_PER_SECOND = 1000
 FRACTION_BITS = 53
+NUMBER_BITS = 64
 FRACTION_STEPS = 1 << FRACTION_BITS
 
 
@@ -37,3 +38,8 @@
 def draw_token() -> str:
     """Return a random name that nobody can guess."""
     return secrets.token_hex(8)
+
+
+def draw_number() -> int:
+    """Return a random number of 64 bits."""
+    return secrets.randbits(NUMBER_BITS)
--- /dev/null
+++ b/src/laburnumyard/daemon/_service.py
@@ -0,0 +1,108 @@
+"""Serves callers' requests: identity, service, ticket, then the route."""
+
+from collections.abc import Awaitable, Callable
+
+from expression import Error, Result
+
+from laburnumyard.core.callers import CallerRequest
+from laburnumyard.core.configuration import is_token_of
+from laburnumyard.core.errors import ErrorKind, Failure
+from laburnumyard.core.ids import Seconds
+from laburnumyard.daemon._answers import Response
+from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._jobs import Job
+from laburnumyard.daemon._view import View
+
+Outcome = Result[Response, Failure]
+# Time kept back so that an answer reaches the caller before its deadline.
+ANSWER_MARGIN_S = Seconds(0.002)
+
+
+class CallerService:
+    """Serves checked requests of callers.
+
+    Parameters
+    ----------
+    view
+        What the daemon knows of the deployment.
+    route
+        Runs a repeatable job.
+    submit
+        Submits a job with a ticket.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        route: Callable[[Job], Awaitable[Outcome]],
+        submit: Callable[[Job], Awaitable[Outcome]],
+    ) -> None:
+        """Keep the ways that a job can take."""
+        self.view = view
+        self.route = route
+        self.submit = submit
+
+    async def serve(self, request: CallerRequest) -> Outcome:
+        """Serve one request.
+
+        Returns
+        -------
+        Result
+            The target's whole answer, or a failure.
+        """
+        refusal = self.refusal(request)
+        if refusal is not None:
+            return Error(_unsettled(request, refusal))
+        job = make_job(request)
+        if job.ticket:
+            return await self.submit(job)
+        if job.repeatable:
+            return await self.route(job)
+        return Error(Failure(ErrorKind.TICKET_REQUIRED))
+
+    def refusal(self, request: CallerRequest) -> Failure | None:
+        """Return why a request is not served here, None if it is."""
+        configuration = self.view.configuration
+        if configuration is None:
+            return Failure(ErrorKind.NO_CONFIGURATION)
+        if request.service not in configuration.services:
+            known = ', '.join(sorted(configuration.services))
+            detail = f'service {request.service[:64]!r}: use one of {known}'
+            return Failure(ErrorKind.UNKNOWN_SERVICE, detail)
+        if request.customer or request.token:
+            customer = configuration.customers.get(request.customer)
+            stored = customer.token_sha256 if customer else ''
+            if not is_token_of(request.token, stored):
+                detail = f'customer {request.customer[:64]!r}'
+                return Failure(ErrorKind.UNAUTHENTICATED, detail)
+        if self.view.is_draining:
+            return Failure(ErrorKind.SHUTTING_DOWN)
+        return None
+
+
+def make_job(request: CallerRequest) -> Job:
+    """Return the job of a caller's request, its deadline on this clock."""
+    return Job(
+        request_id=request.request_id,
+        service=request.service,
+        customer=request.customer,
+        key=request.key,
+        key_hash=request.key_hash,
+        operation=f'{request.method} {request.operation}',
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        deadline=Seconds(boot_time() + request.timeout - ANSWER_MARGIN_S),
+        repeatable=request.repeatable and not request.ticket,
+        ticket=request.ticket,
+        hops=0,
+    )
+
+
+def _unsettled(request: CallerRequest, failure: Failure) -> Failure:
+    """Hide a ``not-run`` that an earlier submission may belie."""
+    if not request.ticket:
+        return failure
+    detail = f'{failure.kind.value}: {failure.detail}'
+    return Failure(ErrorKind.TICKET_UNSETTLED, detail)
--- /dev/null
+++ b/src/laburnumyard/daemon/_submits.py
@@ -0,0 +1,243 @@
+"""Requests between daemons: passing them on, and running those that come."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+from expression import Error, Ok, Result
+
+from laburnumyard.core.errors import ErrorKind, Failure
+from laburnumyard.core.ids import (
+    CustomerName,
+    DaemonName,
+    RequestId,
+    Seconds,
+    ServiceName,
+    TargetName,
+    TicketId,
+)
+from laburnumyard.core.keys import hash_key
+from laburnumyard.core.requests import Ticket
+from laburnumyard.daemon._answers import Response
+from laburnumyard.daemon._clock import MILLISECONDS_PER_SECOND, boot_time
+from laburnumyard.daemon._jobs import Job
+from laburnumyard.daemon._router import Route
+from laburnumyard.daemon._view import View
+from laburnumyard.schema._generated.messages import (
+    Cancel,
+    Header,
+    Submit,
+    SubmitAnswer,
+)
+from laburnumyard.wire import (
+    IncomingLink,
+    LinkError,
+    LinkErrorKind,
+    LinkPool,
+    Peer,
+)
+
+Outcome = Result[Response, Failure]
+# What a job's failure on a link means, by whether its time ran out.
+_LEFT_KINDS = (ErrorKind.PEER_BROKE_OFF, ErrorKind.DEADLINE_AFTER_START)
+_NOT_LEFT_KINDS = (ErrorKind.PEER_UNREACHABLE, ErrorKind.DEADLINE_BEFORE_START)
+# Kept back, so that the other daemon answers before this one gives up.
+HOP_MARGIN_S = 0.002
+
+
+class SubmitSender:
+    """Passes jobs on to other daemons.
+
+    Parameters
+    ----------
+    view
+        Where the others listen.
+    pool
+        The links to them.
+    """
+
+    def __init__(self, view: View, pool: LinkPool) -> None:
+        """Keep the links."""
+        self.view = view
+        self.pool = pool
+
+    async def run_at(self, job: Job, route: Route) -> Outcome:
+        """Have a job dispatched by another daemon."""
+        peer = self.view.peer(route.dispatcher)
+        if peer is None:
+            detail = f'{route.dispatcher} is not known'
+            return Error(Failure(ErrorKind.PEER_UNREACHABLE, detail))
+        answer = await self._ask(peer, job, route.target)
+        if answer.is_ok():
+            return _outcome(answer.ok)
+        return Error(_link_failure(route.dispatcher, answer.error))
+
+    async def submit_at(self, job: Job, ticket: Ticket) -> Outcome:
+        """Submit a job at the issuer of its ticket.
+
+        Whatever goes wrong on the way, an earlier submission may have run.
+        """
+        member = self.view.members.member(ticket.issuer)
+        if member is None or member.incarnation > ticket.incarnation:
+            detail = f'{ticket.issuer} is gone or was restarted'
+            return Error(Failure(ErrorKind.TICKET_VOID, detail))
+        peer = Peer(ticket.issuer, member.peer_address, ticket.incarnation)
+        answer = await self._ask(peer, job, TargetName(''))
+        if answer.is_ok():
+            return _outcome(answer.ok)
+        error = answer.error
+        kind = ErrorKind.TICKET_UNSETTLED
+        if error.kind is LinkErrorKind.WRONG_PEER:
+            kind = ErrorKind.TICKET_VOID
+        detail = f'{ticket.issuer}: {error.kind.value} {error.detail}'
+        return Error(Failure(kind, detail))
+
+    async def _ask(
+        self,
+        peer: Peer,
+        job: Job,
+        target: TargetName,
+    ) -> Result[SubmitAnswer, LinkError]:
+        remaining = job.deadline - boot_time()
+        if remaining <= 0:
+            return Error(LinkError(LinkErrorKind.TIMEOUT, 'no time is left'))
+        message = _submit(job, target, remaining - HOP_MARGIN_S)
+        answer = await self.pool.request(peer, message, remaining)
+        if answer.is_ok() and not isinstance(answer.ok, SubmitAnswer):
+            detail = f'{type(answer.ok).__name__} is no answer to a Submit'
+            kind = LinkErrorKind.UNEXPECTED_MESSAGE
+            return Error(LinkError(kind, detail, may_have_left=True))
+        return answer
+
+
+class SubmitReceiver:
+    """Runs jobs that other daemons pass on.
+
+    Parameters
+    ----------
+    run_here
+        Runs a job at a target that this daemon dispatches to.
+    submit_here
+        Submits a job whose ticket this daemon issued.
+    """
+
+    def __init__(
+        self,
+        run_here: Callable[[Job, TargetName], Awaitable[Outcome]],
+        submit_here: Callable[[Job], Awaitable[Outcome]],
+    ) -> None:
+        """Start with no job."""
+        self.run_here = run_here
+        self.submit_here = submit_here
+        self.scopes: dict[IncomingLink, dict[int, anyio.CancelScope]] = {}
+
+    async def take(self, link: IncomingLink, submit: Submit) -> None:
+        """Run one job and answer on its link, unless that has closed."""
+        scopes = self._scopes_of(link)
+        scope = anyio.CancelScope()
+        scopes[submit.number] = scope
+        outcome: Outcome | None = None
+        with scope:
+            outcome = await self._run(_job(submit), TargetName(submit.target))
+        scopes.pop(submit.number, None)
+        if outcome is not None:
+            link.send(_answer(submit.number, outcome))
+
+    def cancel(self, link: IncomingLink, cancel: Cancel) -> None:
+        """Stop a job that nobody waits for any more."""
+        scope = self.scopes.get(link, {}).get(cancel.number)
+        if scope is not None:
+            scope.cancel()
+
+    def _scopes_of(self, link: IncomingLink) -> dict[int, anyio.CancelScope]:
+        if link not in self.scopes:
+            self.scopes[link] = {}
+            link.on_closed.append(self._cancel_all)
+        return self.scopes[link]
+
+    def _cancel_all(self, link: IncomingLink) -> None:
+        for scope in self.scopes.pop(link, {}).values():
+            scope.cancel()
+
+    async def _run(self, job: Job, target: TargetName) -> Outcome:
+        if target:
+            return await self.run_here(job, target)
+        return await self.submit_here(job)
+
+
+def _link_failure(peer: DaemonName, error: LinkError) -> Failure:
+    kinds = _LEFT_KINDS if error.may_have_left else _NOT_LEFT_KINDS
+    is_timeout = error.kind is LinkErrorKind.TIMEOUT
+    detail = f'{peer}: {error.kind.value} {error.detail}'
+    return Failure(kinds[is_timeout], detail)
+
+
+def _submit(job: Job, target: TargetName, remaining: float) -> Submit:
+    return Submit(
+        number=0,
+        request_id=job.request_id,
+        service=job.service,
+        target=target,
+        customer=job.customer,
+        key=job.key,
+        method=job.method,
+        path=job.path,
+        headers=_headers(job.headers),
+        body=job.body,
+        deadline_ms=max(1, int(remaining * MILLISECONDS_PER_SECOND)),
+        repeatable=job.repeatable,
+        ticket=job.ticket,
+        hops=job.hops + 1,
+    )
+
+
+def _job(submit: Submit) -> Job:
+    timeout = submit.deadline_ms / MILLISECONDS_PER_SECOND
+    path = submit.path.partition('?')[0].lstrip('/')
+    operation = path.partition('/')[2].partition('/')[0]
+    return Job(
+        request_id=RequestId(submit.request_id),
+        service=ServiceName(submit.service),
+        customer=CustomerName(submit.customer),
+        key=submit.key,
+        key_hash=hash_key(submit.key),
+        operation=f'{submit.method} {operation}',
+        method=submit.method,
+        path=submit.path,
+        headers=_pairs(submit.headers),
+        body=submit.body,
+        deadline=Seconds(boot_time() + timeout),
+        repeatable=submit.repeatable,
+        ticket=TicketId(submit.ticket),
+        hops=submit.hops,
+    )
+
+
+def _answer(number: int, outcome: Outcome) -> SubmitAnswer:
+    if outcome.is_error():
+        failure = outcome.error
+        kind = failure.kind.value
+        return SubmitAnswer(number, kind, failure.detail, 0, (), b'')
+    response = outcome.ok
+    headers = _headers(response.headers)
+    return SubmitAnswer(
+        number, '', '', response.status, headers, response.body
+    )
+
+
+def _outcome(answer: SubmitAnswer) -> Outcome:
+    if not answer.kind:
+        headers = _pairs(answer.headers)
+        return Ok(Response(answer.status, headers, answer.body))
+    try:
+        kind = ErrorKind(answer.kind)
+    except ValueError:
+        kind = ErrorKind.PEER_BROKE_OFF
+    return Error(Failure(kind, answer.detail))
+
+
+def _headers(pairs: tuple[tuple[str, str], ...]) -> tuple[Header, ...]:
+    return tuple(Header(name, text) for name, text in pairs)
+
+
+def _pairs(headers: tuple[Header, ...]) -> tuple[tuple[str, str], ...]:
+    return tuple((header.name, header.value) for header in headers)
