Requests: queues per target, tickets, retries, quarantine, connections

Pure decisions for the dispatcher and the entry, with basic tests in virtual time against an observer of the target's run log and the callers' answers.

--- /dev/null
+++ b/src/laburnumyard/core/requests/_deadlines.py
@@ -0,0 +1,34 @@
+"""When the next deadline of a queue is due."""
+
+from heapq import heappop, heappush
+
+from laburnumyard.core.ids import Seconds
+from laburnumyard.core.requests._entries import Entry, State
+
+OVER = frozenset((State.DONE, State.CANCELLING))
+
+
+class Deadlines:
+    """The deadlines of all requests that wait or run."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.heap: list[tuple[Seconds, int, Entry]] = []
+
+    def add(self, entry: Entry) -> None:
+        """Watch the deadline of a request until it is over."""
+        heappush(self.heap, (entry.request.deadline, entry.order, entry))
+
+    def pop_due(self, now: Seconds) -> Entry | None:
+        """Take out a request whose deadline has passed, if there is one."""
+        while self.heap and self.heap[0][0] <= now:
+            entry = heappop(self.heap)[-1]
+            if entry.state not in OVER:
+                return entry
+        return None
+
+    def next_due(self) -> Seconds | None:
+        """Give the earliest deadline of a request that is not over."""
+        while self.heap and self.heap[0][-1].state in OVER:
+            heappop(self.heap)
+        return self.heap[0][0] if self.heap else None
--- /dev/null
+++ b/src/laburnumyard/core/requests/_handlers.py
@@ -0,0 +1,187 @@
+"""How each event changes a target's queue."""
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from laburnumyard.core.errors import ErrorKind, Failure
+from laburnumyard.core.ids import Seconds
+from laburnumyard.core.requests._displacement import displaceable
+from laburnumyard.core.requests._effects import Refuse
+from laburnumyard.core.requests._entries import Entry, State
+from laburnumyard.core.requests._events import (
+    CapacityChanged,
+    Drain,
+    SettingsChanged,
+    TargetSheds,
+    Tick,
+)
+from laburnumyard.core.requests._rebuilding import rebuilt
+from laburnumyard.core.requests._requests import (
+    Arrive,
+    CallerGone,
+    Finished,
+    Outcome,
+    Request,
+)
+from laburnumyard.core.requests._settings import QueueSettings
+
+if TYPE_CHECKING:
+    from laburnumyard.core.requests._target_queue import TargetQueue
+
+REFUSING = frozenset((Outcome.SHED, Outcome.UNREACHABLE))
+
+
+@singledispatch
+def apply(event: object, queue: 'TargetQueue', now: Seconds) -> None:
+    """Change the state of a queue by one event."""
+    raise TypeError(f'{event!r} is no event of a target queue')
+
+
+@apply.register(Arrive)
+def _arrive(event: Arrive, queue: 'TargetQueue', now: Seconds) -> None:
+    request = event.request
+    if request.request_id in queue.entries:
+        raise ValueError(
+            f'request {request.request_id!r} is held already: '
+            'give each try an id of its own',
+        )
+    entry = _admitted(request, queue, now)
+    if entry is None:
+        return
+    queue.entries[request.request_id] = entry
+    queue.flows.add(entry)
+    queue.deadlines.add(entry)
+
+
+def _admitted(
+    request: Request,
+    queue: 'TargetQueue',
+    now: Seconds,
+) -> Entry | None:
+    queue.arrivals += 1
+    entry = Entry(
+        request,
+        queue.flows.flow_of(request.customer),
+        queue.arrivals,
+        queue.times.is_long(request.operation),
+    )
+    failure = _refusal(entry, queue, now)
+    if failure is None:
+        return entry
+    queue.effects.append(Refuse(request.request_id, failure))
+    return None
+
+
+def _refusal(
+    entry: Entry,
+    queue: 'TargetQueue',
+    now: Seconds,
+) -> Failure | None:
+    if queue.draining is not None:
+        return Failure(queue.draining.kind)
+    wait = Seconds(0)
+    if not entry.flow.line.is_deferrable:
+        wait = queue.expected_wait(entry, now)
+    failure = queue.admission.refusal(entry, wait, now)
+    return failure or _make_room(entry, queue, now)
+
+
+def _make_room(
+    entry: Entry,
+    queue: 'TargetQueue',
+    now: Seconds,
+) -> Failure | None:
+    flow = entry.flow
+    flows = queue.flows
+    limit = queue.settings.service.queue_limit
+    if flow.line.is_deferrable:
+        if flows.waiting_deferred < limit:
+            return None
+        return Failure(ErrorKind.OVERLOADED, f'{limit} requests are deferred')
+    if flows.waiting < limit:
+        return None
+    last = displaceable(flows, flow, now)
+    detail = f'{limit} requests wait: send more slowly'
+    if last is not None:
+        queue.refuse(last, Failure(ErrorKind.OVERLOADED, detail))
+        return None
+    if flow.meter is None:
+        return Failure(ErrorKind.OVERLOADED, detail)
+    return Failure(ErrorKind.OVER_SHARE, detail)
+
+
+@apply.register(Finished)
+def _finished(event: Finished, queue: 'TargetQueue', now: Seconds) -> None:
+    entry = queue.running.pop(event.request_id, None)
+    if entry is None:
+        return
+    queue.flows.settle(entry, now)
+    _learn(entry, event.outcome, queue, now)
+    if entry.state is State.PREEMPTING and event.outcome is Outcome.CANCELLED:
+        queue.flows.restore(entry)
+        return
+    entry.state = State.DONE
+    queue.entries.pop(event.request_id)
+
+
+def _learn(
+    entry: Entry,
+    outcome: Outcome,
+    queue: 'TargetQueue',
+    now: Seconds,
+) -> None:
+    run_time = Seconds(now - entry.started)
+    if outcome is Outcome.ANSWERED:
+        queue.times.record(entry.request.operation, run_time)
+        queue.throttle.on_answer()
+    elif outcome in REFUSING:
+        queue.throttle.on_refusal(now)
+
+
+@apply.register(CallerGone)
+def _caller_gone(event: CallerGone, queue: 'TargetQueue', now: Seconds) -> None:
+    entry = queue.entries.get(event.request_id)
+    if entry is None:
+        return
+    if entry.state is State.WAITING:
+        queue.drop(entry)
+    elif entry.request.repeatable and entry.state is not State.CANCELLING:
+        queue.cancel(entry, None)
+
+
+@apply.register(Tick)
+def _tick(event: Tick, queue: 'TargetQueue', now: Seconds) -> None:
+    queue.armed = None
+
+
+@apply.register(TargetSheds)
+def _sheds(event: TargetSheds, queue: 'TargetQueue', now: Seconds) -> None:
+    queue.throttle.on_refusal(now)
+
+
+@apply.register(CapacityChanged)
+def _resize(event: CapacityChanged, queue: 'TargetQueue', now: Seconds) -> None:
+    queue.throttle.resize(event.slots, event.connections, is_cold=event.cold)
+    _rebuild(queue, queue.settings, event.slots)
+
+
+@apply.register(SettingsChanged)
+def _change(event: SettingsChanged, queue: 'TargetQueue', now: Seconds) -> None:
+    target = event.settings.target
+    queue.throttle.resize(target.slots, target.connections, is_cold=False)
+    _rebuild(queue, event.settings, target.slots)
+
+
+def _rebuild(queue: 'TargetQueue', settings: QueueSettings, slots: int) -> None:
+    queue.settings = settings
+    queue.flows = rebuilt(queue.flows, settings, slots, queue.entries.values())
+
+
+@apply.register(Drain)
+def _drain(event: Drain, queue: 'TargetQueue', now: Seconds) -> None:
+    queue.draining = event
+    if event.serve_waiting:
+        return
+    for entry in tuple(queue.entries.values()):
+        if entry.state is State.WAITING:
+            queue.refuse(entry, Failure(event.kind))
--- /dev/null
+++ b/src/laburnumyard/core/requests/_settings.py
@@ -0,0 +1,84 @@
+"""What a target's queue needs of the operators' objects."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from laburnumyard.core.ids import ClassName, CustomerName, TargetName
+from laburnumyard.schema._generated.objects import (
+    Objects,
+    PriorityClass,
+    Service,
+    Share,
+    Target,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class QueueSettings:
+    """The settings of one target's queue.
+
+    Parameters
+    ----------
+    service
+        The service of the target.
+    target
+        The target.
+    classes
+        Every priority class by name.
+    shares
+        The paid shares of the service by customer.
+    """
+
+    service: Service
+    target: Target
+    classes: Mapping[ClassName, PriorityClass]
+    shares: Mapping[CustomerName, Share]
+
+    @property
+    def common_class(self) -> PriorityClass:
+        """The class of whoever has no share, or is past it."""
+        return self.classes[ClassName(self.service.common_class)]
+
+
+def queue_settings(objects: Objects, target_name: TargetName) -> QueueSettings:
+    """Pick the settings of one target's queue out of all objects.
+
+    Parameters
+    ----------
+    objects
+        Objects that have passed the check of a publication.
+    target_name
+        The target.
+
+    Returns
+    -------
+    QueueSettings
+        What the queue needs.
+
+    Raises
+    ------
+    LookupError
+        If no such target is configured.
+    """
+    targets = {target.name: target for target in objects.target}
+    if target_name not in targets:
+        raise LookupError(
+            f'no target {target_name!r}: name one of {sorted(targets)}',
+        )
+    target = targets[target_name]
+    services = {service.name: service for service in objects.service}
+    return QueueSettings(
+        service=services[target.service],
+        target=target,
+        classes={ClassName(each.name): each for each in objects.priority_class},
+        shares=_shares_of(objects, target.service),
+    )
+
+
+def _shares_of(objects: Objects, service: str) -> dict[CustomerName, Share]:
+    return {
+        CustomerName(customer.name): share
+        for customer in objects.customer
+        for share in customer.shares
+        if share.service == service
+    }
--- /dev/null
+++ b/tests/core/requests/conftest.py
@@ -0,0 +1,19 @@
+import pytest
+
+from laburnumyard.core import requests
+from tests.core.requests.world import World, settings
+
+
+@pytest.fixture
+def new_world():
+    """Build a queue under given settings, in a world of its own."""
+
+    def build(*, is_cold=False, slots=3, queue_class=None, **options):
+        queue = (queue_class or requests.TargetQueue)(
+            settings(slots=slots, **options),
+            requests.OperationTimes(),
+            is_cold=is_cold,
+        )
+        return World(queue, slots)
+
+    return build
--- /dev/null
+++ b/tests/core/requests/world.py
@@ -0,0 +1,229 @@
+"""A target, its shell and an observer, all in virtual time."""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from types import MappingProxyType
+
+from laburnumyard.core import requests
+from laburnumyard.core.errors import ErrorKind, Failure, Ran
+from laburnumyard.core.ids import Seconds, TargetName
+from laburnumyard.schema._generated.objects import Objects
+
+SERVICE = 'catalogue'
+TARGET = 'catalogue-1'
+TOKEN = '0' * 64
+
+
+def objects(*, slots=3, queue_limit=64, shares=None, least_share=0, common=()):
+    """Two classes, a deferrable one, and customers with paid shares."""
+    shares = {'clinic': 0.2} if shares is None else shares
+    return Objects.model_validate(
+        {
+            'service': [
+                {
+                    'name': SERVICE,
+                    'region': 'lima',
+                    'common_class': 'common',
+                    'queue_limit': queue_limit,
+                },
+            ],
+            'target': [
+                {
+                    'name': TARGET,
+                    'service': SERVICE,
+                    'data_centre': 'lima-a',
+                    'address': '127.0.0.1:9000',
+                    'slots': slots,
+                },
+            ],
+            'priority_class': [
+                {'name': 'first', 'rank': 0},
+                {'name': 'common', 'rank': 10, 'least_share': least_share},
+                {'name': 'later', 'rank': 20, 'deferrable': True},
+            ],
+            'customer': [
+                *(_customer(name, share) for name, share in shares.items()),
+                _customer('reports', 0.1, 'later'),
+            ],
+        }
+    )
+
+
+def _customer(name, share, priority_class='first'):
+    paid = {
+        'service': SERVICE,
+        'priority_class': priority_class,
+        'share': share,
+    }
+    return {'name': name, 'token_sha256': TOKEN, 'shares': [paid]}
+
+
+def settings(**options):
+    return requests.queue_settings(objects(**options), TargetName(TARGET))
+
+
+KINDS = MappingProxyType(
+    {
+        requests.Outcome.SHED: ErrorKind.TARGET_SHED,
+        requests.Outcome.UNREACHABLE: ErrorKind.TARGET_UNREACHABLE,
+        requests.Outcome.BROKEN_OFF: ErrorKind.TARGET_BROKE_OFF,
+    }
+)
+
+
+@dataclass
+class Running:
+    request_id: str
+    ends: float
+    outcome: requests.Outcome
+
+
+class World:
+    """Carries out the effects of a queue, as the daemon's shell does.
+
+    `run_log` is the target's own; `answers` is what callers were told.
+    """
+
+    def __init__(self, queue, slots):
+        self.queue = queue
+        self.now = Seconds(0)
+        self.run_log = []
+        self.runs = {}
+        self.answers = defaultdict(list)
+        self.answered_at = {}
+        self.sent_at = defaultdict(list)
+        self.plans = {}
+        self.requests = {}
+        self.gone = set()
+        self.wake = None
+        self.slots = slots
+
+    def arrive(self, customer, **options):
+        """Let a request arrive; gives its id."""
+        request_id = f'r{len(self.requests)}'
+        request = requests.Request(
+            request_id=request_id,
+            customer=customer,
+            operation=options.get('operation', 'GET bench'),
+            deadline=Seconds(self.now + options.get('within', 2)),
+            repeatable=options.get('repeatable', True),
+        )
+        self.requests[request_id] = request
+        self.plans[request_id] = (
+            options.get('length', 0.01),
+            options.get('outcome', requests.Outcome.ANSWERED),
+        )
+        self.feed(requests.Arrive(request))
+        return request_id
+
+    def feed(self, event):
+        for effect in self.queue.handle(event, self.now):
+            self.carry_out(effect)
+
+    def advance(self, seconds):
+        """Let time pass; runs end and timers fire in their order."""
+        until = self.now + seconds
+        due = self._next_due()
+        while due <= until:
+            self.now = max(self.now, due)
+            self._fire(due)
+            due = self._next_due()
+        self.now = until
+
+    def _next_due(self):
+        ends = [run.ends for run in self.runs.values()]
+        wakes = [] if self.wake is None else [self.wake]
+        return min(ends + wakes, default=float('inf'))
+
+    def _fire(self, due):
+        if self.wake == due:
+            self.wake = None
+            self.feed(requests.Tick())
+            return
+        run = min(self.runs.values(), key=lambda each: each.ends)
+        self.runs.pop(run.request_id)
+        if run.outcome is requests.Outcome.ANSWERED:
+            self.tell(run.request_id, f'answer to {run.request_id}')
+        else:
+            self.tell(run.request_id, Failure(KINDS[run.outcome]))
+        self.feed(requests.Finished(run.request_id, run.outcome))
+
+    def tell(self, request_id, answer):
+        self.answers[request_id].append(answer)
+        self.answered_at[request_id] = self.now
+
+    @singledispatchmethod
+    def carry_out(self, effect):
+        raise AssertionError(effect)
+
+    @carry_out.register
+    def _(self, effect: requests.Send):
+        request_id = effect.request_id
+        length, outcome = self.plans[request_id]
+        self.sent_at[request_id].append(self.now)
+        if outcome in (requests.Outcome.ANSWERED, requests.Outcome.BROKEN_OFF):
+            self.run_log.append(request_id)
+        run = Running(request_id, self.now + length, outcome)
+        self.runs[request_id] = run
+        assert len(self.runs) <= self.slots, 'more runs than slots'
+
+    @carry_out.register
+    def _(self, effect: requests.Refuse):
+        self.tell(effect.request_id, effect.failure)
+
+    @carry_out.register
+    def _(self, effect: requests.CancelRunning):
+        if effect.failure is not None:
+            self.tell(effect.request_id, effect.failure)
+        self.stop(effect.request_id)
+
+    @carry_out.register
+    def _(self, effect: requests.Preempt):
+        self.stop(effect.request_id)
+
+    @carry_out.register
+    def _(self, effect: requests.WakeAt):
+        self.wake = effect.time
+
+    def stop(self, request_id):
+        if self.runs.pop(request_id, None) is not None:
+            outcome = requests.Outcome.CANCELLED
+            self.feed(requests.Finished(request_id, outcome))
+
+
+def leave(world, request_id):
+    """Let a request's caller close its connection."""
+    world.gone.add(request_id)
+    world.feed(requests.CallerGone(request_id))
+
+
+def check(world, *, is_over=True):
+    """Raise where the target's run log and the answers break a promise."""
+    ran = Counter(world.run_log)
+    for request_id, request in world.requests.items():
+        answers = world.answers[request_id]
+        check_answers(request_id, answers, ran[request_id])
+        if is_over and request_id not in world.gone:
+            assert answers, f'{request_id} was silently dropped'
+        if not request.repeatable:
+            assert ran[request_id] <= 1, f'{request_id} ran twice'
+
+
+def kinds(world, request_id):
+    """Give what a caller was told: kinds of errors, or 'answer'."""
+    return [
+        answer.kind if isinstance(answer, Failure) else 'answer'
+        for answer in world.answers[request_id]
+    ]
+
+
+def check_answers(request_id, answers, runs):
+    assert len(answers) <= 1, f'{request_id} was answered twice'
+    for answer in answers:
+        if isinstance(answer, Failure):
+            if answer.answer.ran is Ran.NOT_RUN:
+                assert not runs, f'{request_id} ran: {answer}'
+        else:
+            assert answer == f'answer to {request_id}', answer
+            assert runs, f'{request_id} has an answer without a run'
