Clients of the store, the VM list and targets

The store client sends a write once and settles a lost answer by reading back; reads retry with jitter within a token bucket.

--- a/src/laburnumyard/platform/__init__.py
+++ b/src/laburnumyard/platform/__init__.py
@@ -1,1 +1,55 @@
 """Clients of the platform: store, VM list and targets."""
+
+from laburnumyard.platform._store import StoreClient
+from laburnumyard.platform._store_types import (
+    KeyRevision,
+    Stored,
+    StoreError,
+    StoreErrorKind,
+)
+from laburnumyard.platform._target_connection import TargetConnection
+from laburnumyard.platform._target_control import TargetControl
+from laburnumyard.platform._target_messages import (
+    DrainAnswer,
+    GrantOrder,
+    RenewOrder,
+    SealOrder,
+    TargetAnswer,
+    TargetError,
+    TargetErrorKind,
+    TargetLoad,
+)
+from laburnumyard.platform._target_types import (
+    FailureKind,
+    TargetFailure,
+    TargetRequest,
+    TargetResponse,
+    drop_hop_by_hop,
+)
+from laburnumyard.platform._vms import Vm, VmList, VmState
+
+__all__ = (
+    'DrainAnswer',
+    'FailureKind',
+    'GrantOrder',
+    'KeyRevision',
+    'RenewOrder',
+    'SealOrder',
+    'StoreClient',
+    'StoreError',
+    'StoreErrorKind',
+    'Stored',
+    'TargetAnswer',
+    'TargetConnection',
+    'TargetControl',
+    'TargetError',
+    'TargetErrorKind',
+    'TargetFailure',
+    'TargetLoad',
+    'TargetRequest',
+    'TargetResponse',
+    'Vm',
+    'VmList',
+    'VmState',
+    'drop_hop_by_hop',
+)
--- /dev/null
+++ b/src/laburnumyard/platform/_endpoint.py
@@ -0,0 +1,226 @@
+"""HTTP calls to one address over httpcore, with kept connections."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+import anyio
+import httpcore
+from expression import Error, Ok, Result
+
+from laburnumyard.platform._address import split_address
+
+MAX_IDLE_CONNECTIONS = 4
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+IDLE_LIMIT_S = 30.0
+SENDING = 'http11.send_request_headers.started'
+
+
+class ExchangeFault(Enum):
+    """Why an exchange gave no answer."""
+
+    UNREACHABLE = 'unreachable'
+    TIMEOUT = 'timeout'
+    BROKE_OFF = 'broke-off'
+    MALFORMED = 'malformed'
+    TOO_LARGE = 'too-large'
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeError:
+    """An exchange that gave no answer.
+
+    Parameters
+    ----------
+    fault
+        What went wrong.
+    has_left
+        Whether a byte of the request may have left.
+    detail
+        What was met.
+    """
+
+    fault: ExchangeFault
+    has_left: bool
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A request to an endpoint.
+
+    Parameters
+    ----------
+    method, path
+        The path is percent-encoded.
+    headers
+        Headers besides ``host`` and ``content-length``.
+    body
+        The body.
+    """
+
+    method: str
+    path: str
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole answer; header names are in lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+Exchanged = Result[HttpAnswer, ExchangeError]
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """One exchange on one connection."""
+
+    connection: httpcore.AsyncHTTPConnection
+    has_left: bool = False
+
+    async def trace(self, event: str, _: Mapping[str, Any]) -> None:
+        """Note when the first byte leaves."""
+        if event == SENDING:
+            self.has_left = True
+
+    def fail(self, fault: ExchangeFault, detail: object) -> Exchanged:
+        """Return a failure of this exchange."""
+        return Error(ExchangeError(fault, self.has_left, str(detail)))
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """One address and the idle connections to it.
+
+    Parameters
+    ----------
+    address
+        ``IP:PORT``.
+    """
+
+    address: str
+    idle: list[httpcore.AsyncHTTPConnection] = field(default_factory=list)
+
+    async def exchange(
+        self,
+        request: HttpRequest,
+        timeout_s: float,
+    ) -> Exchanged:
+        """Send a request and return its whole answer.
+
+        Parameters
+        ----------
+        request
+            What to send; it is sent once.
+        timeout_s
+            The longest wait for the whole exchange, in seconds.
+        """
+        attempt = _Attempt(await self._take_connection())
+        outcome = attempt.fail(
+            ExchangeFault.TIMEOUT,
+            f'no answer from {self.address} within {timeout_s} s',
+        )
+        try:
+            with anyio.move_on_after(timeout_s):
+                outcome = await self._attempt(request, attempt)
+        finally:
+            await self._give_back(attempt.connection)
+        if outcome.is_error() and outcome.error.has_left != attempt.has_left:
+            return attempt.fail(outcome.error.fault, outcome.error.detail)
+        return outcome
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        while self.idle:
+            await self.idle.pop().aclose()
+
+    async def _attempt(
+        self,
+        request: HttpRequest,
+        attempt: _Attempt,
+    ) -> Exchanged:
+        try:
+            return await self._converse(request, attempt)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as refusal:
+            return attempt.fail(ExchangeFault.UNREACHABLE, refusal)
+        except (httpcore.NetworkError, httpcore.RemoteProtocolError) as breach:
+            return attempt.fail(ExchangeFault.BROKE_OFF, breach)
+        except httpcore.LocalProtocolError as garbage:
+            return attempt.fail(ExchangeFault.MALFORMED, garbage)
+
+    async def _converse(
+        self,
+        request: HttpRequest,
+        attempt: _Attempt,
+    ) -> Exchanged:
+        response = await attempt.connection.handle_async_request(
+            self._encode(request, attempt),
+        )
+        chunks = []
+        room = MAX_ANSWER_BYTES
+        async for chunk in response.aiter_stream():
+            chunks.append(chunk)
+            room -= len(chunk)
+            if room < 0:
+                return attempt.fail(ExchangeFault.TOO_LARGE, self.address)
+        await response.aclose()
+        headers = {
+            name.decode('latin-1').lower(): text.decode('latin-1')
+            for name, text in response.headers
+        }
+        return Ok(HttpAnswer(response.status, headers, b''.join(chunks)))
+
+    def _encode(
+        self,
+        request: HttpRequest,
+        attempt: _Attempt,
+    ) -> httpcore.Request:
+        host, port = split_address(self.address)
+        headers = {
+            'host': self.address,
+            'content-length': str(len(request.body)),
+            **request.headers,
+        }
+        return httpcore.Request(
+            request.method,
+            httpcore.URL(
+                scheme=b'http',
+                host=host.encode(),
+                port=port,
+                target=request.path.encode(),
+            ),
+            headers=headers,
+            content=request.body,
+            extensions={'trace': attempt.trace},
+        )
+
+    async def _take_connection(self) -> httpcore.AsyncHTTPConnection:
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_idle() and not connection.has_expired():
+                return connection
+            await connection.aclose()
+        host, port = split_address(self.address)
+        return httpcore.AsyncHTTPConnection(
+            httpcore.Origin(b'http', host.encode(), port),
+            keepalive_expiry=IDLE_LIMIT_S,
+            network_backend=httpcore.AnyIOBackend(),
+        )
+
+    async def _give_back(
+        self,
+        connection: httpcore.AsyncHTTPConnection,
+    ) -> None:
+        # A connection whose answer was not read whole is not idle.
+        if connection.is_idle() and len(self.idle) < MAX_IDLE_CONNECTIONS:
+            self.idle.append(connection)
+            return
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
--- /dev/null
+++ b/src/laburnumyard/platform/_store_codec.py
@@ -0,0 +1,114 @@
+"""The store's answers, decoded; nothing in them is trusted."""
+
+import re
+from dataclasses import replace
+from http import HTTPStatus
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from laburnumyard.platform._endpoint import HttpAnswer
+from laburnumyard.platform._store_errors import malformed, unexpected
+from laburnumyard.platform._store_types import (
+    KeyRevision,
+    Stored,
+    StoreError,
+    StoreErrorKind,
+)
+from laburnumyard.platform._untrusted import (
+    MAX_COUNT,
+    parse_json,
+    read_count,
+    read_list,
+    read_object,
+    read_text,
+    shorten,
+)
+
+REVISION = re.compile('[1-9][0-9]{0,18}')
+MAX_KEY_LENGTH = 1024
+
+
+def decode_revision(answer: HttpAnswer) -> Result[int, StoreError]:
+    """Return the revision in the ``etag`` of an answer."""
+    etag = answer.headers.get('etag', '').strip('"')
+    if REVISION.fullmatch(etag) and int(etag) <= MAX_COUNT:
+        return Ok(int(etag))
+    shown = shorten(etag)
+    return Error(malformed(f'etag {shown} is no revision'))
+
+
+def decode_written(answer: HttpAnswer) -> Result[int, StoreError]:
+    """Return the revision of a write; without one, read back."""
+    return decode_revision(answer).map_error(
+        lambda error: replace(error, kind=StoreErrorKind.OUTCOME_UNKNOWN),
+    )
+
+
+def decode_watched(
+    key: str,
+    after: int,
+    answer: HttpAnswer,
+) -> Result[Stored | None, StoreError]:
+    """Return the value of a watch; None at its timeout."""
+    if answer.status == HTTPStatus.NO_CONTENT:
+        return Ok(None)
+    if answer.status != HTTPStatus.OK:
+        return Error(unexpected(answer))
+    return decode_stored(key, answer).bind(
+        lambda stored: _check_newer(stored, after),
+    )
+
+
+def _check_newer(
+    stored: Stored | None,
+    after: int,
+) -> Result[Stored | None, StoreError]:
+    if stored is None or stored.revision > after:
+        return Ok(stored)
+    detail = f'watched for more than {after}, got {stored.revision}'
+    return Error(malformed(detail))
+
+
+def decode_stored(
+    key: str,
+    answer: HttpAnswer,
+) -> Result[Stored | None, StoreError]:
+    """Return the value of a read; None where the key is absent."""
+    if answer.status == HTTPStatus.NOT_FOUND:
+        return Ok(None)
+    if answer.status != HTTPStatus.OK:
+        return Error(unexpected(answer))
+    return decode_revision(answer).map(
+        lambda revision: Stored(key, answer.body, revision),
+    )
+
+
+def decode_json(answer: HttpAnswer) -> Result[Any, StoreError]:
+    """Return the JSON body of an answer."""
+    if answer.status != HTTPStatus.OK:
+        return Error(unexpected(answer))
+    try:
+        return Ok(parse_json(answer.body))
+    except ValueError as fault:
+        return Error(malformed(str(fault)))
+
+
+def decode_keys(
+    answer: HttpAnswer,
+) -> Result[tuple[KeyRevision, ...], StoreError]:
+    """Return the keys of a listing."""
+    return decode_json(answer).bind(_read_keys)
+
+
+def _read_keys(rows: Any) -> Result[tuple[KeyRevision, ...], StoreError]:
+    try:
+        return Ok(tuple(map(_read_key, read_list(rows))))
+    except (TypeError, ValueError) as fault:
+        return Error(malformed(f'the list of keys: {fault}'))
+
+
+def _read_key(row: Any) -> KeyRevision:
+    fields = read_object(row)
+    key = read_text(fields, 'key', MAX_KEY_LENGTH)
+    return KeyRevision(key, read_count(fields, 'revision'))
--- /dev/null
+++ b/src/laburnumyard/platform/_target_parser.py
@@ -0,0 +1,140 @@
+"""Reads one answer of a target after another, within bounds."""
+
+from enum import Enum
+from http import HTTPStatus
+
+import httptools
+
+from laburnumyard.platform._target_types import FailureKind, TargetResponse
+
+MAX_HEAD_BYTES = 65_536
+
+
+class ReadState(Enum):
+    """How far the answer to the request in flight is."""
+
+    IDLE = 'idle'
+    WAITING = 'waiting'
+    WHOLE = 'whole'
+    FAILED = 'failed'
+
+
+class AnswerParser:
+    """Feeds httptools and keeps what it finds.
+
+    Anything that comes without a request in flight, or after the end of its
+    answer, is a failure: no byte can end up in another request's answer.
+
+    Parameters
+    ----------
+    max_body_bytes
+        The largest body that is taken.
+    """
+
+    def __init__(self, max_body_bytes: int) -> None:
+        """Start without a request in flight."""
+        self.max_body_bytes = max_body_bytes
+        self.state = ReadState.IDLE
+        self.failure = FailureKind.MALFORMED
+        self.is_reusable = True
+        self.parser = httptools.HttpResponseParser(self)
+        self._expect(is_head=False)
+
+    def expect(self, is_head: bool) -> None:
+        """Begin to wait for the answer to a request.
+
+        Parameters
+        ----------
+        is_head
+            Whether the answer comes without its body.
+        """
+        self._expect(is_head)
+        self.state = ReadState.WAITING
+
+    def feed(self, received: bytes) -> ReadState:
+        """Take received bytes and tell how far the answer is."""
+        self.unparsed_bytes += len(received)
+        try:
+            self.parser.feed_data(received)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._fail(FailureKind.MALFORMED)
+        if self.unparsed_bytes > MAX_HEAD_BYTES:
+            self._fail(FailureKind.TOO_LARGE)
+        if self.is_head and self.state is ReadState.WHOLE:
+            # This parser would wait for the body.
+            self.parser = httptools.HttpResponseParser(self)
+        return self.state
+
+    def take(self) -> TargetResponse:
+        """Return the whole answer and wait for no other."""
+        self.state = ReadState.IDLE
+        return TargetResponse(
+            self.status,
+            tuple(self.headers),
+            b''.join(self.chunks),
+        )
+
+    def on_message_begin(self) -> None:
+        """Refuse an answer that nobody waits for."""
+        if self.state is not ReadState.WAITING:
+            self._fail(FailureKind.MALFORMED)
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Keep a header."""
+        self.unparsed_bytes = 0
+        self.head_bytes += len(name) + len(text)
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self._fail(FailureKind.TOO_LARGE)
+            return
+        header = (name.decode('latin-1').lower(), text.decode('latin-1'))
+        self.headers.append(header)
+
+    def on_headers_complete(self) -> None:
+        """Note the status; an answer to HEAD ends here."""
+        self.unparsed_bytes = 0
+        self.status = self.parser.get_status_code()
+        if self.is_head and not self._is_interim():
+            self._end()
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body."""
+        self.unparsed_bytes = 0
+        self.body_bytes += len(body)
+        if self.body_bytes > self.max_body_bytes:
+            self._fail(FailureKind.TOO_LARGE)
+        elif self.state is ReadState.WAITING:
+            self.chunks.append(body)
+        else:
+            self._fail(FailureKind.MALFORMED)
+
+    def on_message_complete(self) -> None:
+        """End the answer, unless it only announces another."""
+        self.unparsed_bytes = 0
+        if self._is_interim():
+            self.headers.clear()
+            return
+        if self.state is ReadState.WAITING:
+            self._end()
+
+    def _expect(self, is_head: bool) -> None:
+        self.is_head = is_head
+        self.status = 0
+        self.headers: list[tuple[str, str]] = []
+        self.chunks: list[bytes] = []
+        self.head_bytes = 0
+        self.body_bytes = 0
+        # Bytes that httptools holds back until a header is complete.
+        self.unparsed_bytes = 0
+
+    def _is_interim(self) -> bool:
+        return self.status < HTTPStatus.OK
+
+    def _end(self) -> None:
+        self.state = ReadState.WHOLE
+        self.is_reusable = self.parser.should_keep_alive()
+
+    def _fail(self, kind: FailureKind) -> None:
+        self.is_reusable = False
+        if self.state is not ReadState.WHOLE:
+            self.failure = kind
+            self.state = ReadState.FAILED
--- /dev/null
+++ b/src/laburnumyard/platform/_vms.py
@@ -0,0 +1,110 @@
+"""The platform's list of VMs; nothing in it is trusted."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from laburnumyard.core.ids import DaemonName, DataCentre, Region
+from laburnumyard.platform._address import split_address
+from laburnumyard.platform._endpoint import HttpRequest
+from laburnumyard.platform._store import StoreClient
+from laburnumyard.platform._store_codec import decode_json
+from laburnumyard.platform._store_errors import malformed
+from laburnumyard.platform._store_types import StoreError
+from laburnumyard.platform._untrusted import (
+    Fields,
+    read_list,
+    read_object,
+    read_text,
+)
+
+MAX_VMS = 10_000
+MAX_NAME_LENGTH = 64
+
+
+class VmState(Enum):
+    """What the platform says of a VM."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """A VM on the platform's list.
+
+    Parameters
+    ----------
+    name, data_centre, region
+        Who and where it is.
+    peer_address
+        ``IP:PORT`` for links between daemons, empty where it serves none.
+    state
+        Live or leaving.
+    """
+
+    name: DaemonName
+    data_centre: DataCentre
+    region: Region
+    peer_address: str
+    state: VmState
+
+
+class VmList:
+    """Reads the lagging list of VMs, within the store's budget.
+
+    Parameters
+    ----------
+    store
+        The client whose budget and connections are used.
+    """
+
+    def __init__(self, store: StoreClient) -> None:
+        """Keep the client."""
+        self.store = store
+
+    async def read(self) -> Result[tuple[Vm, ...], StoreError]:
+        """Return the list as the platform shows it now."""
+        request = HttpRequest('GET', '/v1/vms')
+        answer = await self.store.calls.fetch(request, is_urgent=False)
+        return answer.bind(decode_json).bind(read_vms)
+
+
+def read_vms(rows: Any) -> Result[tuple[Vm, ...], StoreError]:
+    """Return the VMs of a decoded list; one bad row refuses it whole."""
+    try:
+        return Ok(_read_list(rows))
+    except (TypeError, ValueError) as fault:
+        return Error(malformed(f'the list of VMs: {fault}'))
+
+
+def _read_list(rows: Any) -> tuple[Vm, ...]:
+    listed = tuple(map(_read_vm, read_list(rows)))
+    if len(listed) > MAX_VMS:
+        raise ValueError(f'more than {MAX_VMS} rows')
+    if len({vm.name for vm in listed}) < len(listed):
+        raise ValueError('a name stands twice')
+    return listed
+
+
+def _read_vm(row: Any) -> Vm:
+    fields = read_object(row)
+    name = read_text(fields, 'name', MAX_NAME_LENGTH)
+    if not name:
+        raise ValueError('a VM has no name')
+    return Vm(
+        DaemonName(name),
+        DataCentre(read_text(fields, 'data_centre', MAX_NAME_LENGTH)),
+        Region(read_text(fields, 'region', MAX_NAME_LENGTH)),
+        _read_address(fields),
+        VmState(read_text(fields, 'state', MAX_NAME_LENGTH)),
+    )
+
+
+def _read_address(fields: Fields) -> str:
+    address = read_text(fields, 'peer_address', MAX_NAME_LENGTH)
+    if address:
+        split_address(address)
+    return address
--- /dev/null
+++ b/tests/platform/conftest.py
@@ -0,0 +1,104 @@
+import itertools
+from contextlib import asynccontextmanager
+from random import Random
+
+import anyio
+import pytest
+
+from laburnumyard.platform import StoreClient, TargetConnection
+from laburnumyard.schema._generated.settings import StoreSettings
+from standins._serve import serving
+from standins.platform import PlatformApp
+from standins.target import Fencing, TargetApp, TargetSettings
+
+MAX_BODY_BYTES = 65536
+GENEROUS_S = 20
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+@pytest.fixture
+def platform_app():
+    return PlatformApp()
+
+
+@pytest.fixture
+async def store_address(platform_app):
+    async with serving(platform_app) as address:
+        yield address
+
+
+@pytest.fixture
+def make_store():
+    """Build a store client; ticks make its clock advance on each reading."""
+
+    def build(address, **options):
+        settings = StoreSettings(
+            address=address,
+            **{'call_burst': 1000, 'timeout_s': GENEROUS_S} | options,
+        )
+        ticks = itertools.count()
+        return StoreClient(settings, lambda: next(ticks), Random(1).random)
+
+    return build
+
+
+@pytest.fixture
+async def store(store_address, make_store):
+    client = make_store(store_address)
+    yield client
+    await client.close()
+
+
+@pytest.fixture
+def target_app():
+    return TargetApp(TargetSettings('c1', 'catalogue', fencing=Fencing.NONE))
+
+
+@pytest.fixture
+async def target_address(target_app):
+    async with serving(target_app) as address:
+        yield address
+
+
+@pytest.fixture
+async def connection(target_address):
+    opened = await TargetConnection.open(
+        target_address,
+        MAX_BODY_BYTES,
+        GENEROUS_S,
+    )
+    yield opened.ok
+    opened.ok.close()
+
+
+@pytest.fixture
+def scripted():
+    """Serve connections that write given bytes after the first request.
+
+    ``hold`` keeps the connection open afterwards; otherwise it is closed.
+    """
+
+    @asynccontextmanager
+    async def serve(*parts, hold=False):
+        async def handle(stream):
+            async with stream:
+                await stream.receive()
+                for part in parts:
+                    await stream.send(part)
+                    await anyio.wait_all_tasks_blocked()
+                if hold:
+                    await anyio.sleep_forever()
+
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, handle)
+            yield f'127.0.0.1:{port}'
+            tasks.cancel_scope.cancel()
+        await listener.aclose()
+
+    return serve
