--- /dev/null
+++ b/src/laburnumyard/daemon/_assignment_store.py
@@ -0,0 +1,92 @@
+"""Heads and chunks of assignments in the platform's store."""
+
+from expression import Error, Ok, Result
+
+from laburnumyard.core import ownership
+from laburnumyard.core.ids import ServiceName
+from laburnumyard.platform import StoreClient, StoreError, StoreErrorKind
+
+
+def head_key(service: ServiceName) -> str:
+    """Return the store's key of a service's head."""
+    return f'assignment/{service}/head'
+
+
+def chunk_key(service: ServiceName, digest: str) -> str:
+    """Return the store's key of one chunk."""
+    return f'assignment/{service}/chunk/{digest}'
+
+
+class AssignmentStore:
+    """Reads and swaps the assignment of one service.
+
+    Parameters
+    ----------
+    store
+        The platform's store.
+    service
+        The service.
+    """
+
+    def __init__(self, store: StoreClient, service: ServiceName) -> None:
+        """Start without a chunk at hand."""
+        self.store = store
+        self.service = service
+        self.chunks: dict[str, bytes] = {}
+
+    async def read(self) -> Result[ownership.Snapshot | None, str]:
+        """Return the head with its assignment, None where there is none."""
+        stored = await self.store.read(head_key(self.service))
+        if stored.is_error():
+            return Error(stored.error.detail)
+        if stored.ok is None:
+            return Ok(None)
+        head = ownership.decode_head(stored.ok.content)
+        if head.is_error():
+            return Error(head.error.detail)
+        await self._fetch_chunks(head.ok)
+        assignment = ownership.assemble(self.service, head.ok, self.chunks)
+        return assignment.map_error(lambda problem: problem.detail).map(
+            lambda found: ownership.Snapshot(
+                head.ok, found, stored.ok.revision
+            ),
+        )
+
+    async def swap(
+        self,
+        effect: ownership.SwapHead,
+    ) -> ownership.SwapDone | ownership.SwapRefused | ownership.SwapUnknown:
+        """Write the chunks, then the head; return the event for the manager."""
+        for chunk in effect.chunks:
+            key = chunk_key(self.service, chunk.digest)
+            written = await self.store.write(key, chunk.content, None)
+            if written.is_error() and not _exists(written.error):
+                return ownership.SwapRefused(effect.change)
+            self.chunks[chunk.digest] = chunk.content
+        head = ownership.encode_head(effect.head)
+        key = head_key(self.service)
+        swapped = await self.store.write(key, head, effect.revision)
+        if swapped.is_ok():
+            return ownership.SwapDone(effect.change, swapped.ok.revision)
+        if swapped.error.kind is StoreErrorKind.OUTCOME_UNKNOWN:
+            return ownership.SwapUnknown(effect.change)
+        return ownership.SwapRefused(effect.change)
+
+    async def _fetch_chunks(self, head: ownership.Head) -> None:
+        known = {
+            digest: self.chunks[digest]
+            for digest in head.chunks
+            if digest in self.chunks
+        }
+        self.chunks = known
+        for digest in head.chunks:
+            if digest in known:
+                continue
+            stored = await self.store.read(chunk_key(self.service, digest))
+            if stored.is_ok() and stored.ok is not None:
+                self.chunks[digest] = stored.ok.content
+
+
+def _exists(error: StoreError) -> bool:
+    # A chunk's key is the digest of its content: whoever wrote it wrote this.
+    return error.kind is StoreErrorKind.CONFLICT
--- /dev/null
+++ b/src/laburnumyard/daemon/_members.py
@@ -0,0 +1,146 @@
+"""Drives the member table."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+import anyio
+from anyio.abc import TaskGroup
+
+from laburnumyard.core import membership
+from laburnumyard.core.ids import DaemonName, Incarnation
+from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._log import Event, log_event
+from laburnumyard.daemon._view import View
+from laburnumyard.platform import Vm, VmList, VmState
+from laburnumyard.schema._generated.messages import (
+    Gossip,
+    Heartbeat,
+    MemberDigests,
+    Members,
+    Ping,
+)
+from laburnumyard.wire import LinkPool, Peer
+
+TICK_INTERVAL_S = 0.1
+PROBE_TIMEOUT_S = 0.4
+
+
+class MembersRunner:
+    """Feeds the member table and carries out its effects.
+
+    Parameters
+    ----------
+    view
+        Holds the table.
+    pool
+        The links to the other daemons.
+    vm_list
+        Reads the platform's list.
+    tasks
+        Where probes and readings run.
+    on_change
+        Called after a member's state has changed.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        pool: LinkPool,
+        vm_list: VmList,
+        tasks: TaskGroup,
+        on_change: Callable[[], None],
+    ) -> None:
+        """Start knowing nobody."""
+        self.view = view
+        self.table = view.members
+        self.pool = pool
+        self.vm_list = vm_list
+        self.tasks = tasks
+        self.on_change = on_change
+        self.version = -1
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.feed(membership.Tick())
+            await anyio.sleep(TICK_INTERVAL_S)
+
+    def feed(self, event: membership.Event) -> None:
+        """Hand an event to the table and carry out its effects."""
+        for effect in self.table.handle(event, boot_time()):
+            self.carry_out(effect)
+        if self.table.directory.version != self.version:
+            self.version = self.table.directory.version
+            self.on_change()
+
+    @singledispatchmethod
+    def carry_out(self, effect: membership.Effect) -> None:
+        """Carry out one effect of the table."""
+        raise TypeError(f'no way to carry out {effect!r}; register one')
+
+    @carry_out.register
+    def _heartbeat(self, effect: membership.SendHeartbeat) -> None:
+        self._send(effect.daemon, effect.heartbeat)
+
+    @carry_out.register
+    def _message(self, effect: membership.Send) -> None:
+        self._send(effect.daemon, effect.message)
+
+    @carry_out.register
+    def _probe(self, effect: membership.Probe) -> None:
+        self.tasks.start_soon(self._ping, effect.daemon)
+
+    @carry_out.register
+    def _read_list(self, effect: membership.ReadVmList) -> None:
+        self.tasks.start_soon(self._read_vms)
+
+    @carry_out.register
+    def _log(self, effect: membership.LogDecision) -> None:
+        log_event(
+            Event.MEMBER,
+            daemon=effect.daemon,
+            state=effect.state,
+            incarnation=effect.incarnation,
+            reason=effect.decision,
+        )
+
+    def _send(
+        self,
+        daemon: DaemonName,
+        message: Heartbeat | Gossip | MemberDigests | Members,
+    ) -> None:
+        peer = self._peer(daemon)
+        if peer is not None:
+            self.pool.send(peer, message)
+
+    def _peer(self, daemon: DaemonName) -> Peer | None:
+        """Return where a member listens, whatever its incarnation."""
+        address = self.table.address_of(daemon)
+        return Peer(daemon, address) if address else None
+
+    async def _ping(self, daemon: DaemonName) -> None:
+        peer = self._peer(daemon)
+        if peer is None:
+            return
+        answer = await self.pool.request(peer, Ping(0), PROBE_TIMEOUT_S)
+        incarnation = self.pool.incarnation_of(daemon)
+        if answer.is_ok() and incarnation is not None:
+            event = membership.ProbeAnswered(daemon, Incarnation(incarnation))
+            self.feed(event)
+        else:
+            self.feed(membership.ProbeFailed(daemon))
+
+    async def _read_vms(self) -> None:
+        found = await self.vm_list.read()
+        if found.is_ok():
+            listed = tuple(_listed(vm) for vm in found.ok if vm.peer_address)
+            self.feed(membership.VmListRead(listed))
+        else:
+            self.feed(membership.VmListUnavailable())
+
+
+def _listed(vm: Vm) -> membership.ListedVm:
+    identity = membership.Identity(
+        vm.name, vm.data_centre, vm.region, vm.peer_address
+    )
+    return membership.ListedVm(identity, vm.state is VmState.LEAVING)
--- /dev/null
+++ b/src/laburnumyard/daemon/_orders.py
@@ -0,0 +1,200 @@
+"""Carries seals, grants and renewals to targets or to their guards."""
+
+from typing import Any
+
+from expression import Result
+
+from laburnumyard.core import ownership
+from laburnumyard.core.ids import Sequence, ServiceName, TargetName, Term
+from laburnumyard.daemon._guards import Guards
+from laburnumyard.daemon._view import View
+from laburnumyard.platform import (
+    GrantOrder,
+    RenewOrder,
+    SealOrder,
+    TargetControl,
+)
+from laburnumyard.platform import TargetAnswer as ControlAnswer
+from laburnumyard.schema._generated.messages import (
+    GuardAnswer,
+    GuardGrant,
+    GuardSeal,
+    OwnedRange,
+)
+from laburnumyard.wire import LinkPool
+
+# An unanswered order is given up then; the manager sends its next one.
+ORDER_TIMEOUT_S = 0.5
+
+Sent = ownership.SendSeal | ownership.SendGrant | ownership.SendRenew
+
+
+class OrderSender:
+    """Sends the orders of one service's lease managers.
+
+    Parameters
+    ----------
+    service
+        The service.
+    view
+        Where targets and daemons are.
+    guards
+        The grants that this daemon itself guards.
+    pool
+        The links to other daemons.
+    """
+
+    def __init__(
+        self,
+        service: ServiceName,
+        view: View,
+        guards: Guards,
+        pool: LinkPool,
+    ) -> None:
+        """Start without a connection."""
+        self.service = service
+        self.view = view
+        self.guards = guards
+        self.pool = pool
+        self.controls: dict[TargetName, TargetControl] = {}
+
+    async def seal(
+        self,
+        effect: ownership.SendSeal,
+    ) -> ownership.TargetAnswer | None:
+        """Send a seal; return the answer, or None if none came."""
+        if effect.guard is not None:
+            message = GuardSeal(0, self.service, effect.target, effect.term)
+            return await self._ask_guard(effect, message)
+        order = SealOrder(self.service, effect.term)
+        control = self._control(effect.target)
+        return await _answer(effect, control and control.seal, order)
+
+    async def grant(
+        self,
+        effect: ownership.SendGrant,
+    ) -> ownership.TargetAnswer | None:
+        """Send a grant; return the answer, or None if none came."""
+        if effect.guard is not None:
+            owned = tuple(
+                OwnedRange(part.start, part.stop - 1, '')
+                for part in effect.ranges
+            )
+            return await self._ask_guard(
+                effect, self._guard_grant(effect, owned, replaces=True)
+            )
+        order = GrantOrder(
+            self.service,
+            effect.term,
+            effect.sequence,
+            effect.clock_ms,
+            effect.lifetime_ms,
+            effect.ranges,
+        )
+        control = self._control(effect.target)
+        return await _answer(effect, control and control.grant, order)
+
+    async def renew(
+        self,
+        effect: ownership.SendRenew,
+    ) -> ownership.TargetAnswer | None:
+        """Send a renewal; return the answer, or None if none came."""
+        if effect.guard is not None:
+            return await self._ask_guard(
+                effect, self._guard_grant(effect, (), replaces=False)
+            )
+        order = RenewOrder(
+            self.service,
+            effect.term,
+            effect.sequence,
+            effect.clock_ms,
+            effect.lifetime_ms,
+        )
+        control = self._control(effect.target)
+        return await _answer(effect, control and control.renew, order)
+
+    def close(self) -> None:
+        """Close the connections to targets."""
+        for control in self.controls.values():
+            control.close()
+
+    def _control(self, name: TargetName) -> TargetControl | None:
+        target = self.view.configuration.targets.get(name)
+        if target is None:
+            return None
+        control = self.controls.get(name)
+        if control is None or control.address != target.address:
+            control = TargetControl(target.address)
+            self.controls[name] = control
+        return control
+
+    def _guard_grant(
+        self,
+        effect: ownership.SendGrant | ownership.SendRenew,
+        owned: tuple[OwnedRange, ...],
+        *,
+        replaces: bool,
+    ) -> GuardGrant:
+        return GuardGrant(
+            number=0,
+            service=self.service,
+            target=effect.target,
+            term=effect.term,
+            sequence=effect.sequence,
+            clock_ms=effect.clock_ms,
+            lifetime_ms=effect.lifetime_ms,
+            ranges=owned,
+            replaces=replaces,
+        )
+
+    async def _ask_guard(
+        self,
+        effect: Sent,
+        message: GuardSeal | GuardGrant,
+    ) -> ownership.TargetAnswer | None:
+        if effect.guard == self.view.name:
+            return _from_guard(effect, self.guards.answer(message))
+        peer = self.view.peer(effect.guard)
+        if peer is None:
+            return None
+        answer = await self.pool.request(peer, message, ORDER_TIMEOUT_S)
+        if answer.is_error() or not isinstance(answer.ok, GuardAnswer):
+            return None
+        return _from_guard(effect, answer.ok)
+
+
+async def _answer(
+    effect: Sent,
+    call: Any,
+    order: SealOrder | RenewOrder,
+) -> ownership.TargetAnswer | None:
+    if call is None:
+        return None
+    answered: Result[ControlAnswer, Any] = await call(order, ORDER_TIMEOUT_S)
+    if answered.is_error():
+        return None
+    found = answered.ok
+    return ownership.TargetAnswer(
+        target=effect.target,
+        call=effect.call,
+        accepted=found.accepted,
+        term=found.term,
+        sequence=found.sequence,
+        clock_ms=found.clock_ms,
+        ranges=found.ranges,
+        busy=found.busy,
+    )
+
+
+def _from_guard(effect: Sent, answer: GuardAnswer) -> ownership.TargetAnswer:
+    return ownership.TargetAnswer(
+        target=effect.target,
+        call=effect.call,
+        accepted=answer.accepted,
+        term=Term(answer.term),
+        sequence=Sequence(answer.sequence),
+        clock_ms=answer.clock_ms,
+        ranges=tuple(map(ownership.hash_range, answer.ranges)),
+        busy=answer.busy,
+        guard=effect.guard,
+    )
--- /dev/null
+++ b/src/laburnumyard/daemon/_scope_runner.py
@@ -0,0 +1,176 @@
+"""Drives the lease manager of one scope."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from anyio.abc import TaskGroup
+
+from laburnumyard.core import ownership
+from laburnumyard.core.ids import DataCentre, Seconds, ServiceName
+from laburnumyard.daemon._assignment_store import AssignmentStore
+from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._log import Event, log_event
+from laburnumyard.daemon._orders import OrderSender
+
+# A tick is never planned nearer than this, whatever the manager asks.
+LEAST_TICK_S = 0.005
+
+
+@dataclass(frozen=True, slots=True)
+class ScopeId:
+    """What one lease manager manages: a service's targets in a data centre."""
+
+    service: ServiceName
+    data_centre: DataCentre
+
+    def __str__(self) -> str:
+        """Return the scope as logs show it."""
+        return f'{self.service}/{self.data_centre}'
+
+
+@dataclass(frozen=True, slots=True)
+class ScopeTools:
+    """What a scope's effects are carried out with.
+
+    Parameters
+    ----------
+    store
+        The service's assignment in the store.
+    orders
+        Sends seals, grants and renewals.
+    publish
+        Passes an acknowledged assignment on.
+    offer
+        Asks another daemon to take the scope over.
+    tasks
+        Where calls run.
+    """
+
+    store: AssignmentStore
+    orders: OrderSender
+    publish: Callable[[ownership.Snapshot], None]
+    offer: Callable[[ScopeId], None]
+    tasks: TaskGroup
+
+
+class ScopeRunner:
+    """Feeds one lease manager and carries out its effects.
+
+    Parameters
+    ----------
+    scope
+        What it manages.
+    manager
+        The decisions.
+    tools
+        What effects are carried out with.
+    """
+
+    def __init__(
+        self,
+        scope: ScopeId,
+        manager: ownership.LeaseManager,
+        tools: ScopeTools,
+    ) -> None:
+        """Start idle."""
+        self.scope = scope
+        self.manager = manager
+        self.tools = tools
+        self.timer: asyncio.TimerHandle | None = None
+
+    def feed(self, event: ownership.Event) -> None:
+        """Hand an event to the manager and carry out its effects."""
+        for effect in self.manager.handle(event, boot_time()):
+            self.carry_out(effect)
+        self._plan_tick()
+
+    def stop(self) -> None:
+        """Plan no further tick."""
+        if self.timer is not None:
+            self.timer.cancel()
+
+    def _plan_tick(self) -> None:
+        self.stop()
+        if self.manager.is_idle:
+            return
+        now = boot_time()
+        delay = max(LEAST_TICK_S, self.manager.wake_at(now) - now)
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(delay, self.feed, ownership.Tick())
+
+    @singledispatchmethod
+    def carry_out(self, effect: ownership.Effect) -> None:
+        """Carry out one effect of the manager."""
+        raise TypeError(f'no way to carry out {effect!r}; register one')
+
+    @carry_out.register
+    def _read_head(self, effect: ownership.ReadHead) -> None:
+        self.tools.tasks.start_soon(self._read)
+
+    @carry_out.register
+    def _swap_head(self, effect: ownership.SwapHead) -> None:
+        self.tools.tasks.start_soon(self._swap, effect)
+
+    @carry_out.register
+    def _seal(self, effect: ownership.SendSeal) -> None:
+        self._send(self.tools.orders.seal, effect)
+
+    @carry_out.register
+    def _grant(self, effect: ownership.SendGrant) -> None:
+        self._send(self.tools.orders.grant, effect)
+
+    @carry_out.register
+    def _renew(self, effect: ownership.SendRenew) -> None:
+        self._send(self.tools.orders.renew, effect)
+
+    @carry_out.register
+    def _changed(self, effect: ownership.AssignmentChanged) -> None:
+        self.tools.publish(effect.snapshot)
+
+    @carry_out.register
+    def _offer(self, effect: ownership.OfferScope) -> None:
+        self.tools.offer(self.scope)
+
+    @carry_out.register
+    def _log(self, effect: ownership.LogDecision) -> None:
+        pairs = {detail.key: detail.text for detail in effect.details}
+        log_event(Event.PLACED, scope=self.scope, action=effect.action, **pairs)
+
+    async def _read(self) -> None:
+        asked_at = boot_time()
+        found = await self.tools.store.read()
+        if found.is_ok():
+            self.feed(ownership.HeadRead(found.ok, asked_at))
+            return
+        log_event(
+            Event.STORE, 'WARNING', scope=self.scope, unreadable=found.error
+        )
+        self.feed(ownership.HeadUnreadable())
+
+    async def _swap(self, effect: ownership.SwapHead) -> None:
+        self.feed(await self.tools.store.swap(effect))
+
+    def _send(
+        self,
+        send: Callable[..., Awaitable[ownership.TargetAnswer | None]],
+        effect: object,
+    ) -> None:
+        self.tools.tasks.start_soon(self._call, send, effect)
+
+    async def _call(
+        self,
+        send: Callable[..., Awaitable[ownership.TargetAnswer | None]],
+        effect: ownership.SendSeal | ownership.SendGrant | ownership.SendRenew,
+    ) -> None:
+        if boot_time() > effect.not_after:
+            return
+        answer = await send(effect)
+        if answer is not None:
+            self.feed(answer)
+
+
+def remaining(not_after: Seconds) -> Seconds:
+    """Return the time until a call must have been sent, in seconds."""
+    return Seconds(not_after - boot_time())
--- a/src/laburnumyard/daemon/_service.py
+++ b/src/laburnumyard/daemon/_service.py
@@ -4,7 +4,7 @@
 
 from expression import Error, Result
 
-from laburnumyard.core.callers import CallerRequest
+from laburnumyard.core.callers import SHOWN, CallerRequest
 from laburnumyard.core.configuration import is_token_of
 from laburnumyard.core.errors import ErrorKind, Failure
 from laburnumyard.core.ids import Seconds
@@ -15,7 +15,7 @@
 
 Outcome = Result[Response, Failure]
 # Time kept back so that an answer reaches the caller before its deadline.
-ANSWER_MARGIN_S = Seconds(0.002)
+ANSWER_MARGIN_S = 0.002
 
 
 class CallerService:
@@ -67,13 +67,13 @@
             return Failure(ErrorKind.NO_CONFIGURATION)
         if request.service not in configuration.services:
             known = ', '.join(sorted(configuration.services))
-            detail = f'service {request.service[:64]!r}: use one of {known}'
+            detail = f'service {request.service[:SHOWN]!r}: use one of {known}'
             return Failure(ErrorKind.UNKNOWN_SERVICE, detail)
         if request.customer or request.token:
             customer = configuration.customers.get(request.customer)
             stored = customer.token_sha256 if customer else ''
             if not is_token_of(request.token, stored):
-                detail = f'customer {request.customer[:64]!r}'
+                detail = f'customer {request.customer[:SHOWN]!r}'
                 return Failure(ErrorKind.UNAUTHENTICATED, detail)
         if self.view.is_draining:
             return Failure(ErrorKind.SHUTTING_DOWN)
--- a/src/laburnumyard/daemon/_submits.py
+++ b/src/laburnumyard/daemon/_submits.py
@@ -76,11 +76,11 @@
 
         Whatever goes wrong on the way, an earlier submission may have run.
         """
-        member = self.view.members.member(ticket.issuer)
-        if member is None or member.incarnation > ticket.incarnation:
+        known = self.view.peer(ticket.issuer)
+        if known is None or (known.incarnation or 0) > ticket.incarnation:
             detail = f'{ticket.issuer} is gone or was restarted'
             return Error(Failure(ErrorKind.TICKET_VOID, detail))
-        peer = Peer(ticket.issuer, member.peer_address, ticket.incarnation)
+        peer = Peer(ticket.issuer, known.address, ticket.incarnation)
         answer = await self._ask(peer, job, TargetName(''))
         if answer.is_ok():
             return _outcome(answer.ok)
@@ -219,9 +219,7 @@
         return SubmitAnswer(number, kind, failure.detail, 0, (), b'')
     response = outcome.ok
     headers = _headers(response.headers)
-    return SubmitAnswer(
-        number, '', '', response.status, headers, response.body
-    )
+    return SubmitAnswer(number, '', '', response.status, headers, response.body)
 
 
 def _outcome(answer: SubmitAnswer) -> Outcome:
--- /dev/null
+++ b/src/laburnumyard/daemon/_target_link.py
@@ -0,0 +1,228 @@
+"""Sends jobs to one target over its kept connections."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from itertools import count
+from types import MappingProxyType
+
+from expression import Error, Ok, Result
+
+from laburnumyard.core import requests
+from laburnumyard.core.errors import ErrorKind, Failure
+from laburnumyard.core.ids import KeyHash, Seconds
+from laburnumyard.daemon._answers import Response
+from laburnumyard.daemon._clock import MILLISECONDS_PER_SECOND, boot_time
+from laburnumyard.daemon._jobs import Job
+from laburnumyard.platform import (
+    FailureKind,
+    TargetConnection,
+    TargetFailure,
+    TargetRequest,
+    TargetResponse,
+    drop_hop_by_hop,
+)
+from laburnumyard.schema._generated.objects import Target
+
+Outcome = Result[Response, Failure]
+CONNECT_TIMEOUT_S = 0.25
+TARGET_HEADERS = frozenset((
+    'laburnumyard-clock-ms',
+    'laburnumyard-not-run',
+    'server',
+    'date',
+))
+# What a failure means once a byte of the request may have left.
+_LEFT_KINDS = MappingProxyType({
+    FailureKind.TIMEOUT: ErrorKind.DEADLINE_AFTER_START,
+    FailureKind.BROKE_OFF: ErrorKind.TARGET_BROKE_OFF,
+    FailureKind.MALFORMED: ErrorKind.TARGET_BROKE_OFF,
+    FailureKind.TOO_LARGE: ErrorKind.TARGET_BROKE_OFF,
+})
+
+
+@dataclass(slots=True)
+class _Kept:
+    """An open connection and what the policy knows of it."""
+
+    connection: TargetConnection
+    note: requests.Connection
+
+
+@dataclass(slots=True)
+class TargetClock:
+    """The latest reading of a target's own clock.
+
+    Parameters
+    ----------
+    clock_ms
+        The reading, in milliseconds.
+    received
+        When it arrived here, on the boot-time clock.
+    """
+
+    clock_ms: int
+    received: Seconds
+
+    def expiry_ms(self, deadline: Seconds) -> int:
+        """Return a deadline on the target's clock, early by the transfer."""
+        left = (deadline - self.received) * MILLISECONDS_PER_SECOND
+        return int(self.clock_ms + left)
+
+
+class TargetLink:
+    """Connections to one target.
+
+    Parameters
+    ----------
+    target
+        Where it is.
+    body_bytes
+        The largest body of an answer.
+    is_granted
+        Tells for a guarded target whether its grant covers a key now.
+    on_broken_off
+        Called after a connection ended before its answer.
+    """
+
+    def __init__(
+        self,
+        target: Target,
+        body_bytes: int,
+        is_granted: Callable[[KeyHash], bool],
+        on_broken_off: Callable[[Job], None],
+    ) -> None:
+        """Start without a connection."""
+        self.target = target
+        self.body_bytes = body_bytes
+        self.is_granted = is_granted
+        self.on_broken_off = on_broken_off
+        self.policy = requests.ConnectionPolicy()
+        self.idle: dict[requests.ConnectionId, _Kept] = {}
+        self.numbers = count(1)
+        self.clock: TargetClock | None = None
+
+    async def run(self, job: Job) -> Outcome:
+        """Send one job and return the target's whole answer."""
+        kept = await self._connect(job)
+        if kept.is_error():
+            return Error(kept.error)
+        sent = boot_time()
+        # Asked last, so that a pause before it cannot use a lapsed grant.
+        refusal = self._refusal(job, sent)
+        if refusal is not None:
+            self._keep(kept.ok)
+            return Error(refusal)
+        request = self._request(job, sent)
+        timeout = job.deadline - sent
+        answer = await kept.ok.connection.send(request, timeout)
+        if answer.is_ok():
+            return self._take_answer(kept.ok, answer.ok)
+        return Error(self._take_failure(job, kept.ok, answer.error, sent))
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for kept in self.idle.values():
+            kept.connection.close()
+        self.idle.clear()
+
+    def _refusal(self, job: Job, now: Seconds) -> Failure | None:
+        if now >= job.deadline:
+            return Failure(ErrorKind.DEADLINE_BEFORE_START)
+        if not self.is_granted(job.key_hash):
+            detail = f'{self.target.name} holds no grant of the key here'
+            return Failure(ErrorKind.NO_OWNER, detail)
+        return None
+
+    async def _connect(self, job: Job) -> Result[_Kept, Failure]:
+        notes = [kept.note for kept in self.idle.values()]
+        choice = self.policy.choose(notes, job.repeatable, boot_time())
+        for connection_id in choice.close:
+            self.idle.pop(connection_id).connection.close()
+        if choice.reuse is None:
+            return await self._open(job)
+        kept = self.idle.pop(choice.reuse)
+        if kept.connection.is_reusable:
+            return Ok(kept)
+        kept.connection.close()
+        return await self._open(job)
+
+    async def _open(self, job: Job) -> Result[_Kept, Failure]:
+        timeout = min(CONNECT_TIMEOUT_S, job.deadline - boot_time())
+        if timeout <= 0:
+            return Error(Failure(ErrorKind.DEADLINE_BEFORE_START))
+        opened = await TargetConnection.open(
+            self.target.address,
+            self.body_bytes,
+            timeout,
+        )
+        if opened.is_error():
+            self.policy.on_connect_failure()
+            detail = opened.error.detail
+            return Error(Failure(ErrorKind.TARGET_UNREACHABLE, detail))
+        connection_id = requests.ConnectionId(next(self.numbers))
+        now = boot_time()
+        note = requests.Connection(connection_id, now, now)
+        return Ok(_Kept(opened.ok, note))
+
+    def _request(self, job: Job, now: Seconds) -> TargetRequest:
+        left_ms = int((job.deadline - now) * MILLISECONDS_PER_SECOND)
+        headers = [
+            *job.headers,
+            ('laburnumyard-request-id', job.request_id),
+            ('laburnumyard-key', job.key),
+            ('laburnumyard-key-hash', str(job.key_hash)),
+            ('laburnumyard-deadline-ms', str(left_ms)),
+        ]
+        if self.clock is not None:
+            expiry = str(self.clock.expiry_ms(job.deadline))
+            headers.append(('laburnumyard-expires-ms', expiry))
+        if job.ticket:
+            headers.append(('laburnumyard-ticket', job.ticket))
+        return TargetRequest(job.method, job.path, tuple(headers), job.body)
+
+    def _take_answer(self, kept: _Kept, answer: TargetResponse) -> Outcome:
+        now = boot_time()
+        is_reusable = kept.connection.is_reusable
+        if self.policy.on_answer(kept.note, is_reusable, now):
+            self._keep(kept)
+        else:
+            kept.connection.close()
+        if answer.clock_ms is not None:
+            self.clock = TargetClock(answer.clock_ms, now)
+        if answer.is_not_run:
+            return Error(_not_run(answer))
+        headers = tuple(
+            pair
+            for pair in drop_hop_by_hop(answer.headers)
+            if pair[0] not in TARGET_HEADERS
+        )
+        return Ok(Response(answer.status, headers, answer.body))
+
+    def _take_failure(
+        self,
+        job: Job,
+        kept: _Kept,
+        failure: TargetFailure,
+        sent: Seconds,
+    ) -> Failure:
+        kept.connection.close()
+        if failure.kind is FailureKind.BAD_REQUEST:
+            return Failure(ErrorKind.BAD_REQUEST, failure.detail)
+        if not failure.has_left:
+            return Failure(ErrorKind.TARGET_UNREACHABLE, failure.detail)
+        if failure.kind is FailureKind.TIMEOUT:
+            self.policy.on_timeout(kept.note, sent)
+        if failure.kind is FailureKind.BROKE_OFF:
+            self.on_broken_off(job)
+        kind = _LEFT_KINDS.get(failure.kind, ErrorKind.TARGET_BROKE_OFF)
+        return Failure(kind, failure.detail)
+
+    def _keep(self, kept: _Kept) -> None:
+        self.idle[kept.note.connection_id] = kept
+
+
+def _not_run(answer: TargetResponse) -> Failure:
+    is_misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
+    kind = ErrorKind.NOT_OWNER if is_misdirected else ErrorKind.TARGET_SHED
+    return Failure(kind, f'the target answered {answer.status}')
--- /dev/null
+++ b/src/laburnumyard/daemon/_targets.py
@@ -0,0 +1,107 @@
+"""The targets that this daemon dispatches to, one dispatcher for each."""
+
+from expression import Error, Result
+
+from laburnumyard.core import requests
+from laburnumyard.core.configuration import Configuration
+from laburnumyard.core.errors import ErrorKind, Failure
+from laburnumyard.core.ids import ServiceName, TargetName
+from laburnumyard.daemon._answers import Response
+from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._deaths import DeathWatch
+from laburnumyard.daemon._dispatcher import Dispatcher
+from laburnumyard.daemon._guards import Guards
+from laburnumyard.daemon._jobs import Job
+from laburnumyard.daemon._target_link import TargetLink
+from laburnumyard.daemon._view import View
+from laburnumyard.schema._generated.objects import Target
+
+Outcome = Result[Response, Failure]
+
+
+class Targets:
+    """Runs jobs at targets; a dispatcher starts with its first job.
+
+    Parameters
+    ----------
+    view
+        The configuration and the limits.
+    guards
+        The grants of targets that do not check fencing tokens.
+    deaths
+        Notices targets that die.
+    """
+
+    def __init__(self, view: View, guards: Guards, deaths: DeathWatch) -> None:
+        """Start without a dispatcher."""
+        self.view = view
+        self.guards = guards
+        self.deaths = deaths
+        self.dispatchers: dict[TargetName, Dispatcher] = {}
+        self.links: dict[TargetName, TargetLink] = {}
+        self.times: dict[ServiceName, requests.OperationTimes] = {}
+
+    async def run_here(self, job: Job, target_name: TargetName) -> Outcome:
+        """Run a job at a target in the target's turn."""
+        dispatcher = self.dispatchers.get(target_name)
+        if dispatcher is None:
+            dispatcher = self._start(target_name)
+        if dispatcher is None:
+            detail = f'target {target_name!r} is not configured here yet'
+            return Error(Failure(ErrorKind.NO_OWNER, detail))
+        return await dispatcher.run(job)
+
+    def reconfigure(self, configuration: Configuration) -> None:
+        """Put new settings of targets, classes and shares in force."""
+        for name in tuple(self.dispatchers):
+            target = configuration.targets.get(name)
+            if target is None or target.address != self._address(name):
+                self._stop(name)
+                continue
+            settings = requests.queue_settings(configuration.objects, name)
+            change = requests.SettingsChanged(settings)
+            self.dispatchers[name].feed(change)
+
+    def drain(self) -> None:
+        """Serve what waits and take nothing new."""
+        event = requests.Drain(ErrorKind.SHUTTING_DOWN, serve_waiting=True)
+        for dispatcher in self.dispatchers.values():
+            dispatcher.feed(event)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no job waits or runs."""
+        return all(each.queue.is_idle for each in self.dispatchers.values())
+
+    def _address(self, name: TargetName) -> str:
+        return self.links[name].target.address
+
+    def _stop(self, name: TargetName) -> None:
+        event = requests.Drain(ErrorKind.NOT_OWNER, serve_waiting=False)
+        self.dispatchers.pop(name).feed(event)
+        self.links.pop(name).close()
+
+    def _start(self, name: TargetName) -> Dispatcher | None:
+        configuration = self.view.configuration
+        if configuration is None or name not in configuration.targets:
+            return None
+        target = configuration.targets[name]
+        settings = requests.queue_settings(configuration.objects, name)
+        service = ServiceName(target.service)
+        times = self.times.get(service)
+        if times is None:
+            times = requests.OperationTimes()
+            self.times[service] = times
+        link = self._link(name, target)
+        queue = requests.TargetQueue(settings, times)
+        self.links[name] = link
+        self.dispatchers[name] = Dispatcher(queue, link.run)
+        return self.dispatchers[name]
+
+    def _link(self, name: TargetName, target: Target) -> TargetLink:
+        return TargetLink(
+            target,
+            self.view.settings.limits.body_bytes,
+            lambda key_hash: self.guards.holds(name, key_hash, boot_time()),
+            lambda job: self.deaths.note_broken_off(target, job),
+        )
--- a/src/laburnumyard/daemon/_tickets.py
+++ b/src/laburnumyard/daemon/_tickets.py
@@ -2,19 +2,34 @@
 
 import json
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 
 import anyio
 from anyio.abc import TaskGroup
 from expression import Error, Ok, Result
 
 from laburnumyard.core import requests
+from laburnumyard.core.callers import SHOWN
 from laburnumyard.core.errors import ErrorKind, Failure, Ran
-from laburnumyard.core.ids import DaemonName
 from laburnumyard.daemon._answers import Response
 from laburnumyard.daemon._clock import boot_time, draw_number
 from laburnumyard.daemon._jobs import Job
 
 Outcome = Result[Response, Failure]
+STOPPING = Failure(ErrorKind.INTERNAL, 'the daemon is stopping')
+
+
+@dataclass(slots=True)
+class _SingleRun:
+    """The one run of a ticket.
+
+    Its outcome is unknown until the target has answered.
+    """
+
+    job: Job
+    ticket: requests.Ticket
+    outcome: Outcome = field(default_factory=lambda: Error(STOPPING))
+    done: anyio.Event = field(default_factory=anyio.Event)
 
 
 class TicketOffice:
@@ -53,7 +68,9 @@
         """Submit a job at whichever daemon issued its ticket."""
         ticket = requests.parse_ticket(job.ticket)
         if ticket is None:
-            detail = f'ticket {job.ticket[:40]!r}: ask for one without a ticket'
+            detail = (
+                f'ticket {job.ticket[:SHOWN]!r}: ask for one without a ticket'
+            )
             return Error(Failure(ErrorKind.BAD_REQUEST, detail))
         if ticket.issuer == self.ledger.issuer:
             return await self.submit_here(job)
@@ -85,21 +102,18 @@
 
     async def _run(self, job: Job, ticket: requests.Ticket) -> Outcome:
         """Run a job to its end, also when its caller leaves."""
-        done = anyio.Event()
-        outcomes: list[Outcome] = []
-
-        async def run_once() -> None:
-            try:
-                outcomes.append(await self._route(job))
-            finally:
-                self._finish(ticket, outcomes)
-                done.set()
-
-        self.tasks.start_soon(run_once)
-        await done.wait()
-        if outcomes:
-            return outcomes[0]
-        return Error(Failure(ErrorKind.INTERNAL, 'the daemon is stopping'))
+        run = _SingleRun(job, ticket)
+        self.tasks.start_soon(self._run_once, run)
+        await run.done.wait()
+        return run.outcome
+
+    async def _run_once(self, run: _SingleRun) -> None:
+        try:
+            run.outcome = await self._route(run.job)
+        finally:
+            ran = _ran(run.outcome)
+            self.ledger.finish(run.ticket, ran, _encode(run.outcome))
+            run.done.set()
 
     async def _route(self, job: Job) -> Outcome:
         try:
@@ -107,19 +121,9 @@
         except Exception as fault:
             return Error(Failure(ErrorKind.INTERNAL, repr(fault)))
 
-    def _finish(self, ticket: requests.Ticket, outcomes: list[Outcome]) -> None:
-        if not outcomes:
-            self.ledger.finish(ticket, Ran.UNKNOWN, b'')
-            return
-        outcome = outcomes[0]
-        ran = Ran.RAN if outcome.is_ok() else outcome.error.answer.ran
-        self.ledger.finish(ticket, ran, _encode(outcome))
-
 
-def issuer_of(job: Job) -> DaemonName | None:
-    """Return the daemon that issued a job's ticket."""
-    ticket = requests.parse_ticket(job.ticket)
-    return None if ticket is None else ticket.issuer
+def _ran(outcome: Outcome) -> Ran:
+    return Ran.RAN if outcome.is_ok() else outcome.error.answer.ran
 
 
 def _encode(outcome: Outcome) -> bytes:
@@ -129,13 +133,14 @@
         return json.dumps(row).encode()
     response = outcome.ok
     row = {'status': response.status, 'headers': response.headers}
-    return json.dumps(row).encode() + b'\n' + response.body
+    return b'\n'.join((json.dumps(row).encode(), response.body))
 
 
 def _decode(answer: bytes) -> Outcome:
     head, _, body = answer.partition(b'\n')
     row = json.loads(head)
-    if 'kind' in row:
-        return Error(Failure(ErrorKind(row['kind']), row['detail']))
+    kind = row.get('kind')
+    if kind is not None:
+        return Error(Failure(ErrorKind(kind), row['detail']))
     headers = tuple(map(tuple, row['headers']))
     return Ok(Response(row['status'], headers, body))
--- a/src/laburnumyard/daemon/_view.py
+++ b/src/laburnumyard/daemon/_view.py
@@ -8,9 +8,12 @@
     Incarnation,
     ServiceName,
     TargetName,
+    Version,
 )
-from laburnumyard.core.membership import MemberTable
+from laburnumyard.core.membership import UNHEARD, MemberTable
+from laburnumyard.core.ownership import Snapshot
 from laburnumyard.core.routing import RoutingTable
+from laburnumyard.schema._generated.objects import Fencing, Target
 from laburnumyard.schema._generated.settings import Settings
 from laburnumyard.wire import Peer
 
@@ -27,8 +30,10 @@
         The daemon's incarnation.
     members
         The other daemons.
-    configuration
+    configuration, configuration_version
         The configuration in force, None before the first.
+    snapshots
+        The newest head and assignment of each service.
     tables
         The routing table of each service.
     is_draining
@@ -39,6 +44,8 @@
     incarnation: Incarnation
     members: MemberTable
     configuration: Configuration | None = None
+    configuration_version: Version = Version(0)
+    snapshots: dict[ServiceName, Snapshot] = field(default_factory=dict)
     tables: dict[ServiceName, RoutingTable] = field(default_factory=dict)
     is_draining: bool = False
 
@@ -47,16 +54,34 @@
         """The name of this daemon."""
         return DaemonName(self.settings.daemon.name)
 
-    def dispatcher_of(self, target: TargetName) -> DaemonName | None:
-        """Return the daemon that dispatches to a target."""
-        place = self.configuration.targets.get(target)
-        if place is None:
+    def take_snapshot(self, service: ServiceName, snapshot: Snapshot) -> None:
+        """Route by a newer assignment."""
+        version = snapshot.head.version
+        self.snapshots[service] = snapshot
+        self.tables[service] = RoutingTable(snapshot.assignment, version)
+
+    def dispatcher_of(self, name: TargetName) -> DaemonName | None:
+        """Return the daemon that dispatches to a target.
+
+        A target without fencing is dispatched to by its guard alone.
+        """
+        target = self.configuration.targets.get(name)
+        if target is None:
             return None
-        return self.members.dispatcher_of(target, place.data_centre)
+        if target.fencing is Fencing.none:
+            return self._guard_of(name, target)
+        return self.members.dispatcher_of(name, target.data_centre)
 
     def peer(self, daemon: DaemonName) -> Peer | None:
         """Return where another daemon listens; None if it is not known."""
-        member = self.members.member(daemon)
+        member = self.members.state.members.get(daemon)
         if member is None:
             return None
-        return Peer(daemon, member.peer_address, member.incarnation)
+        identity = member.identity
+        is_heard = identity.incarnation != UNHEARD
+        incarnation = identity.incarnation if is_heard else None
+        return Peer(daemon, identity.address, incarnation)
+
+    def _guard_of(self, name: TargetName, target: Target) -> DaemonName | None:
+        snapshot = self.snapshots.get(ServiceName(target.service))
+        return snapshot.head.guards.get(name) if snapshot else None
