--- a/src/laburnumyard/core/addresses.py
+++ b/src/laburnumyard/core/addresses.py
@@ -1,8 +1,10 @@
 """IP numbers and ports, as settings and objects write them."""
 
+import re
 from ipaddress import AddressValueError, IPv4Address
 from typing import NamedTuple
 
+_FORM = re.compile(r'[0-9.]+:[0-9]{1,5}')
 _LAST_PORT = 65535
 _ANY_HOST = '0.0.0.0'
 
@@ -50,13 +52,15 @@
     Parameters
     ----------
     address
-        Text of the form that the schema demands.
+        Any text.
 
     Returns
     -------
     str
         What to write instead.
     """
+    if not _FORM.fullmatch(address):
+        return 'give an IP number and a port, such as 10.0.0.1:7000'
     endpoint = parse_address(address)
     try:
         IPv4Address(endpoint.host)
--- a/src/laburnumyard/platform/publication/__init__.py
+++ b/src/laburnumyard/platform/publication/__init__.py
@@ -16,6 +16,7 @@
     read_history,
     read_version,
 )
+from laburnumyard.platform.publication._store import Store
 
 __all__ = (
     'Conflict',
@@ -23,6 +24,7 @@
     'PublishError',
     'PublishErrorKind',
     'Published',
+    'Store',
     'publish',
     'read_current',
     'read_head',
