--- a/src/laburnumyard/cli/_store.py
+++ b/src/laburnumyard/cli/_store.py
@@ -1,9 +1,16 @@
 """The store's client for commands."""
 
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from random import SystemRandom
 
+from laburnumyard.platform import StoreClient
 from laburnumyard.platform.publication import Store
+from laburnumyard.schema._generated.settings import StoreSettings
+
+# A command makes its calls at once and ends.
+_CALL_BURST = 500
 
 
 @asynccontextmanager
@@ -20,5 +27,9 @@
     Store
         The client, until the command ends.
     """
-    raise NotImplementedError(f'no client of the store at {address} yet')
-    yield
+    settings = StoreSettings(address=address, call_burst=_CALL_BURST)
+    client = StoreClient(settings, time.monotonic, SystemRandom().random)
+    try:
+        yield client
+    finally:
+        await client.close()
--- a/tests/platform/test_publication.py
+++ b/tests/platform/test_publication.py
@@ -249,3 +249,20 @@
     published.apply(HEAD_KEY, b'{}', revision)
     error = anyio.run(publish, published, propose('second', 1)).error
     assert_that(error.kind, Is(PublishErrorKind.MALFORMED))
+
+
+@pytest.mark.anyio
+async def test_the_real_client_publishes_to_the_platform(
+    make_store,
+    store_address,
+):
+    client = make_store(store_address)
+    first = await publish(client, propose('first', 0))
+    assert_that(first.ok.is_in_history, Is(True))
+    second = await publish(client, propose('second', 1, slots=5))
+    assert_that(second.is_ok(), Is(True))
+    refused = await publish(client, propose('late', 1, slots=6))
+    assert_that(refused.error.kind, Is(PublishErrorKind.CONFLICT))
+    current = (await read_current(client)).ok
+    assert_that(current.head, Equals(second.ok.head))
+    await client.close()
