--- a/src/laburnumyard/cli/_publication.py
+++ b/src/laburnumyard/cli/_publication.py
@@ -56,7 +56,7 @@
     current = answer.ok
     version = current.head.version if current else 0
     changes = difference(current and current.configuration, files.ok)
-    title = f'{len(changes)} changes to version {version}'
+    title = f'changes to version {version}: {len(changes)}'
     return Report(
         ExitCode.OK,
         (title, *_indent(changes)),
@@ -161,5 +161,11 @@
 
 
 def _show_head(head: ConfigurationHead) -> str:
-    who = f'{head.time}  {head.author}'
-    return f'{head.version:>6}  {who}  {head.change_id}  {head.note}'
+    texts = (head.time, head.author, head.change_id, head.note)
+    line = '  '.join(map(_printable, texts))
+    return f'{head.version:>6}  {line}'
+
+
+def _printable(text: str) -> str:
+    """Keep control characters off the operator's terminal."""
+    return text if text.isprintable() else repr(text)
--- a/src/laburnumyard/core/configuration/_difference.py
+++ b/src/laburnumyard/core/configuration/_difference.py
@@ -7,7 +7,6 @@
 from pydantic import BaseModel
 
 from laburnumyard.core.configuration._index import Configuration, by_name
-from laburnumyard.core.problems import show_value
 from laburnumyard.schema._generated.objects import Objects
 
 
@@ -34,9 +33,9 @@
     field
         The field that changed; empty where the whole object came or went.
     old
-        The old value as text.
+        The old value as text; of a list, the items that went.
     new
-        The new value as text.
+        The new value as text; of a list, the items that came.
     """
 
     action: Action
@@ -107,11 +106,25 @@
     before, after = old.model_dump(mode='json'), new.model_dump(mode='json')
     for field, found in after.items():
         if before[field] != found:
-            yield Change(
-                Action.CHANGED,
-                kind,
-                after['name'],
-                field,
-                show_value(before[field]),
-                show_value(found),
-            )
+            texts = _show_both(before[field], found)
+            yield Change(Action.CHANGED, kind, after['name'], field, *texts)
+
+
+def _show_both(old: object, new: object) -> tuple[str, str]:
+    if isinstance(old, list) and isinstance(new, list):
+        gone = [item for item in old if item not in new]
+        come = [item for item in new if item not in old]
+        if gone or come:
+            return _show_items(gone), _show_items(come)
+    return repr(old), repr(new)
+
+
+def _show_items(items: list) -> str:
+    texts = map(_show_item, items)
+    return ', '.join(texts) or 'nothing'
+
+
+def _show_item(item: object) -> str:
+    if isinstance(item, dict):
+        return '/'.join(map(str, item.values()))
+    return str(item)
--- a/tests/core/configuration/test_difference.py
+++ b/tests/core/configuration/test_difference.py
@@ -17,3 +17,13 @@
 def test_everything_is_new_at_first(configuration):
     assert_that(difference(None, configuration), HasLength(9))
     assert_that(difference(configuration, configuration), Equals(()))
+
+
+def test_lists_show_the_items_that_came_and_went(configuration, objects):
+    more = objects.replace("targets = ['catalogue-2']", 'targets = [NAMES]')
+    text = more.replace('NAMES', "'catalogue-2', 'catalogue-1'")
+    changed = parse_objects({'a': text}).ok
+    assert_that(
+        str(difference(configuration, changed)[0]),
+        Equals('changed key_range high: targets nothing -> catalogue-1'),
+    )
