--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -13,6 +13,8 @@
 
 MAX_BODY_BYTES = 65536
 GENEROUS_S = 20
+POLL_S = 0.001
+POLLS = 20_000
 
 
 @pytest.fixture
@@ -20,6 +22,20 @@
     return 'asyncio'
 
 
+@pytest.fixture
+def wait_until():
+    """Wait for a condition, with a generous limit."""
+
+    async def poll(condition):
+        for _ in range(POLLS):
+            if condition():
+                return
+            await anyio.sleep(POLL_S)
+        pytest.fail('the condition never came true')
+
+    return poll
+
+
 @pytest.fixture
 def platform_app():
     return PlatformApp()
@@ -77,17 +93,22 @@
 
 @pytest.fixture
 def scripted():
-    """Serve connections that write given bytes after the first request.
+    """Serve connections that answer with given bytes.
 
-    ``hold`` keeps the connection open afterwards; otherwise it is closed.
+    The first connection gets the first answer, and so on; the last answer
+    goes to the rest. An answer that is a tuple is sent in parts. Each is
+    sent after something arrived; ``hold`` keeps connections open after it.
     """
 
     @asynccontextmanager
-    async def serve(*parts, hold=False):
+    async def serve(*answers, hold=False):
+        left = list(answers)
+
         async def handle(stream):
+            answer = left.pop(0) if len(left) > 1 else left[0]
             async with stream:
                 await stream.receive()
-                for part in parts:
+                for part in answer if isinstance(answer, tuple) else (answer,):
                     await stream.send(part)
                     await anyio.wait_all_tasks_blocked()
                 if hold:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -76,7 +76,9 @@
     winners = [name for name, outcome in outcomes.items() if outcome.is_ok()]
     assert_that(winners, Equals([found.ok.content]))
     losers = [lost.error for lost in outcomes.values() if lost.is_error()]
-    assert_that({lost.kind for lost in losers}, Equals({StoreErrorKind.CONFLICT}))
+    assert_that(
+        {lost.kind for lost in losers}, Equals({StoreErrorKind.CONFLICT})
+    )
     assert_that({lost.current for lost in losers}, Equals({found.ok}))
 
 
@@ -107,6 +109,39 @@
     assert_that(platform_app.calls['read'], Equals(1))
 
 
+@pytest.mark.cell(step='take-over', fault='write-answer-lost')
+async def test_swap_writes_again_only_after_reading_back(scripted, make_store):
+    answer = (
+        b'HTTP/1.1 200 OK\r\netag: "%d"\r\n'
+        b'connection: close\r\ncontent-length: 0\r\n\r\n'
+    )
+    unchanged = answer % 7
+    written = answer % 8
+    async with scripted(b'', unchanged, written) as address:
+        client = make_store(address)
+        swapped = await client.swap(KEY, b'change-2', 7, has_change_two)
+    assert_that(swapped.ok, Equals(Stored(KEY, b'change-2', 8)))
+
+
+@pytest.mark.cell(step='take-over', fault='store-down')
+async def test_swap_stays_unknown_while_the_store_is_silent(
+    scripted,
+    make_store,
+):
+    async with scripted(b'') as address:
+        client = make_store(address)
+        swapped = await client.swap(KEY, b'change-2', 7, has_change_two)
+    assert_that(swapped.error.kind, Is(StoreErrorKind.OUTCOME_UNKNOWN))
+
+
+async def test_doubtful_creation_is_not_repeated(scripted, make_store):
+    absent = b'HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n'
+    async with scripted(b'', absent) as address:
+        client = make_store(address)
+        swapped = await client.swap(KEY, b'change-2', None, has_change_two)
+    assert_that(swapped.error.kind, Is(StoreErrorKind.OUTCOME_UNKNOWN))
+
+
 async def test_swap_finds_its_change_in_a_later_value(store, platform_app):
     first = await store.write(KEY, b'change-1', None)
     other = await store.write(KEY, b'change-2 change-3', first.ok.revision)
@@ -166,6 +201,7 @@
     store_address,
     make_store,
     platform_app,
+    wait_until,
 ):
     client = make_store(store_address, attempts=1)
     first = await client.write(KEY, b'first', None)
@@ -176,8 +212,7 @@
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch)
-        while not platform_app.calls['watch']:
-            await anyio.sleep(0.001)
+        await wait_until(lambda: platform_app.calls['watch'])
         platform_app.faults.down = True
         platform_app.api.wake()
     assert_that(broken[0].error.kind, Is(StoreErrorKind.UNAVAILABLE))
