--- /dev/null
+++ b/src/laburnumyard/daemon/_inbox.py
@@ -0,0 +1,150 @@
+"""Hands the messages of other daemons to whom they concern."""
+
+from collections.abc import Awaitable
+from functools import singledispatchmethod
+
+from laburnumyard.core import dissemination, membership
+from laburnumyard.core.ids import DaemonName
+from laburnumyard.daemon._documents import DocumentsRunner
+from laburnumyard.daemon._guards import Guards
+from laburnumyard.daemon._log import Event, log_event
+from laburnumyard.daemon._members import MembersRunner
+from laburnumyard.daemon._ownership import OwnershipRunner
+from laburnumyard.daemon._submits import SubmitReceiver
+from laburnumyard.schema._generated import messages
+from laburnumyard.wire import IncomingLink
+
+
+class Inbox:
+    """Takes every message that comes on a link.
+
+    Parameters
+    ----------
+    members, documents, ownership
+        The state machines of this daemon.
+    guards
+        The grants that this daemon guards.
+    submits
+        Runs requests that other daemons pass on.
+    """
+
+    def __init__(
+        self,
+        members: MembersRunner,
+        documents: DocumentsRunner,
+        ownership: OwnershipRunner,
+        guards: Guards,
+        submits: SubmitReceiver,
+    ) -> None:
+        """Keep whom messages concern."""
+        self.members = members
+        self.documents = documents
+        self.ownership = ownership
+        self.guards = guards
+        self.submits = submits
+
+    def take(
+        self,
+        link: IncomingLink,
+        message: messages.Message,
+    ) -> Awaitable[None] | None:
+        """Take one message; return the rest of the work, if any."""
+        return self.route(message, link)
+
+    @singledispatchmethod
+    def route(
+        self,
+        message: messages.Message,
+        link: IncomingLink,
+    ) -> Awaitable[None] | None:
+        """Hand a message to whom it concerns."""
+        log_event(
+            Event.FAULT,
+            'WARNING',
+            peer=link.remote.daemon,
+            unexpected=type(message).__name__,
+        )
+
+    @route.register
+    def _submit(
+        self,
+        message: messages.Submit,
+        link: IncomingLink,
+    ) -> Awaitable[None]:
+        return self.submits.take(link, message)
+
+    @route.register
+    def _cancel(self, message: messages.Cancel, link: IncomingLink) -> None:
+        self.submits.cancel(link, message)
+
+    @route.register
+    def _heartbeat(
+        self,
+        message: messages.Heartbeat,
+        link: IncomingLink,
+    ) -> None:
+        self.members.feed(membership.HeartbeatHeard(message))
+        sender = DaemonName(link.remote.daemon)
+        digest = dissemination.DigestHeard(sender, message.documents)
+        self.documents.feed(digest)
+
+    @route.register
+    def _gossip(self, message: messages.Gossip, link: IncomingLink) -> None:
+        self.members.feed(membership.GossipHeard(message.members))
+
+    @route.register
+    def _members(self, message: messages.Members, link: IncomingLink) -> None:
+        self.members.feed(membership.MembersHeard(message.members))
+
+    @route.register
+    def _digests(
+        self,
+        message: messages.MemberDigests,
+        link: IncomingLink,
+    ) -> None:
+        sender = DaemonName(link.remote.daemon)
+        self.members.feed(membership.DigestsHeard(sender, message))
+
+    @route.register
+    def _versions(
+        self,
+        message: messages.Versions,
+        link: IncomingLink,
+    ) -> None:
+        sender = DaemonName(link.remote.daemon)
+        self.documents.feed(dissemination.VersionsHeard(sender, message))
+
+    @route.register
+    def _fetch(
+        self,
+        message: messages.FetchDocument,
+        link: IncomingLink,
+    ) -> None:
+        sender = DaemonName(link.remote.daemon)
+        self.documents.feed(dissemination.FetchHeard(sender, message))
+
+    @route.register
+    def _part(
+        self,
+        message: messages.DocumentPart,
+        link: IncomingLink,
+    ) -> None:
+        sender = DaemonName(link.remote.daemon)
+        self.documents.feed(dissemination.PartHeard(sender, message))
+
+    @route.register
+    def _hand_over(
+        self,
+        message: messages.HandOver,
+        link: IncomingLink,
+    ) -> None:
+        self.ownership.take_over(message)
+
+    @route.register(messages.GuardSeal)
+    @route.register(messages.GuardGrant)
+    def _guard(
+        self,
+        message: messages.GuardSeal | messages.GuardGrant,
+        link: IncomingLink,
+    ) -> None:
+        link.send(self.guards.answer(message))
--- /dev/null
+++ b/src/laburnumyard/daemon/_node.py
@@ -0,0 +1,175 @@
+"""One daemon: its parts, tied together."""
+
+from anyio.abc import TaskGroup
+
+from laburnumyard.core import membership, requests
+from laburnumyard.core.ids import DaemonName, DataCentre, Region, ServiceName
+from laburnumyard.core.ownership import Snapshot
+from laburnumyard.daemon._clock import (
+    boot_time,
+    draw_fraction,
+    new_incarnation,
+)
+from laburnumyard.daemon._deaths import DeathWatch
+from laburnumyard.daemon._documents import DocumentsRunner
+from laburnumyard.daemon._entry import EntryApp
+from laburnumyard.daemon._guards import Guards
+from laburnumyard.daemon._inbox import Inbox
+from laburnumyard.daemon._members import MembersRunner
+from laburnumyard.daemon._metrics import Metrics
+from laburnumyard.daemon._ownership import OwnershipRunner
+from laburnumyard.daemon._router import Router
+from laburnumyard.daemon._service import CallerService
+from laburnumyard.daemon._submits import SubmitReceiver, SubmitSender
+from laburnumyard.daemon._targets import Targets
+from laburnumyard.daemon._tickets import TicketOffice
+from laburnumyard.daemon._view import View
+from laburnumyard.platform import StoreClient, VmList
+from laburnumyard.schema._generated.messages import Hello
+from laburnumyard.schema._generated.settings import Settings
+from laburnumyard.wire import LinkPool, LinkServer, LinkSettings
+
+
+class Node:
+    """The parts of one daemon.
+
+    Parameters
+    ----------
+    settings
+        The daemon's settings.
+    tasks
+        Where everything runs.
+    """
+
+    def __init__(self, settings: Settings, tasks: TaskGroup) -> None:
+        """Build the parts; nothing listens or sends yet."""
+        self.settings = settings
+        self.tasks = tasks
+        self.metrics = Metrics()
+        self.view = make_view(settings)
+        self.build_links()
+        self.build_requests()
+        self.build_control()
+        self.inbox = Inbox(
+            self.members,
+            self.documents,
+            self.ownership,
+            self.guards,
+            SubmitReceiver(self.targets.run_here, self.office.submit_here),
+        )
+
+    def build_links(self) -> None:
+        """Build what reaches other daemons and the platform."""
+        settings = self.settings
+        hello = Hello(
+            settings.daemon.name,
+            self.view.incarnation,
+            settings.daemon.data_centre,
+        )
+        links = LinkSettings(body_bytes=settings.limits.body_bytes)
+        self.pool = LinkPool(hello, links, draw_fraction)
+        self.server = LinkServer(
+            settings.listen.peers,
+            hello,
+            lambda link, message: self.inbox.take(link, message),
+            settings=links,
+        )
+        self.store = StoreClient(settings.store, boot_time, draw_fraction)
+
+    def build_requests(self) -> None:
+        """Build what serves requests."""
+        quarantine = requests.Quarantine()
+        deaths = DeathWatch(quarantine, lambda suspects: None, self.tasks)
+        sender = SubmitSender(self.view, self.pool)
+        self.guards = Guards(self.view)
+        self.targets = Targets(self.view, self.guards, deaths)
+        self.router = Router(
+            self.view,
+            self.targets.run_here,
+            sender.run_at,
+            quarantine,
+            self.metrics,
+        )
+        ledger = requests.TicketLedger(
+            self.view.name, self.view.incarnation, self.settings.limits
+        )
+        self.office = TicketOffice(
+            ledger, self.router.route, sender.submit_at, self.tasks
+        )
+        service = CallerService(
+            self.view, self.router.route, self.office.submit
+        )
+        self.entry = EntryApp(
+            self.settings, service.serve, self.office.issue, self.metrics
+        )
+
+    def build_control(self) -> None:
+        """Build membership, dissemination and ownership."""
+        self.documents = DocumentsRunner(
+            self.view,
+            self.store,
+            self.pool,
+            self.tasks,
+            self.note_configuration,
+            self.note_snapshot,
+        )
+        self.ownership = OwnershipRunner(
+            self.view,
+            self.store,
+            self.guards,
+            self.pool,
+            self.tasks,
+            self.documents.publish,
+        )
+        self.members = MembersRunner(
+            self.view,
+            self.pool,
+            VmList(self.store),
+            self.tasks,
+            self.note_members,
+        )
+
+    def note_members(self) -> None:
+        """Take in that the live members have changed."""
+        self.documents.note_members()
+        if self.view.configuration is not None:
+            self.ownership.assess()
+            self.tell_scopes()
+
+    def note_configuration(self) -> None:
+        """Take in a new configuration."""
+        self.targets.reconfigure(self.view.configuration)
+        self.ownership.reconfigure()
+
+    def note_snapshot(self, service: ServiceName, snapshot: Snapshot) -> None:
+        """Take in a new assignment."""
+        self.ownership.take_snapshot(service, snapshot)
+        self.tell_scopes()
+
+    def tell_scopes(self) -> None:
+        """Have the deputies of this daemon's scopes watch it."""
+        self.members.feed(membership.ScopesHeld(self.ownership.held()))
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether every configured service can be routed."""
+        configuration = self.view.configuration
+        if configuration is None or self.view.is_draining:
+            return False
+        return set(configuration.services) <= set(self.view.tables)
+
+
+def make_view(settings: Settings) -> View:
+    """Return the view of a daemon that knows nothing yet."""
+    incarnation = new_incarnation()
+    place = settings.daemon
+    identity = membership.Identity(
+        DaemonName(place.name),
+        DataCentre(place.data_centre),
+        Region(place.region),
+        settings.listen.peers,
+        incarnation,
+    )
+    intervals = membership.MembershipSettings()
+    table = membership.MemberTable(identity, intervals, draw_fraction)
+    return View(settings, incarnation, table)
--- /dev/null
+++ b/src/laburnumyard/daemon/_ownership.py
@@ -0,0 +1,223 @@
+"""The lease managers that this daemon runs, one for each scope."""
+
+from collections.abc import Callable, Iterator
+
+from anyio.abc import TaskGroup
+
+from laburnumyard.core import membership, ownership
+from laburnumyard.core.ids import DaemonName, DataCentre, Seconds, ServiceName
+from laburnumyard.core.rendezvous import rank
+from laburnumyard.daemon._assignment_store import AssignmentStore
+from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._guards import Guards
+from laburnumyard.daemon._orders import OrderSender
+from laburnumyard.daemon._scope_runner import ScopeId, ScopeRunner, ScopeTools
+from laburnumyard.daemon._view import View
+from laburnumyard.platform import StoreClient
+from laburnumyard.schema._generated.messages import HandOver
+from laburnumyard.schema._generated.objects import Fencing
+from laburnumyard.wire import LinkPool
+
+GUARD_CANDIDATES = 3
+
+
+class OwnershipRunner:
+    """Runs a lease manager for each scope that this daemon may manage.
+
+    Parameters
+    ----------
+    view
+        The configuration, the heads and the members.
+    store
+        The platform's store.
+    guards
+        The grants that this daemon guards.
+    pool
+        The links to other daemons.
+    tasks
+        Where calls run.
+    publish
+        Passes an acknowledged assignment on.
+    note_scopes
+        Told which scopes this daemon holds.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        store: StoreClient,
+        guards: Guards,
+        pool: LinkPool,
+        tasks: TaskGroup,
+        publish: Callable[[ServiceName, ownership.Snapshot], None],
+    ) -> None:
+        """Start without a scope."""
+        self.view = view
+        self.store = store
+        self.guards = guards
+        self.pool = pool
+        self.tasks = tasks
+        self.publish = publish
+        self.runners: dict[ScopeId, ScopeRunner] = {}
+        self.stores: dict[ServiceName, AssignmentStore] = {}
+
+    def reconfigure(self) -> None:
+        """Take a new configuration: new scopes start, all learn the plan."""
+        plans = {name: self._plan(name) for name in self._services()}
+        for service, plan in plans.items():
+            for scope in _scopes(service, plan):
+                self._take_plan(scope, plan)
+        self.assess()
+
+    def take_snapshot(
+        self,
+        service: ServiceName,
+        snapshot: ownership.Snapshot,
+    ) -> None:
+        """Tell the managers of a service its newest head."""
+        for runner in self._of_service(service):
+            runner.feed(ownership.HeadRead(snapshot, asked_at=None))
+        self.assess()
+
+    def assess(self) -> None:
+        """Take over what is this daemon's to manage and nobody manages."""
+        state = self.view.members.state
+        if state.is_stale or self.view.is_draining:
+            return
+        for scope, runner in self.runners.items():
+            self._tell_guards(scope, runner)
+            if runner.manager.is_idle and self._is_due(scope):
+                runner.feed(ownership.TakeOver())
+
+    def held(self) -> tuple[membership.Scope, ...]:
+        """Return the scopes that this daemon manages."""
+        return tuple(
+            membership.Scope(scope.service, scope.data_centre)
+            for scope, runner in self.runners.items()
+            if not runner.manager.is_idle
+        )
+
+    def take_over(self, message: HandOver) -> None:
+        """Take a scope over from a daemon that leaves."""
+        scope = ScopeId(
+            ServiceName(message.service), DataCentre(message.data_centre)
+        )
+        runner = self.runners.get(scope)
+        if runner is not None and not self.view.is_draining:
+            runner.feed(ownership.TakeOver())
+
+    def leave(self) -> None:
+        """Hand every scope over."""
+        for runner in self.runners.values():
+            runner.feed(ownership.Leave())
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether this daemon manages nothing."""
+        return all(each.manager.is_idle for each in self.runners.values())
+
+    def _services(self) -> tuple[ServiceName, ...]:
+        return tuple(self.view.configuration.services)
+
+    def _plan(self, service: ServiceName) -> ownership.ServicePlan:
+        longest = Seconds(self.view.settings.limits.deadline_max_s)
+        objects = self.view.configuration.objects
+        return ownership.service_plan(objects, service, longest)
+
+    def _take_plan(
+        self,
+        scope: ScopeId,
+        plan: ownership.ServicePlan,
+    ) -> None:
+        # Never in the targets' own data centre: one loss must not take both.
+        if scope.data_centre == self.view.settings.daemon.data_centre:
+            return
+        runner = self.runners.get(scope)
+        if runner is not None:
+            runner.feed(ownership.PlanChanged(plan))
+            return
+        runner = self._start(scope, plan)
+        self.runners[scope] = runner
+        snapshot = self.view.snapshots.get(scope.service)
+        if snapshot is not None:
+            runner.feed(ownership.HeadRead(snapshot, asked_at=None))
+
+    def _start(
+        self,
+        scope: ScopeId,
+        plan: ownership.ServicePlan,
+    ) -> ScopeRunner:
+        settings = ownership.ManagerSettings(
+            self.view.name,
+            self.view.incarnation,
+            scope.data_centre,
+            self.view.settings.timing,
+        )
+        service = scope.service
+        if service not in self.stores:
+            self.stores[service] = AssignmentStore(self.store, service)
+        tools = ScopeTools(
+            store=self.stores[service],
+            orders=OrderSender(service, self.view, self.guards, self.pool),
+            publish=lambda snapshot: self.publish(service, snapshot),
+            offer=self._offer,
+            tasks=self.tasks,
+        )
+        manager = ownership.LeaseManager(settings, plan)
+        return ScopeRunner(scope, manager, tools)
+
+    def _is_due(self, scope: ScopeId) -> bool:
+        """Tell whether this daemon is to take a scope over now."""
+        members = self.view.members
+        first = members.manager_of(
+            membership.Scope(scope.service, scope.data_centre)
+        )
+        if first != self.view.name:
+            return False
+        snapshot = self.view.snapshots.get(scope.service)
+        held = snapshot and snapshot.head.scopes.get(scope.data_centre)
+        if not held:
+            return True
+        if held.manager == self.view.name:
+            return True
+        live = {each.daemon for each in members.live()}
+        return held.manager not in live
+
+    def _offer(self, scope: ScopeId) -> None:
+        wanted = membership.Scope(scope.service, scope.data_centre)
+        successor = self.view.members.manager_of(wanted)
+        if successor is None or successor == self.view.name:
+            return
+        peer = self.view.peer(successor)
+        if peer is not None:
+            self.pool.send(peer, HandOver(scope.service, scope.data_centre))
+
+    def _tell_guards(self, scope: ScopeId, runner: ScopeRunner) -> None:
+        for target in self.view.configuration.service_targets(scope.service):
+            is_here = target.data_centre == scope.data_centre
+            if is_here and target.fencing is Fencing.none:
+                runner.feed(
+                    ownership.GuardCandidates(
+                        target.name, self._guard_order(target.name, target)
+                    ),
+                )
+
+    def _guard_order(self, name, target) -> tuple[DaemonName, ...]:
+        members = self.view.members
+        near = members.in_data_centre(target.data_centre) or members.live()
+        names = [each.daemon for each in near]
+        ranked = rank(f'dispatcher/{name}', names)
+        return tuple(map(DaemonName, ranked[:GUARD_CANDIDATES]))
+
+    def _of_service(self, service: ServiceName) -> Iterator[ScopeRunner]:
+        for scope, runner in self.runners.items():
+            if scope.service == service:
+                yield runner
+
+
+def _scopes(
+    service: ServiceName,
+    plan: ownership.ServicePlan,
+) -> tuple[ScopeId, ...]:
+    centres = {kind.data_centre for kind in plan.targets.values()}
+    return tuple(ScopeId(service, centre) for centre in sorted(centres))
--- /dev/null
+++ b/src/laburnumyard/daemon/_run.py
@@ -0,0 +1,108 @@
+"""Starts a daemon, serves until it is told to leave, and drains it."""
+
+import os
+import signal
+
+import anyio
+from anyio.abc import TaskGroup
+
+from laburnumyard.core import membership
+from laburnumyard.daemon._admin import AdminApp
+from laburnumyard.daemon._http_server import HttpServer, make_server
+from laburnumyard.daemon._log import Event, configure_log, log_event
+from laburnumyard.daemon._node import Node
+from laburnumyard.daemon._operations import make_handlers
+from laburnumyard.schema._generated.settings import Settings
+
+POLL_INTERVAL_S = 0.02
+# What the last heartbeats and answers need to leave after a drain.
+PARTING_S = 0.1
+
+
+def run(settings: Settings) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then drain it.
+
+    Parameters
+    ----------
+    settings
+        Checked settings.
+    """
+    configure_log(settings.log)
+    # The loop's library must not use io_uring on the operators' VMs.
+    os.environ['UV_USE_IO_URING'] = '0'
+    anyio.run(
+        serve,
+        settings,
+        backend='asyncio',
+        backend_options={'use_uvloop': True},
+    )
+
+
+async def serve(settings: Settings) -> None:
+    """Serve callers, peers and operators until told to leave."""
+    async with anyio.create_task_group() as tasks:
+        node = Node(settings, tasks)
+        admin = AdminApp(settings.admin, make_handlers(node))
+        async with node.server, node.pool:
+            entry_server = _start(node, tasks, admin)
+            log_event(
+                Event.STARTED,
+                daemon=node.view.name,
+                incarnation=node.view.incarnation,
+                data_centre=settings.daemon.data_centre,
+                callers=settings.listen.callers,
+            )
+            await _wait_for_signal()
+            await _drain(node, entry_server)
+            tasks.cancel_scope.cancel()
+    log_event(Event.STOPPED, daemon=settings.daemon.name)
+
+
+def _start(node: Node, tasks: TaskGroup, admin: AdminApp) -> HttpServer:
+    listen = node.settings.listen
+    header_bytes = node.settings.limits.header_bytes
+    entry_server = make_server(node.entry, listen.callers, header_bytes)
+    admin_server = make_server(admin, listen.admin, header_bytes)
+    for start in (
+        entry_server.serve,
+        admin_server.serve,
+        node.entry.watch.run,
+        node.members.run,
+        node.documents.run,
+    ):
+        tasks.start_soon(start)
+    return entry_server
+
+
+async def _wait_for_signal() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+async def _drain(node: Node, entry_server: HttpServer) -> None:
+    """Hand roles over, finish what is in flight, and leave.
+
+    New requests are refused as ``not-run`` while the balancer has not yet
+    seen that the daemon is no longer ready.
+    """
+    log_event(Event.STOPPING, daemon=node.view.name)
+    node.view.is_draining = True
+    node.office.ledger.drain()
+    node.members.feed(membership.Leave())
+    node.ownership.leave()
+    timeout = node.settings.timing.drain_timeout_s
+    with anyio.move_on_after(timeout):
+        while not _is_idle(node):
+            await anyio.sleep(POLL_INTERVAL_S)
+    entry_server.should_exit = True
+    await anyio.sleep(PARTING_S)
+
+
+def _is_idle(node: Node) -> bool:
+    return (
+        node.entry.in_flight == 0
+        and node.targets.is_idle
+        and node.ownership.is_idle
+        and node.office.ledger.running == 0
+    )
