--- /dev/null
+++ b/src/laburnumyard/core/membership/_believing.py
@@ -0,0 +1,162 @@
+"""How evidence changes what is believed of a member."""
+
+from dataclasses import replace
+
+from laburnumyard.core.ids import DaemonName, Incarnation
+from laburnumyard.core.membership._effects import Decision, LogDecision, Send
+from laburnumyard.core.membership._member import (
+    UNHEARD,
+    Identity,
+    Member,
+    MemberState,
+    to_message,
+)
+from laburnumyard.core.membership._state import TableState
+from laburnumyard.schema._generated import messages
+
+
+def add_member(state: TableState, identity: Identity) -> Member:
+    """Add a member that was not known; it is suspected until it is heard."""
+    member = Member(identity, MemberState.SUSPECTED, state.now)
+    member.probe_at = state.now
+    member.probe_pause_s = state.settings.probe_first_s
+    state.members[identity.daemon] = member
+    state.suspects[identity.daemon] = member
+    state.directory.note_change()
+    return member
+
+
+def settle(state: TableState, member: Member) -> None:
+    """Give a member the state that follows from what is known of it."""
+    state.directory.note_change()
+    belief = member.belief()
+    if belief is not member.state:
+        change_state(state, member, belief)
+
+
+def change_state(
+    state: TableState,
+    member: Member,
+    belief: MemberState,
+) -> None:
+    """Change the state of a member and what hangs on it."""
+    daemon = member.identity.daemon
+    member.state = belief
+    member.changed_at = state.now
+    state.suspects.pop(daemon, None)
+    if belief is MemberState.SUSPECTED:
+        wait = state.settings.hearsay_probe_s * (1 + state.draw()) / 2
+        member.probe_at = state.now + wait
+        member.probe_pause_s = state.settings.probe_first_s
+        state.suspects[daemon] = member
+    if belief is not MemberState.LIVE:
+        state.watches.stop(daemon)
+    state.directory.note_change()
+    log(state, Decision.STATE_CHANGED, member)
+
+
+def suspect(state: TableState, member: Member) -> None:
+    """Suspect a member that this daemon itself can't reach."""
+    if member.is_leaving or member.state is MemberState.GONE:
+        return
+    if member.silent_since is None:
+        member.silent_since = state.now
+    if not member.is_rumoured and member.identity.incarnation != UNHEARD:
+        member.is_rumoured = True
+        state.rumours.add(member.identity.daemon)
+    settle(state, member)
+    member.probe_at = state.now + member.probe_pause_s
+    pause = 2 * member.probe_pause_s
+    member.probe_pause_s = min(pause, state.settings.probe_backoff_s)
+
+
+def hear(
+    state: TableState,
+    daemon: DaemonName,
+    incarnation: Incarnation,
+) -> Member | None:
+    """Note that a member was heard directly.
+
+    Returns
+    -------
+    Member or None
+        None if the incarnation is an old one, or the member not known.
+    """
+    state.heard_anyone_at = state.now
+    member = state.members.get(daemon)
+    if member is None:
+        return None
+    if incarnation < member.identity.incarnation:
+        tell(state, daemon, member)
+        return None
+    if incarnation > member.identity.incarnation:
+        member.restart(replace(member.identity, incarnation=incarnation))
+        state.directory.note_change()
+    member.heard_at = state.now
+    if member.state is not MemberState.LIVE:
+        recover(state, member)
+    return member
+
+
+def recover(state: TableState, member: Member) -> None:
+    """Take a member back that is heard again."""
+    if member.is_rumoured:
+        tell(state, member.identity.daemon, member)
+    member.is_rumoured = False
+    member.silent_since = None
+    settle(state, member)
+
+
+def tell(state: TableState, daemon: DaemonName, member: Member) -> None:
+    """Tell a daemon what is said of a member, often of itself."""
+    news = messages.Gossip(members=(to_message(member),))
+    state.effects.append(Send(daemon, news))
+
+
+def own_news(state: TableState) -> messages.Member:
+    """Return what this daemon says of itself."""
+    identity = state.myself
+    return messages.Member(
+        daemon=identity.daemon,
+        incarnation=identity.incarnation,
+        data_centre=identity.data_centre,
+        region=identity.region,
+        peer_address=identity.address,
+        leaving=state.directory.is_leaving,
+        suspected=False,
+        refutation=state.refutation,
+    )
+
+
+def refute(state: TableState, refutation: int) -> None:
+    """Have everyone told that this daemon is alive after all."""
+    state.refutation = max(state.refutation, refutation) + 1
+    state.rumours.add(state.myself.daemon)
+    log_own(state, Decision.REFUTED)
+
+
+def log(state: TableState, decision: Decision, member: Member) -> None:
+    """Have a decision about another member logged."""
+    identity = member.identity
+    state.effects.append(
+        LogDecision(
+            decision,
+            identity.daemon,
+            identity.incarnation,
+            member.state,
+        ),
+    )
+
+
+def log_own(state: TableState, decision: Decision) -> None:
+    """Have a decision about this daemon itself logged."""
+    identity = state.myself
+    leaves = state.directory.is_leaving
+    state.effects.append(
+        LogDecision(
+            decision,
+            identity.daemon,
+            identity.incarnation,
+            MemberState.LEAVING if leaves else MemberState.LIVE,
+        ),
+    )
--- /dev/null
+++ b/src/laburnumyard/core/membership/_digests.py
@@ -0,0 +1,63 @@
+"""Digests by which two member tables find out where they differ."""
+
+import struct
+from collections.abc import Iterable
+
+import xxhash
+
+from laburnumyard.core.membership._member import Identity
+
+BUCKETS = 64
+LAYOUT = struct.Struct(f'>{BUCKETS}Q')
+DIGEST_MASK = (1 << 64) - 1
+
+
+def bucket_of(daemon: str) -> int:
+    """Return the bucket of a member."""
+    return xxhash.xxh3_64_intdigest(daemon.encode()) % BUCKETS
+
+
+def digest_of(identity: Identity, is_leaving: bool) -> int:
+    """Return the digest of what two tables should agree on.
+
+    Suspicions are left out, as they are soft and differ from place to place.
+    """
+    fields = f'{identity.daemon}\n{identity.incarnation}\n{is_leaving:d}'
+    return xxhash.xxh3_64_intdigest(fields.encode())
+
+
+def to_buckets(members: Iterable[tuple[Identity, bool]]) -> tuple[int, ...]:
+    """Return the digest of each bucket.
+
+    Parameters
+    ----------
+    members
+        Each member and whether it leaves.
+
+    Returns
+    -------
+    tuple of int
+        One number of 64 bits for each bucket, whatever the order of members.
+    """
+    buckets = [0] * BUCKETS
+    for identity, is_leaving in members:
+        place = bucket_of(identity.daemon)
+        buckets[place] ^= digest_of(identity, is_leaving)
+    return tuple(buckets)
+
+
+def pack_buckets(buckets: tuple[int, ...]) -> bytes:
+    """Return the bytes of the digests."""
+    return LAYOUT.pack(*buckets)
+
+
+def unpack_buckets(content: bytes) -> tuple[int, ...] | None:
+    """Return the digests of untrusted bytes, or None if they are none."""
+    if len(content) != LAYOUT.size:
+        return None
+    return LAYOUT.unpack(content)
+
+
+def join_buckets(buckets: tuple[int, ...]) -> int:
+    """Return one digest of the whole table."""
+    return xxhash.xxh3_64_intdigest(pack_buckets(buckets)) & DIGEST_MASK
--- /dev/null
+++ b/src/laburnumyard/core/membership/_reacting.py
@@ -0,0 +1,203 @@
+"""What each event does to the member table."""
+
+from functools import singledispatch
+
+from laburnumyard.core.ids import DaemonName, Incarnation
+from laburnumyard.core.membership import _events as events
+from laburnumyard.core.membership._believing import (
+    add_member,
+    hear,
+    log_own,
+    refute,
+    settle,
+    suspect,
+)
+from laburnumyard.core.membership._effects import Decision, Probe
+from laburnumyard.core.membership._member import (
+    Member,
+    MemberState,
+    merge,
+    take_beliefs,
+    to_identity,
+)
+from laburnumyard.core.membership._state import TableState
+from laburnumyard.core.membership._syncing import (
+    answer_digests,
+    compare_with,
+    own_digest,
+)
+from laburnumyard.core.membership._ticking import MS_PER_S, tick
+from laburnumyard.schema._generated import messages
+
+
+@singledispatch
+def react(event: events.Event, state: TableState) -> None:
+    """Take one event."""
+    raise TypeError(f'no event of the member table: {event!r}')
+
+
+@react.register
+def _(event: events.Tick, state: TableState) -> None:
+    tick(state)
+
+
+@react.register
+def _(event: events.VmListRead, state: TableState) -> None:
+    listed = {vm.identity.daemon: vm for vm in event.vms}
+    listed.pop(state.myself.daemon, None)
+    for daemon, member in state.members.items():
+        member.is_listed = daemon in listed
+    for daemon, vm in listed.items():
+        member = state.members.get(daemon)
+        if member is None:
+            member = add_member(state, vm.identity)
+        _take_listing(state, member, vm)
+
+
+def _take_listing(
+    state: TableState,
+    member: Member,
+    vm: events.ListedVm,
+) -> None:
+    """Take the list's word for a leaving VM, once for each incarnation."""
+    member.is_listed = True
+    known = member.identity.incarnation
+    if vm.is_leaving and member.listed_leaving != known:
+        member.listed_leaving = known
+        member.is_leaving = True
+        settle(state, member)
+
+
+@react.register
+def _(event: events.VmListUnavailable, state: TableState) -> None:
+    state.schedule.vm_list = state.now + state.settings.vm_list_interval_s
+
+
+@react.register
+def _(event: events.HeartbeatHeard, state: TableState) -> None:
+    heartbeat = event.heartbeat
+    daemon = DaemonName(heartbeat.daemon)
+    member = hear(state, daemon, Incarnation(heartbeat.incarnation))
+    if member is None:
+        return
+    if heartbeat.leaving and not member.is_leaving:
+        member.is_leaving = True
+        state.rumours.add(daemon)
+        settle(state, member)
+    elif heartbeat.interval_ms and not heartbeat.leaving:
+        interval = heartbeat.interval_ms / MS_PER_S
+        state.watches.hear(daemon, interval, state.now)
+    if heartbeat.digest != own_digest(state):
+        compare_with(state, daemon)
+
+
+@react.register
+def _(event: events.ProbeAnswered, state: TableState) -> None:
+    state.is_stale = False
+    if hear(state, event.daemon, event.incarnation):
+        state.watches.stop(event.daemon)
+
+
+@react.register
+def _(event: events.ProbeFailed, state: TableState) -> None:
+    member = state.members.get(event.daemon)
+    if member is not None:
+        suspect(state, member)
+
+
+@react.register
+def _(event: events.GossipHeard, state: TableState) -> None:
+    state.heard_anyone_at = state.now
+    for news in event.members:
+        if take_news(state, news):
+            state.rumours.add(DaemonName(news.daemon))
+
+
+@react.register
+def _(event: events.MembersHeard, state: TableState) -> None:
+    state.heard_anyone_at = state.now
+    state.has_joined = True
+    if any([take_news(state, news) for news in event.members]):
+        state.schedule.sync_pause_s = 0
+
+
+def take_news(state: TableState, news: messages.Member) -> bool:
+    """Take news of one member and tell whether it was new."""
+    if news.daemon == state.myself.daemon:
+        _take_own_news(state, news)
+        return False
+    member = state.members.get(DaemonName(news.daemon))
+    if member is None:
+        member = add_member(state, to_identity(news))
+        take_beliefs(member, news)
+        settle(state, member)
+        return True
+    if _is_refuted_here(state, member, news) or not merge(member, news):
+        return False
+    settle(state, member)
+    return True
+
+
+def _is_refuted_here(
+    state: TableState,
+    member: Member,
+    news: messages.Member,
+) -> bool:
+    """Tell whether a suspicion contradicts what was heard directly."""
+    is_mere_suspicion = (
+        news.suspected
+        and not news.leaving
+        and news.incarnation == member.identity.incarnation
+    )
+    if not is_mere_suspicion or member.heard_at is None:
+        return False
+    if member.silent_since is not None:
+        return False
+    settings = state.settings
+    window = settings.misses_to_suspect * settings.watcher_interval_s
+    return state.now - member.heard_at < window
+
+
+def _take_own_news(state: TableState, news: messages.Member) -> None:
+    own = state.myself.incarnation
+    if news.incarnation > own:
+        if not state.is_superseded:
+            state.is_superseded = True
+            state.directory.is_leaving = True
+            state.directory.note_change()
+            log_own(state, Decision.SUPERSEDED)
+    elif news.incarnation == own and news.suspected:
+        if news.refutation >= state.refutation:
+            refute(state, news.refutation)
+
+
+@react.register
+def _(event: events.DigestsHeard, state: TableState) -> None:
+    state.heard_anyone_at = state.now
+    state.has_joined = True
+    answer_digests(state, event.sender, event.digests)
+
+
+@react.register
+def _(event: events.ScopesHeld, state: TableState) -> None:
+    state.scopes = event.scopes
+
+
+@react.register
+def _(event: events.Leave, state: TableState) -> None:
+    if state.directory.is_leaving:
+        return
+    state.directory.is_leaving = True
+    state.directory.note_change()
+    state.rumours.add(state.myself.daemon)
+    state.schedule.deputies = state.now
+    state.schedule.watchers = state.now
+    log_own(state, Decision.LEFT)
+    tick(state)
+
+
+@react.register
+def _(event: events.LinkLost, state: TableState) -> None:
+    member = state.members.get(event.daemon)
+    if member is not None and member.state is MemberState.LIVE:
+        state.effects.append(Probe(event.daemon))
