--- /dev/null
+++ b/src/laburnumyard/core/dissemination/_adopting.py
@@ -0,0 +1,107 @@
+"""How a version comes into force and how others hear of it."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from laburnumyard.core.dissemination._document import Document, Source
+from laburnumyard.core.dissemination._effects import Adopt, LogRefused, Send
+from laburnumyard.core.dissemination._state import DocumentsState, Entry
+from laburnumyard.core.ids import DaemonName
+from laburnumyard.schema._generated import messages
+
+
+def adopt(state: DocumentsState, document: Document, source: Source) -> bool:
+    """Put a version in force and announce it, unless it is no newer one."""
+    entry = state.entries.get(document.name)
+    if entry is None or document.version <= entry.version:
+        return False
+    entry.history.append(document)
+    entry.source = source
+    entry.patches.clear()
+    if entry.download and entry.download.version <= document.version:
+        entry.download = None
+    state.effects.append(Adopt(document, source))
+    announce(state, document)
+    return True
+
+
+def announce(state: DocumentsState, document: Document) -> None:
+    """Tell a few others of a new version, most in the own data centre."""
+    settings = state.settings
+    chosen = draw_peers(state, state.peers.near, settings.near_fanout)
+    chosen |= draw_peers(state, state.peers.far, settings.far_fanout)
+    versions = messages.Versions(
+        documents=(version_of(state, document),),
+        members=(),
+        reply=False,
+    )
+    for daemon in sorted(chosen):
+        state.effects.append(Send(daemon, versions))
+
+
+def draw_peers(
+    state: DocumentsState,
+    candidates: tuple[DaemonName, ...],
+    count: int,
+) -> set[DaemonName]:
+    """Draw some peers."""
+    if len(candidates) <= count:
+        return set(candidates)
+    chosen: set[DaemonName] = set()
+    while len(chosen) < count:
+        chosen.add(candidates[int(state.draw() * len(candidates))])
+    return chosen
+
+
+def version_of(
+    state: DocumentsState,
+    document: Document,
+) -> messages.DocumentVersion:
+    """Return what others are told of a version."""
+    entry = state.entries[document.name]
+    return messages.DocumentVersion(
+        name=document.name,
+        version=document.version,
+        confirmed=is_confirmed(state, entry),
+    )
+
+
+def is_confirmed(state: DocumentsState, entry: Entry) -> bool:
+    """Tell whether the store answered this daemon a moment ago."""
+    confirmed_at = entry.reading.confirmed_at
+    if confirmed_at is None or entry.source is not Source.STORE:
+        return False
+    return state.now - confirmed_at <= state.settings.confirmed_for_s
+
+
+def send_versions(
+    state: DocumentsState,
+    daemons: Iterable[DaemonName],
+    *,
+    reply: bool,
+) -> None:
+    """Tell others all versions of this daemon."""
+    documents = tuple(
+        version_of(state, entry.newest)
+        for entry in state.entries.values()
+        if entry.newest
+    )
+    versions = messages.Versions(documents=documents, members=(), reply=reply)
+    for daemon in daemons:
+        state.effects.append(Send(daemon, versions))
+
+
+def own_digest(state: DocumentsState) -> int:
+    """Return the digest of the versions that this daemon holds."""
+    versions = '\n'.join(
+        f'{name} {entry.version}'
+        for name, entry in sorted(state.entries.items())
+        if entry.version
+    )
+    return xxhash.xxh3_64_intdigest(versions.encode())
+
+
+def refuse(state: DocumentsState, document: str, reason: str) -> None:
+    """Have it logged that something was refused."""
+    state.effects.append(LogRefused(document, reason))
--- /dev/null
+++ b/src/laburnumyard/core/dissemination/_documents.py
@@ -0,0 +1,78 @@
+"""The documents of one daemon: configuration and assignments."""
+
+from collections.abc import Callable
+
+from laburnumyard.core.dissemination._adopting import own_digest
+from laburnumyard.core.dissemination._budget import CallBudget
+from laburnumyard.core.dissemination._document import (
+    Document,
+    DocumentName,
+    HeadReader,
+    Source,
+)
+from laburnumyard.core.dissemination._effects import Effect
+from laburnumyard.core.dissemination._reacting import Event, react
+from laburnumyard.core.dissemination._settings import DisseminationSettings
+from laburnumyard.core.dissemination._state import DocumentsState
+
+
+class Documents:
+    """The documents of one daemon. A version never falls in its life.
+
+    Parameters
+    ----------
+    settings
+        Intervals and bounds.
+    read_head
+        Reads the summary of a head.
+    draw
+        Returns a random number from 0 up to 1.
+
+    Examples
+    --------
+    ``for effect in documents.handle(Tick(), now): run(effect)``
+    """
+
+    def __init__(
+        self,
+        settings: DisseminationSettings,
+        read_head: HeadReader,
+        draw: Callable[[], float],
+    ) -> None:
+        """Start without documents."""
+        budget = CallBudget(settings.calls_per_s, settings.call_burst)
+        self.state = DocumentsState(settings, read_head, draw, budget)
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Take an event.
+
+        Parameters
+        ----------
+        event
+            What happened.
+        now
+            The boot-time clock, in seconds.
+
+        Returns
+        -------
+        list of Effect
+            What the shell has to do, in this order.
+        """
+        self.state.now = now
+        self.state.effects = []
+        react(event, self.state)
+        return self.state.effects
+
+    def find(self, name: DocumentName) -> Document | None:
+        """Return the version in force, or None."""
+        entry = self.state.entries.get(name)
+        return entry.newest if entry else None
+
+    def source_of(self, name: DocumentName) -> Source | None:
+        """Return how the version in force is known, or None."""
+        entry = self.state.entries.get(name)
+        return entry.source if entry else None
+
+    def digest(self) -> int:
+        """Return the digest of all versions, for heartbeats."""
+        return own_digest(self.state)
--- /dev/null
+++ b/src/laburnumyard/core/dissemination/_fetching.py
@@ -0,0 +1,190 @@
+"""Fetching a version from a peer, part by part."""
+
+from collections import deque
+
+from laburnumyard.core.dissemination._adopting import adopt, refuse
+from laburnumyard.core.dissemination._document import (
+    NO_VERSION,
+    DocumentName,
+    Source,
+)
+from laburnumyard.core.dissemination._effects import Send
+from laburnumyard.core.dissemination._patches import PatchApplier, make_patch
+from laburnumyard.core.dissemination._state import (
+    DocumentsState,
+    Download,
+    Entry,
+)
+from laburnumyard.core.ids import DaemonName, Version
+from laburnumyard.schema._generated import messages
+
+# How many peers are remembered for one download.
+SOURCES = 4
+
+
+def take_version(
+    state: DocumentsState,
+    sender: DaemonName,
+    told: messages.DocumentVersion,
+) -> None:
+    """Start to fetch a version that is newer than the one in force."""
+    name = DocumentName(told.name)
+    entry = state.entries.get(name)
+    if entry is None:
+        return
+    if told.version == entry.version and told.confirmed:
+        if entry.source is Source.PEER:
+            entry.source = Source.READER
+    if told.version <= entry.version:
+        return
+    download = entry.download
+    if download and download.version >= told.version:
+        _add_source(download, sender, told)
+        return
+    sources = deque([sender], maxlen=SOURCES)
+    version = Version(told.version)
+    entry.download = Download(version, sources, told.confirmed)
+    ask_part(state, name, entry.download)
+
+
+def _add_source(
+    download: Download,
+    sender: DaemonName,
+    told: messages.DocumentVersion,
+) -> None:
+    if download.version == told.version:
+        download.is_confirmed = download.is_confirmed or told.confirmed
+        if sender not in download.sources:
+            download.sources.append(sender)
+
+
+def ask_part(
+    state: DocumentsState,
+    name: DocumentName,
+    download: Download,
+) -> None:
+    """Ask the first source for the next part."""
+    download.asked_at = state.now
+    known = state.entries[name].version
+    if download.takes_whole:
+        known = NO_VERSION
+    fetch = messages.FetchDocument(
+        name=name,
+        known_version=known,
+        version=download.part_version,
+        offset=len(download.collected),
+    )
+    state.effects.append(Send(download.sources[0], fetch))
+
+
+def retry_downloads(state: DocumentsState) -> None:
+    """Ask another source where a part does not come."""
+    for name, entry in state.entries.items():
+        download = entry.download
+        if download is None:
+            continue
+        if state.now - download.asked_at >= state.settings.fetch_timeout_s:
+            _start_again(state, name, download)
+
+
+def _start_again(
+    state: DocumentsState,
+    name: DocumentName,
+    download: Download,
+) -> None:
+    """Drop what has come and ask another source.
+
+    Sources hold different patches only if they differ in version, but a
+    peer that restarts may change in the middle.
+    """
+    download.collected.clear()
+    download.part_version = NO_VERSION
+    download.sources.rotate(-1)
+    ask_part(state, name, download)
+
+
+def answer_fetch(
+    state: DocumentsState,
+    sender: DaemonName,
+    fetch: messages.FetchDocument,
+) -> None:
+    """Send one part of the patch to the version in force."""
+    entry = state.entries.get(DocumentName(fetch.name))
+    if entry is None or entry.newest is None:
+        return
+    base = entry.find_version(fetch.known_version)
+    patch = _patch_from(entry, base.version if base else NO_VERSION)
+    is_same = fetch.version in {NO_VERSION, entry.version}
+    offset = fetch.offset if is_same and fetch.offset < len(patch) else 0
+    part = messages.DocumentPart(
+        name=fetch.name,
+        version=entry.version,
+        base_version=base.version if base else NO_VERSION,
+        patch_bytes=len(patch),
+        offset=offset,
+        content=patch[offset : offset + state.settings.part_bytes],
+    )
+    state.effects.append(Send(sender, part))
+
+
+def _patch_from(entry: Entry, version: Version) -> bytes:
+    """Return the patch from a version, worked out once for all who ask."""
+    if version not in entry.patches:
+        base = entry.find_version(version)
+        entry.patches[version] = make_patch(base, entry.newest)
+    return entry.patches[version]
+
+
+def take_part(
+    state: DocumentsState,
+    sender: DaemonName,
+    part: messages.DocumentPart,
+) -> None:
+    """Collect a part; put the version in force once all have come."""
+    entry = state.entries.get(DocumentName(part.name))
+    if entry is None or entry.download is None:
+        return
+    download = entry.download
+    if sender != download.sources[0] or part.version < download.version:
+        return
+    if part.offset == 0:
+        download.collected.clear()
+        download.part_version = Version(part.version)
+        download.base = entry.find_version(part.base_version)
+    if not _fits(state, entry, part):
+        return
+    download.collected += part.content
+    if len(download.collected) < part.patch_bytes:
+        ask_part(state, DocumentName(part.name), download)
+    else:
+        _finish(state, entry, DocumentName(part.name))
+
+
+def _fits(
+    state: DocumentsState,
+    entry: Entry,
+    part: messages.DocumentPart,
+) -> bool:
+    download = entry.download
+    has_base = download.base is not None or part.base_version == NO_VERSION
+    collected = len(download.collected)
+    stop = part.offset + len(part.content)
+    is_next = part.offset == collected and part.version == download.part_version
+    is_bounded = stop <= part.patch_bytes <= state.settings.document_bytes
+    return has_base and is_next and is_bounded and bool(part.content)
+
+
+def _finish(state: DocumentsState, entry: Entry, name: DocumentName) -> None:
+    download = entry.download
+    applier = PatchApplier(state.read_head, state.settings.document_bytes)
+    patch = bytes(download.collected)
+    try:
+        document = applier.apply(name, download.base, patch)
+    except ValueError as error:
+        refuse(state, name, str(error))
+        download.takes_whole = True
+        _start_again(state, name, download)
+        return
+    entry.download = None
+    source = Source.READER if download.is_confirmed else Source.PEER
+    adopt(state, document, source)
--- /dev/null
+++ b/src/laburnumyard/core/dissemination/_reacting.py
@@ -0,0 +1,157 @@
+"""What each event does to the documents."""
+
+from functools import singledispatch
+
+from laburnumyard.core.dissemination import _events as events
+from laburnumyard.core.dissemination import _peer_events as peer_events
+from laburnumyard.core.dissemination._adopting import (
+    adopt,
+    draw_peers,
+    own_digest,
+    send_versions,
+)
+from laburnumyard.core.dissemination._document import Source
+from laburnumyard.core.dissemination._fetching import (
+    answer_fetch,
+    retry_downloads,
+    take_part,
+    take_version,
+)
+from laburnumyard.core.dissemination._reading import (
+    confirm,
+    fail,
+    read_store,
+    take_chunks,
+    take_head,
+)
+from laburnumyard.core.dissemination._state import DocumentsState, new_entry
+
+Event = (
+    events.NamesChanged
+    | events.PeersChanged
+    | events.HeadRead
+    | events.HeadUnchanged
+    | events.ChunksRead
+    | events.StoreFailed
+    | events.Published
+    | events.Tick
+    | peer_events.DigestHeard
+    | peer_events.VersionsHeard
+    | peer_events.FetchHeard
+    | peer_events.PartHeard
+)
+
+
+@singledispatch
+def react(event: Event, state: DocumentsState) -> None:
+    """Take one event."""
+    raise TypeError(f'no event of the documents: {event!r}')
+
+
+@react.register
+def _(event: events.NamesChanged, state: DocumentsState) -> None:
+    known = state.retired | state.entries
+    state.entries = {
+        name: known.pop(name, None) or new_entry() for name in event.names
+    }
+    state.retired = known
+    state.join_at = state.now
+    tick(state)
+
+
+@react.register
+def _(event: events.PeersChanged, state: DocumentsState) -> None:
+    state.peers = event
+
+
+@react.register
+def _(event: events.HeadRead, state: DocumentsState) -> None:
+    take_head(state, event.name, event.head)
+    read_store(state)
+
+
+@react.register
+def _(event: events.HeadUnchanged, state: DocumentsState) -> None:
+    entry = state.entries.get(event.name)
+    if entry is not None:
+        confirm(state, entry)
+        read_store(state)
+
+
+@react.register
+def _(event: events.ChunksRead, state: DocumentsState) -> None:
+    take_chunks(state, event)
+    read_store(state)
+
+
+@react.register
+def _(event: events.StoreFailed, state: DocumentsState) -> None:
+    fail(state, event.name)
+
+
+@react.register
+def _(event: events.Published, state: DocumentsState) -> None:
+    adopt(state, event.document, Source.STORE)
+
+
+@react.register
+def _(event: events.Tick, state: DocumentsState) -> None:
+    tick(state)
+
+
+def tick(state: DocumentsState) -> None:
+    """Do everything that is due."""
+    if state.started_at is None:
+        state.started_at = state.now
+    read_store(state)
+    retry_downloads(state)
+    _ask_for_missing(state)
+    _ask_random_peer(state)
+
+
+def _ask_for_missing(state: DocumentsState) -> None:
+    """Ask the readers and one more peer for documents that are missing."""
+    if all(entry.newest for entry in state.entries.values()):
+        return
+    if state.now < state.join_at:
+        return
+    state.join_at = state.now + state.settings.join_interval_s
+    others = (*state.peers.near, *state.peers.far)
+    asked = draw_peers(state, others, 1)
+    asked.update(name for name in state.peers.readers if name in others)
+    send_versions(state, sorted(asked), reply=True)
+
+
+def _ask_random_peer(state: DocumentsState) -> None:
+    if state.now < state.sync_at:
+        return
+    interval = state.settings.sync_interval_s
+    state.sync_at = state.now + interval * (1 + 2 * state.draw()) / 2
+    others = (*state.peers.near, *state.peers.far)
+    send_versions(state, draw_peers(state, others, 1), reply=True)
+
+
+@react.register
+def _(event: peer_events.DigestHeard, state: DocumentsState) -> None:
+    if event.digest == own_digest(state) or state.now < state.digest_at:
+        return
+    state.digest_at = state.now + state.settings.digest_interval_s
+    send_versions(state, [event.sender], reply=True)
+
+
+@react.register
+def _(event: peer_events.VersionsHeard, state: DocumentsState) -> None:
+    for told in event.versions.documents:
+        take_version(state, event.sender, told)
+    if event.versions.reply:
+        send_versions(state, [event.sender], reply=False)
+
+
+@react.register
+def _(event: peer_events.FetchHeard, state: DocumentsState) -> None:
+    answer_fetch(state, event.sender, event.fetch)
+
+
+@react.register
+def _(event: peer_events.PartHeard, state: DocumentsState) -> None:
+    take_part(state, event.sender, event.part)
--- /dev/null
+++ b/src/laburnumyard/core/dissemination/_state.py
@@ -0,0 +1,176 @@
+"""Everything that the documents of a daemon remember."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from laburnumyard.core.dissemination._budget import CallBudget
+from laburnumyard.core.dissemination._document import (
+    NO_VERSION,
+    Document,
+    DocumentName,
+    HeadReader,
+    Source,
+    StoredHead,
+)
+from laburnumyard.core.dissemination._effects import Effect
+from laburnumyard.core.dissemination._events import NO_PEERS, PeersChanged
+from laburnumyard.core.dissemination._settings import DisseminationSettings
+from laburnumyard.core.ids import DaemonName, Version
+
+# Of how many versions patches can start.
+KEPT_VERSIONS = 4
+
+
+@dataclass(slots=True)
+class Download:
+    """A version on its way from a peer.
+
+    Parameters
+    ----------
+    version
+        The version that the peer announced.
+    sources
+        Who has it, the next to be asked first.
+    is_confirmed
+        Whether a reader vouched for the version.
+    base
+        What the patch starts from, or None.
+    part_version
+        The version that the collected parts belong to, or none.
+    collected
+        The parts that have come.
+    asked_at
+        When the last part was asked for, in seconds.
+    takes_whole
+        Whether a patch has failed, so that the whole version is asked for.
+    """
+
+    version: Version
+    sources: 'deque[DaemonName]'
+    is_confirmed: bool = False
+    base: Document | None = None
+    part_version: Version = NO_VERSION
+    collected: bytearray = field(default_factory=bytearray)
+    asked_at: float = 0
+    takes_whole: bool = False
+
+
+@dataclass(slots=True)
+class Reading:
+    """What is being read of the store about one document.
+
+    Parameters
+    ----------
+    is_waiting
+        Whether an answer is outstanding.
+    retry_at
+        When the store may be asked again, in seconds.
+    pause_s
+        The pause after the next failure, in seconds.
+    confirmed_at
+        When the store last answered, in seconds, or None.
+    head
+        A head whose chunks are being read, or None.
+    """
+
+    is_waiting: bool = False
+    retry_at: float = 0
+    pause_s: float = 0
+    confirmed_at: float | None = None
+    head: StoredHead | None = None
+
+
+@dataclass(slots=True)
+class Entry:
+    """One document of this daemon.
+
+    Parameters
+    ----------
+    history
+        The versions that it held, the newest last.
+    source
+        How it knows the newest one, or None before there is one.
+    reading
+        What is being read of the store.
+    download
+        What is on its way from a peer, or None.
+    patches
+        Patches to the newest version by the version they start from.
+    """
+
+    history: 'deque[Document]'
+    source: Source | None = None
+    reading: Reading = field(default_factory=Reading)
+    download: Download | None = None
+    patches: dict[Version, bytes] = field(default_factory=dict)
+
+    @property
+    def newest(self) -> Document | None:
+        """The version in force."""
+        return self.history[-1] if self.history else None
+
+    @property
+    def version(self) -> Version:
+        """The number of the version in force, or 0."""
+        return self.history[-1].version if self.history else NO_VERSION
+
+    def find_version(self, version: int) -> Document | None:
+        """Return a version that is still at hand."""
+        found = (one for one in self.history if one.version == version)
+        return next(found, None)
+
+
+def new_entry() -> Entry:
+    """Return the entry of a document of which there is no version yet."""
+    return Entry(deque(maxlen=KEPT_VERSIONS))
+
+
+@dataclass(slots=True)
+class DocumentsState:
+    """Everything that the documents of a daemon remember.
+
+    Parameters
+    ----------
+    settings
+        Intervals and bounds.
+    read_head
+        Reads the summary of a head.
+    draw
+        Returns a random number from 0 up to 1.
+    budget
+        The store calls that may still be made.
+    entries
+        The documents by name.
+    retired
+        Documents that the configuration names no more; one that returns goes
+        on from the version that it had.
+    peers
+        Who else is live.
+    now
+        The time of the event that is taken, in seconds.
+    started_at
+        The time of the first event, in seconds, or None before it.
+    sync_at
+        When the next random peer is asked, in seconds.
+    digest_at
+        When the next digest may lead to a comparison, in seconds.
+    join_at
+        When peers are asked next for missing documents, in seconds.
+    effects
+        What the shell has to do.
+    """
+
+    settings: DisseminationSettings
+    read_head: HeadReader
+    draw: Callable[[], float]
+    budget: CallBudget
+    entries: dict[DocumentName, Entry] = field(default_factory=dict)
+    retired: dict[DocumentName, Entry] = field(default_factory=dict)
+    peers: PeersChanged = NO_PEERS
+    now: float = 0
+    started_at: float | None = None
+    sync_at: float = 0
+    digest_at: float = 0
+    join_at: float = 0
+    effects: list[Effect] = field(default_factory=list)
--- a/src/laburnumyard/core/membership/__init__.py
+++ b/src/laburnumyard/core/membership/__init__.py
@@ -1,12 +1,13 @@
 """Membership: who is live, who leaves, and who takes which role.
 
 A shell keeps one `MemberTable`. It feeds `Tick` about every 0.1 s, each
-`Heartbeat`, `Gossip`, `Members` and `MemberDigests` message as the event of that
-kind, `ScopesHeld` when this daemon's lease managers change, and the outcome of
-each `Probe` and `ReadVmList`. A probe is ``pool.request(peer, Ping)``; any answer
-of a peer may be fed as `ProbeAnswered`, at most once a second. `LinkLost` is for
-a link that broke while the peer was thought live. It runs the effects in order:
-`SendHeartbeat` and `Send` by ``pool.send``, to ``table.address_of(daemon)``.
+`Heartbeat`, `Gossip`, `Members` and `MemberDigests` message as the event of
+that kind, `ScopesHeld` when this daemon's lease managers change, and the
+outcome of each `Probe` and `ReadVmList`. A probe is ``pool.request(peer,
+Ping)``; any answer of a peer may be fed as `ProbeAnswered`, at most once a
+second. `LinkLost` is for a link that broke while the peer was thought live. It
+runs the effects in order: `SendHeartbeat` and `Send` by ``pool.send``, to
+``table.address_of(daemon)``.
 
 The shell sets ``table.state.documents_digest`` from the documents. It stops
 taking part when ``table.state.is_superseded``, and takes no role while
@@ -27,12 +28,14 @@
     Event,
     GossipHeard,
     HeartbeatHeard,
-    Leave,
     LinkLost,
-    ListedVm,
     MembersHeard,
     ProbeAnswered,
     ProbeFailed,
+)
+from laburnumyard.core.membership._inputs import (
+    Leave,
+    ListedVm,
     Scope,
     ScopesHeld,
     Tick,
--- a/src/laburnumyard/core/membership/_believing.py
+++ b/src/laburnumyard/core/membership/_believing.py
@@ -9,7 +9,7 @@
     Identity,
     Member,
     MemberState,
-    to_message,
+    news_about,
 )
 from laburnumyard.core.membership._state import TableState
 from laburnumyard.schema._generated import messages
@@ -109,7 +109,7 @@
 
 def tell(state: TableState, daemon: DaemonName, member: Member) -> None:
     """Tell a daemon what is said of a member, often of itself."""
-    news = messages.Gossip(members=(to_message(member),))
+    news = messages.Gossip(members=(news_about(member),))
     state.effects.append(Send(daemon, news))
 
 
--- a/src/laburnumyard/core/membership/_digests.py
+++ b/src/laburnumyard/core/membership/_digests.py
@@ -2,31 +2,35 @@
 
 import struct
 from collections.abc import Iterable
+from functools import lru_cache
 
 import xxhash
 
 from laburnumyard.core.membership._member import Identity
 
 BUCKETS = 64
+# How many members' digests are kept.
+CACHED = 4096
 LAYOUT = struct.Struct(f'>{BUCKETS}Q')
-DIGEST_MASK = (1 << 64) - 1
 
 
+@lru_cache(CACHED)
 def bucket_of(daemon: str) -> int:
     """Return the bucket of a member."""
     return xxhash.xxh3_64_intdigest(daemon.encode()) % BUCKETS
 
 
+@lru_cache(CACHED)
 def digest_of(identity: Identity, is_leaving: bool) -> int:
     """Return the digest of what two tables should agree on.
 
     Suspicions are left out, as they are soft and differ from place to place.
     """
-    fields = f'{identity.daemon}\n{identity.incarnation}\n{is_leaving:d}'
+    fields = f'{identity.daemon}\n{identity.incarnation}\n{is_leaving}'
     return xxhash.xxh3_64_intdigest(fields.encode())
 
 
-def to_buckets(members: Iterable[tuple[Identity, bool]]) -> tuple[int, ...]:
+def digest_buckets(members: Iterable[tuple[Identity, bool]]) -> tuple[int, ...]:
     """Return the digest of each bucket.
 
     Parameters
@@ -39,7 +43,7 @@
     tuple of int
         One number of 64 bits for each bucket, whatever the order of members.
     """
-    buckets = [0] * BUCKETS
+    buckets = [0 for _ in range(BUCKETS)]
     for identity, is_leaving in members:
         place = bucket_of(identity.daemon)
         buckets[place] ^= digest_of(identity, is_leaving)
@@ -60,4 +64,4 @@
 
 def join_buckets(buckets: tuple[int, ...]) -> int:
     """Return one digest of the whole table."""
-    return xxhash.xxh3_64_intdigest(pack_buckets(buckets)) & DIGEST_MASK
+    return xxhash.xxh3_64_intdigest(pack_buckets(buckets))
--- a/src/laburnumyard/core/membership/_directory.py
+++ b/src/laburnumyard/core/membership/_directory.py
@@ -4,7 +4,7 @@
 from typing import TypeVar
 
 from laburnumyard.core.ids import DaemonName, DataCentre, Region, TargetName
-from laburnumyard.core.membership._events import Scope
+from laburnumyard.core.membership._inputs import Scope
 from laburnumyard.core.membership._member import Identity, Member, MemberState
 from laburnumyard.core.membership._roles import (
     READERS_PER_DATA_CENTRE,
--- a/src/laburnumyard/core/membership/_member.py
+++ b/src/laburnumyard/core/membership/_member.py
@@ -107,7 +107,7 @@
         return MemberState.LIVE
 
 
-def to_message(member: Member) -> messages.Member:
+def news_about(member: Member) -> messages.Member:
     """Return the news of a member for another daemon."""
     return messages.Member(
         daemon=member.identity.daemon,
@@ -121,7 +121,7 @@
     )
 
 
-def to_identity(news: messages.Member) -> Identity:
+def identity_in(news: messages.Member) -> Identity:
     """Return who a piece of news is about."""
     return Identity(
         DaemonName(news.daemon),
@@ -153,11 +153,11 @@
     if news.incarnation < known:
         return False
     if news.incarnation > known:
-        member.restart(to_identity(news))
+        member.restart(identity_in(news))
         take_beliefs(member, news)
         return True
     if news.peer_address != member.identity.address:
-        member.identity = to_identity(news)
+        member.identity = identity_in(news)
     if member.is_leaving:
         return False
     if news.leaving or news.refutation > member.refutation:
--- a/src/laburnumyard/core/membership/_reacting.py
+++ b/src/laburnumyard/core/membership/_reacting.py
@@ -4,6 +4,7 @@
 
 from laburnumyard.core.ids import DaemonName, Incarnation
 from laburnumyard.core.membership import _events as events
+from laburnumyard.core.membership import _inputs as inputs
 from laburnumyard.core.membership._believing import (
     add_member,
     hear,
@@ -16,9 +17,9 @@
 from laburnumyard.core.membership._member import (
     Member,
     MemberState,
+    identity_in,
     merge,
     take_beliefs,
-    to_identity,
 )
 from laburnumyard.core.membership._state import TableState
 from laburnumyard.core.membership._syncing import (
@@ -37,27 +38,25 @@
 
 
 @react.register
-def _(event: events.Tick, state: TableState) -> None:
+def _(event: inputs.Tick, state: TableState) -> None:
     tick(state)
 
 
 @react.register
-def _(event: events.VmListRead, state: TableState) -> None:
+def _(event: inputs.VmListRead, state: TableState) -> None:
     listed = {vm.identity.daemon: vm for vm in event.vms}
     listed.pop(state.myself.daemon, None)
     for daemon, member in state.members.items():
         member.is_listed = daemon in listed
     for daemon, vm in listed.items():
-        member = state.members.get(daemon)
-        if member is None:
-            member = add_member(state, vm.identity)
-        _take_listing(state, member, vm)
+        found = state.members.get(daemon)
+        _take_listing(state, found or add_member(state, vm.identity), vm)
 
 
 def _take_listing(
     state: TableState,
     member: Member,
-    vm: events.ListedVm,
+    vm: inputs.ListedVm,
 ) -> None:
     """Take the list's word for a leaving VM, once for each incarnation."""
     member.is_listed = True
@@ -69,7 +68,7 @@
 
 
 @react.register
-def _(event: events.VmListUnavailable, state: TableState) -> None:
+def _(event: inputs.VmListUnavailable, state: TableState) -> None:
     state.schedule.vm_list = state.now + state.settings.vm_list_interval_s
 
 
@@ -128,7 +127,7 @@
         return False
     member = state.members.get(DaemonName(news.daemon))
     if member is None:
-        member = add_member(state, to_identity(news))
+        member = add_member(state, identity_in(news))
         take_beliefs(member, news)
         settle(state, member)
         return True
@@ -179,12 +178,12 @@
 
 
 @react.register
-def _(event: events.ScopesHeld, state: TableState) -> None:
+def _(event: inputs.ScopesHeld, state: TableState) -> None:
     state.scopes = event.scopes
 
 
 @react.register
-def _(event: events.Leave, state: TableState) -> None:
+def _(event: inputs.Leave, state: TableState) -> None:
     if state.directory.is_leaving:
         return
     state.directory.is_leaving = True
--- a/src/laburnumyard/core/membership/_roles.py
+++ b/src/laburnumyard/core/membership/_roles.py
@@ -5,7 +5,7 @@
 from itertools import chain, zip_longest
 
 from laburnumyard.core.ids import DaemonName, DataCentre, Region
-from laburnumyard.core.membership._events import Scope
+from laburnumyard.core.membership._inputs import Scope
 from laburnumyard.core.membership._member import Identity
 from laburnumyard.core.rendezvous import rank
 
@@ -86,10 +86,8 @@
         if other.daemon != watched.daemon:
             names[other.region].append(other.daemon)
     role = f'watch/{watched.daemon}'
-    return tuple(
-        DaemonName(name)
-        for region in sorted(names)
-        for name in rank(role, names[region])[
-            : near if region == watched.region else 1
-        ]
-    )
+    chosen: list[str] = []
+    for region in sorted(names):
+        count = near if region == watched.region else 1
+        chosen.extend(rank(role, names[region])[:count])
+    return tuple(map(DaemonName, chosen))
--- a/src/laburnumyard/core/membership/_rumours.py
+++ b/src/laburnumyard/core/membership/_rumours.py
@@ -26,7 +26,7 @@
         self.settings = settings
         self.draw = draw
         self.left: dict[DaemonName, int] = {}
-        self.due_at = 0.0
+        self.due_at = float(0)
 
     def add(self, daemon: DaemonName) -> None:
         """Pass on the newest news of a member."""
--- a/src/laburnumyard/core/membership/_state.py
+++ b/src/laburnumyard/core/membership/_state.py
@@ -6,7 +6,7 @@
 from laburnumyard.core.ids import DaemonName
 from laburnumyard.core.membership._directory import Directory
 from laburnumyard.core.membership._effects import Effect
-from laburnumyard.core.membership._events import Scope
+from laburnumyard.core.membership._inputs import Scope
 from laburnumyard.core.membership._member import Identity, Member
 from laburnumyard.core.membership._rumours import Rumours
 from laburnumyard.core.membership._settings import MembershipSettings
@@ -95,7 +95,7 @@
 
     @property
     def myself(self) -> Identity:
-        """This daemon."""
+        """The daemon that keeps the table."""
         return self.directory.myself
 
     @property
--- a/src/laburnumyard/core/membership/_syncing.py
+++ b/src/laburnumyard/core/membership/_syncing.py
@@ -6,9 +6,9 @@
 from laburnumyard.core.membership._believing import own_news
 from laburnumyard.core.membership._digests import (
     bucket_of,
+    digest_buckets,
     join_buckets,
     pack_buckets,
-    to_buckets,
     unpack_buckets,
 )
 from laburnumyard.core.membership._effects import Send
@@ -16,7 +16,7 @@
     UNHEARD,
     Member,
     MemberState,
-    to_message,
+    news_about,
 )
 from laburnumyard.core.membership._state import TableState
 from laburnumyard.schema._generated import messages
@@ -43,7 +43,7 @@
         if is_told(member)
     )
     mine = (state.myself, state.directory.is_leaving)
-    return to_buckets((mine, *others))
+    return digest_buckets((mine, *others))
 
 
 def own_digest(state: TableState) -> int:
@@ -103,4 +103,4 @@
         yield own_news(state)
     for daemon, member in state.members.items():
         if is_told(member) and bucket_of(daemon) in buckets:
-            yield to_message(member)
+            yield news_about(member)
--- a/src/laburnumyard/core/membership/_table.py
+++ b/src/laburnumyard/core/membership/_table.py
@@ -5,7 +5,8 @@
 from laburnumyard.core.ids import DaemonName, DataCentre, TargetName
 from laburnumyard.core.membership._directory import Directory
 from laburnumyard.core.membership._effects import Effect
-from laburnumyard.core.membership._events import Event, Scope
+from laburnumyard.core.membership._events import Event
+from laburnumyard.core.membership._inputs import Scope
 from laburnumyard.core.membership._member import Identity
 from laburnumyard.core.membership._reacting import react
 from laburnumyard.core.membership._settings import MembershipSettings
--- a/src/laburnumyard/core/membership/_ticking.py
+++ b/src/laburnumyard/core/membership/_ticking.py
@@ -19,7 +19,7 @@
 from laburnumyard.core.membership._member import (
     Member,
     MemberState,
-    to_message,
+    news_about,
 )
 from laburnumyard.core.membership._roles import watchers_of
 from laburnumyard.core.membership._settings import VM_ENTRY_BYTES
@@ -194,10 +194,11 @@
     batch: tuple[DaemonName, ...],
 ) -> Iterator[messages.Member]:
     for daemon in batch:
+        member = state.members.get(daemon)
         if daemon == state.myself.daemon:
             yield own_news(state)
-        elif daemon in state.members:
-            yield to_message(state.members[daemon])
+        elif member is not None:
+            yield news_about(member)
 
 
 def _clean(state: TableState) -> None:
--- a/src/laburnumyard/daemon/_router.py
+++ b/src/laburnumyard/daemon/_router.py
@@ -104,9 +104,7 @@
                 return outcome
             kind = outcome.error.kind
             remaining = job.deadline - boot_time()
-            if not may_retry(
-                kind, job.repeatable, remaining, job.hops, budget
-            ):
+            if not may_retry(kind, job.repeatable, remaining, job.hops, budget):
                 return outcome
             budget.spend()
             job.hops += 1
@@ -142,9 +140,7 @@
 
     async def _pause(self, job: Job, kind: ErrorKind, tries: int) -> None:
         self.metrics.count('retries')
-        log_event(
-            Event.RETRIED, request=job.request_id, kind=kind, tries=tries
-        )
+        log_event(Event.RETRIED, request=job.request_id, kind=kind, tries=tries)
         await anyio.sleep(retry_delay(tries, draw_fraction()))
 
     def _budget(self, service: ServiceName) -> RetryBudget:
--- a/src/laburnumyard/daemon/_submits.py
+++ b/src/laburnumyard/daemon/_submits.py
@@ -219,9 +219,7 @@
         return SubmitAnswer(number, kind, failure.detail, 0, (), b'')
     response = outcome.ok
     headers = _headers(response.headers)
-    return SubmitAnswer(
-        number, '', '', response.status, headers, response.body
-    )
+    return SubmitAnswer(number, '', '', response.status, headers, response.body)
 
 
 def _outcome(answer: SubmitAnswer) -> Outcome:
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -136,6 +136,7 @@
 
     head: bytes
     chunks: tuple[ChunkPatch, ...]
+    revision: int
 
 
 def _write_document_patch(message: DocumentPatch, builder: Any) -> None:
@@ -144,12 +145,14 @@
     slots = builder.init('chunks', len(parts))
     for slot, part in zip(slots, parts, strict=True):
         _write_chunk_patch(part, slot)
+    builder.revision = message.revision
 
 
 def _read_document_patch(reader: Any) -> DocumentPatch:
     return DocumentPatch(
         head=reader.head,
         chunks=tuple(map(_read_chunk_patch, reader.chunks)),
+        revision=reader.revision,
     )
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -139,6 +139,8 @@
 struct DocumentPatch {
   head @0 :Data;
   chunks @1 :List(ChunkPatch);
+  # The store's revision of the head.
+  revision @2 :UInt64;
 }
 
 struct ChunkPatch {
