--- a/src/laburnumyard/platform/_endpoint.py
+++ b/src/laburnumyard/platform/_endpoint.py
@@ -219,7 +219,8 @@
         connection: httpcore.AsyncHTTPConnection,
     ) -> None:
         # A connection whose answer was not read whole is not idle.
-        if connection.is_idle() and len(self.idle) < MAX_IDLE_CONNECTIONS:
+        is_kept = connection.is_idle() and not connection.has_expired()
+        if is_kept and len(self.idle) < MAX_IDLE_CONNECTIONS:
             self.idle.append(connection)
             return
         with anyio.CancelScope(shield=True):
--- a/src/laburnumyard/platform/_target_connection.py
+++ b/src/laburnumyard/platform/_target_connection.py
@@ -74,6 +74,7 @@
         try:
             await asyncio.wait_for(connecting, timeout_s)
         except TimeoutError:
+            connection.close()
             return connection.fail(FailureKind.TIMEOUT, has_left=False)
         except OSError as refusal:
             return connection.fail(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,3 +1,6 @@
+from functools import partial
+from random import Random
+
 import anyio
 import pytest
 from testtools.assertions import assert_that
@@ -105,11 +108,11 @@
         has_change_two,
     )
     assert_that(swapped.ok.content, Equals(b'change-2'))
+    assert_that(platform_app.api.store.read(KEY).content, Equals(b'change-2'))
     assert_that(platform_app.calls['write'], Equals(2))
     assert_that(platform_app.calls['read'], Equals(1))
 
 
-@pytest.mark.cell(step='take-over', fault='write-answer-lost')
 async def test_swap_writes_again_only_after_reading_back(scripted, make_store):
     answer = (
         b'HTTP/1.1 200 OK\r\netag: "%d"\r\n'
@@ -123,7 +126,6 @@
     assert_that(swapped.ok, Equals(Stored(KEY, b'change-2', 8)))
 
 
-@pytest.mark.cell(step='take-over', fault='store-down')
 async def test_swap_stays_unknown_while_the_store_is_silent(
     scripted,
     make_store,
@@ -154,6 +156,60 @@
     assert_that(swapped.ok, Equals(other.ok))
 
 
+async def publish(store, change):
+    """Add a change to those that the key lists; True once acknowledged."""
+    kind = StoreErrorKind.CONFLICT
+    while kind is StoreErrorKind.CONFLICT:
+        found = await store.read(KEY)
+        swapped = await store.swap(
+            KEY,
+            b'%s,%s' % (found.ok.content, change),
+            found.ok.revision,
+            partial(lists, change),
+        )
+        kind = swapped.error.kind if swapped.is_error() else None
+    return kind is None
+
+
+def lists(change, content):
+    return change in content.split(b',')
+
+
+@pytest.mark.parametrize('seed', range(5))
+@pytest.mark.cell(step='publish', fault='racing-operators')
+@pytest.mark.cell(step='publish', fault='write-answer-lost')
+async def test_racing_changes_with_lost_answers_apply_once(
+    store,
+    platform_app,
+    seed,
+):
+    random = Random(seed)
+    acknowledged = []
+    await store.write(KEY, b'start', None)
+
+    async def operate(name):
+        for number in range(5):
+            change = b'%d-%d' % (name, number)
+            platform_app.faults.lose_write_answers += random.randrange(2)
+            if await publish(store, change):
+                acknowledged.append(change)
+
+    async with anyio.create_task_group() as tasks:
+        for name in range(4):
+            tasks.start_soon(operate, name)
+    kept = platform_app.api.store.read(KEY).content.split(b',')
+    assert_that(sorted(kept), Equals(sorted(set(kept))))
+    assert_that(set(acknowledged) <= set(kept), Is(True))
+    assert_that(acknowledged, HasLength(20))
+
+
+async def test_largest_value_is_kept_whole(store):
+    content = Random(1).randbytes(1024 * 1024)
+    await store.write(KEY, content, None)
+    found = await store.read(KEY)
+    assert_that(found.ok.content, Equals(content))
+
+
 async def test_oversized_value_is_refused_before_the_call(store, platform_app):
     written = await store.write(KEY, bytes(1024 * 1024 + 1), None)
     assert_that(written.error.kind, Is(StoreErrorKind.TOO_LARGE))
@@ -196,7 +252,6 @@
     assert_that(newer.ok, Is(None))
 
 
-@pytest.mark.cell(step='disseminate', fault='store-down')
 async def test_watch_resumes_after_an_outage(
     store_address,
     make_store,
@@ -242,7 +297,6 @@
     assert_that(written.error.kind, Is(StoreErrorKind.UNAVAILABLE))
 
 
-@pytest.mark.cell(step='publish', fault='store-slow')
 async def test_slow_store_meets_the_deadline(
     store_address,
     make_store,
--- a/tests/platform/test_target_connection.py
+++ b/tests/platform/test_target_connection.py
@@ -52,7 +52,6 @@
     assert_that(answered.ok.body.startswith(b'echo=one '), Is(True))
 
 
-@pytest.mark.cell(step='cancel', fault='silent-connection')
 async def test_timeout_closes_and_a_late_answer_reaches_nobody(
     connection,
     target_app,
@@ -67,6 +66,27 @@
     await wait_until(lambda: target_app.state.log.runs[0].cancelled)
 
 
+@pytest.mark.cell(step='send', fault='silent-connection')
+async def test_silent_connection_is_given_up_and_a_new_one_works(
+    connection,
+    target_app,
+    target_address,
+):
+    await connection.send(ask('before'), GENEROUS_S)
+    target_app.state.faults.silent = True
+    target_app.state.settle_faults()
+    silent = await connection.send(ask('silent'), 0.02)
+    assert_that(silent.error.kind, Is(FailureKind.TIMEOUT))
+    assert_that(silent.error.has_left, Is(True))
+    assert_that(connection.is_reusable, Is(False))
+    fresh = await open_to(target_address)
+    sent = await fresh.send(ask('fresh'), GENEROUS_S)
+    assert_that(sent.ok.body.startswith(b'echo=fresh '), Is(True))
+    echoes = [run.echo for run in target_app.state.log.runs]
+    assert_that(echoes, Equals(['before', 'fresh']))
+    fresh.close()
+
+
 async def test_cancellation_closes_the_connection(
     connection,
     target_app,
--- a/tests/platform/test_target_control.py
+++ b/tests/platform/test_target_control.py
@@ -92,7 +92,6 @@
 
 
 @pytest.mark.anyio
-@pytest.mark.cell(step='renew', fault='target-freeze')
 async def test_frozen_target_times_out_and_a_fresh_call_works(
     control,
     target_app,
--- a/tests/standins/test_grants.py
+++ b/tests/standins/test_grants.py
@@ -23,7 +23,6 @@
     assert_that(fence.held(2400), Equals(()))
 
 
-@pytest.mark.cell(step='renew', fault='lease-lapsed')
 def test_late_renewal_extends_nothing_beyond_its_own_reading(fence):
     fence.renew(Lifetime(3, 1, 1000, 1400), 9000)
     assert_that(fence.owns(10, 9000), Is(False))
