--- a/src/laburnumyard/cli/_commands.py
+++ b/src/laburnumyard/cli/_commands.py
@@ -125,8 +125,8 @@
     def publish(
         self,
         *files: str,
-        base: int,
-        note: str,
+        base: int = 0,
+        note: str = '',
         author: str = '',
         store: str = '',
         json: bool = False,
@@ -135,7 +135,8 @@
 
         Args:
             files: All TOML files with objects, or directories of them.
-            base: The version that they replace, as diff shows it; 0 at first.
+            base: The version that they replace, as diff shows it. Only the first
+                publication needs none.
             note: Why, for the history.
             author: Who; the name of the user by default.
             store: The address of the store, such as 10.0.0.1:2379.
--- a/src/laburnumyard/cli/_publication.py
+++ b/src/laburnumyard/cli/_publication.py
@@ -127,13 +127,14 @@
 
 
 def _show_conflict(code: ExitCode, detail: str, conflict: Conflict) -> Report:
-    author = conflict.current.author
+    newest, author = conflict.current.version, conflict.current.author
     lines = (
         detail,
         'your changes:',
         *_indent(conflict.ours),
         f'changes of {author} and others before:',
         *_indent(conflict.theirs),
+        f'once your files hold both, publish with --base={newest}',
     )
     content = {
         'detail': detail,
--- a/src/laburnumyard/platform/publication/_errors.py
+++ b/src/laburnumyard/platform/publication/_errors.py
@@ -31,7 +31,8 @@
     current
         The head in force: the other operator's publication.
     ours
-        What the refused proposal would have changed.
+        What the refused proposal would have changed; without a base, in the
+        configuration in force.
     theirs
         What was changed since the version that the proposal started from.
     """
--- a/src/laburnumyard/platform/publication/_publishing.py
+++ b/src/laburnumyard/platform/publication/_publishing.py
@@ -9,6 +9,7 @@
     Configuration,
     ConfigurationHead,
     EncodedConfiguration,
+    PublishedConfiguration,
     difference,
     encode_configuration,
 )
@@ -190,11 +191,7 @@
     if current.head.version < proposal.base_version:
         return Error(_no_base(proposal, current.head.version))
     base = await _read_base(store, proposal)
-    conflict = Conflict(
-        current.head,
-        ours=difference(base, proposal.configuration),
-        theirs=difference(base, current.configuration),
-    )
+    conflict = _compare(base, current, proposal)
     newest, author = current.head.version, current.head.author
     detail = (
         f'version {newest} of {author} is in force, not '
@@ -203,6 +200,21 @@
     return Error(PublishError(PublishErrorKind.CONFLICT, detail, conflict))
 
 
+def _compare(
+    base: Configuration | None,
+    current: PublishedConfiguration,
+    proposal: Proposal,
+) -> Conflict:
+    if base is None:
+        changes = difference(current.configuration, proposal.configuration)
+        return Conflict(current.head, ours=changes, theirs=())
+    return Conflict(
+        current.head,
+        ours=difference(base, proposal.configuration),
+        theirs=difference(base, current.configuration),
+    )
+
+
 def _no_base(proposal: Proposal, newest: int) -> PublishError:
     detail = (
         f'base {proposal.base_version} was never published; the newest '
--- a/tests/cli/test_publication.py
+++ b/tests/cli/test_publication.py
@@ -47,6 +47,15 @@
     assert_that(content['current']['author'], Equals('rosa'))
 
 
+def test_a_forgotten_base_overwrites_nothing(run, objects_file):
+    publish(run, objects_file, 0)
+    objects_file.write_text(objects_file.read_text().replace('0.25', '0.5'))
+    outcome = run('publish', str(objects_file))
+    assert_that(outcome.code, Equals(ExitCode.CONFLICT))
+    assert_that(outcome.errors, Contains('--base=1'))
+    assert_that(outcome.errors, Contains('changed customer clinic'))
+
+
 def test_an_unknown_outcome_names_the_change(run, store, objects_file):
     store.fail(HEAD_KEY, *[StoreFault.DELAYED for _ in range(3)])
     outcome = publish(run, objects_file, 0)
