--- a/src/laburnumyard/cli/_commands.py
+++ b/src/laburnumyard/cli/_commands.py
@@ -135,8 +135,8 @@
 
         Args:
             files: All TOML files with objects, or directories of them.
-            base: The version that they replace, as diff shows it. Only the first
-                publication needs none.
+            base: The version that they replace, as diff shows it; 0 where
+                nothing was published yet.
             note: Why, for the history.
             author: Who; the name of the user by default.
             store: The address of the store, such as 10.0.0.1:2379.
