Generated models are frozen

A Configuration is shared by all roles of a daemon and must not change under them (--enable-faux-immutability). Nothing in the package changed a model.

--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -211,7 +211,7 @@
             *('--use-field-description', '--use-double-quotes'),
             *('--use-annotated', '--field-constraints'),
             *('--enum-field-as-literal', 'none', '--formatters', 'builtin'),
-            '--set-default-enum-member',
+            *('--set-default-enum-member', '--enable-faux-immutability'),
             *('--collapse-root-models', '--strict-nullable'),
         ],
         check=True,
--- a/src/laburnumyard/schema/_generated/objects.py
+++ b/src/laburnumyard/schema/_generated/objects.py
@@ -10,6 +10,9 @@
 
 
 class Name(RootModel[str]):
+    model_config = ConfigDict(
+        frozen=True,
+    )
     root: Annotated[str, Field(pattern="^[a-z][a-z0-9-]{0,62}$")]
 
 
@@ -29,6 +32,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     name: Annotated[str, Field(pattern="^[a-z][a-z0-9-]{0,62}$")]
     region: Annotated[str, Field(pattern="^[a-z][a-z0-9-]{0,62}$")]
@@ -60,6 +64,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     name: Annotated[str, Field(pattern="^[a-z][a-z0-9-]{0,62}$")]
     service: Annotated[str, Field(pattern="^[a-z][a-z0-9-]{0,62}$")]
@@ -81,6 +86,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     name: Annotated[str, Field(pattern="^[a-z][a-z0-9-]{0,62}$")]
     service: Annotated[str, Field(pattern="^[a-z][a-z0-9-]{0,62}$")]
@@ -110,6 +116,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     service: Annotated[str, Field(pattern="^[a-z][a-z0-9-]{0,62}$")]
     priority_class: Annotated[str, Field(pattern="^[a-z][a-z0-9-]{0,62}$")]
@@ -126,6 +133,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     name: Annotated[str, Field(pattern="^[a-z][a-z0-9-]{0,62}$")]
     rank: Annotated[int, Field(ge=0, le=100)]
@@ -149,6 +157,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     name: Annotated[str, Field(pattern="^[a-z][a-z0-9-]{0,62}$")]
     token_sha256: Annotated[str, Field(pattern="^[0-9a-f]{64}$")]
@@ -165,6 +174,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     service: Annotated[list[Service], Field(validate_default=True)] = []
     key_range: Annotated[list[KeyRange], Field(validate_default=True)] = []
--- a/src/laburnumyard/schema/_generated/settings.py
+++ b/src/laburnumyard/schema/_generated/settings.py
@@ -16,6 +16,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     name: Annotated[str, Field(max_length=64, min_length=1)]
     """
@@ -38,6 +39,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     callers: Annotated[
         str, Field(pattern="^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$")
@@ -66,6 +68,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     token_sha256: Annotated[str, Field(pattern="^([0-9a-f]{64})?$")] = ""
     """
@@ -80,6 +83,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     address: Annotated[
         str, Field(pattern="^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$")
@@ -116,6 +120,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     body_bytes: Annotated[int, Field(ge=1024, le=16777216)] = 262144
     """
@@ -162,6 +167,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     grant_life_s: Annotated[float, Field(gt=0.0)] = 1.4
     """
@@ -215,6 +221,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     level: Level = Level.INFO
     """
@@ -233,6 +240,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     daemon: DaemonSettings
     listen: ListenSettings
