--- a/bench/control/effects.py
+++ b/bench/control/effects.py
@@ -89,7 +89,7 @@
         """Have the other daemon answer, or its VM refuse."""
         if probed.is_running:
             probed.wake_or_wait(partial(self.answer, probed))
-        elif self.daemon not in self.fleet.lost_vms:
+        elif self.daemon not in self.fleet.platform.lost:
             self.settle(membership.ProbeFailed(self.daemon))
 
     def answer(self, probed: Any) -> None:
@@ -115,12 +115,12 @@
 @perform.register
 def _(effect: membership.ReadVmList, node: Any) -> None:
     fleet = node.fleet
-    if not fleet.lists_vms:
+    if not fleet.platform.is_reachable:
         node.table_take(membership.VmListUnavailable())
         return
     vms = tuple(
         membership.ListedVm(one, is_leaving=False)
-        for one in fleet.listed.values()
+        for one in fleet.platform.listed.values()
     )
     read = membership.VmListRead(vms)
     take = partial(node.wake_or_wait, partial(node.table_take, read))
@@ -130,13 +130,17 @@
 @perform.register
 def _(effect: membership.LogDecision, node: Any) -> None:
     fleet = node.fleet
-    fleet.decisions.append((fleet.clock.now, node.identity.daemon, effect))
+    fleet.observer.decisions.append(
+        (fleet.clock.now, node.identity.daemon, effect)
+    )
 
 
 @perform.register
 def _(effect: dissemination.LogRefused, node: Any) -> None:
     fleet = node.fleet
-    fleet.decisions.append((fleet.clock.now, node.identity.daemon, effect))
+    fleet.observer.decisions.append(
+        (fleet.clock.now, node.identity.daemon, effect)
+    )
 
 
 @perform.register
--- a/bench/control/fleet.py
+++ b/bench/control/fleet.py
@@ -42,6 +42,39 @@
     source: dissemination.Source
 
 
+class Observer:
+    """What an outsider notes, whatever the daemons believe.
+
+    Attributes
+    ----------
+    adoptions
+        What came into force at each daemon, in order.
+    decisions
+        The time, the daemon and the effect of each log line.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing noted."""
+        self.adoptions: dict[DaemonName, list[Adoption]] = {}
+        self.decisions: list[tuple[float, DaemonName, object]] = []
+
+
+class FakePlatform:
+    """The list of VMs, and which VMs are really lost.
+
+    Parameters
+    ----------
+    identities
+        The daemons on the list.
+    """
+
+    def __init__(self, identities: tuple[membership.Identity, ...]) -> None:
+        """Start with a list that is right."""
+        self.listed = {one.daemon: one for one in identities}
+        self.is_reachable = True
+        self.lost: set[DaemonName] = set()
+
+
 @dataclass(frozen=True, slots=True)
 class Layout:
     """Where daemons run.
@@ -147,7 +180,8 @@
             return
         self.peers_version = directory.version
         me = self.identity
-        near, far = [], []
+        near: list[DaemonName] = []
+        far: list[DaemonName] = []
         for one in directory.live():
             if one.daemon != me.daemon:
                 is_near = one.data_centre == me.data_centre
@@ -255,12 +289,9 @@
         self.network = Network(self.clock, Random(seed), measures=measures)
         self.store = FakeStore(self.clock)
         self.identities = layout.identities()
-        self.listed = {one.daemon: one for one in self.identities}
-        self.lists_vms = True
-        self.lost_vms: set[DaemonName] = set()
+        self.platform = FakePlatform(self.identities)
         self.nodes: dict[DaemonName, Node] = {}
-        self.adoptions: dict[DaemonName, list[Adoption]] = {}
-        self.decisions: list[tuple[float, DaemonName, object]] = []
+        self.observer = Observer()
         self.dead_store = FakeStore(self.clock, is_down=True)
         self.cut_from_store: set[DaemonName] = set()
 
@@ -268,7 +299,7 @@
         """Start or restart the process of one daemon."""
         node = Node(self, identity)
         self.nodes[identity.daemon] = node
-        self.lost_vms.discard(identity.daemon)
+        self.platform.lost.discard(identity.daemon)
         return node
 
     def restart(self, daemon: DaemonName) -> Node:
@@ -312,7 +343,7 @@
         """End a process; with its VM, even probes are not refused."""
         self.nodes[daemon].is_running = False
         if with_vm:
-            self.lost_vms.add(daemon)
+            self.platform.lost.add(daemon)
 
     def pause(self, daemon: DaemonName, seconds: float) -> None:
         """Stop a process for a while."""
@@ -323,7 +354,8 @@
     def resume(self, node: Node) -> None:
         """Let a process go on with what has come meanwhile."""
         node.is_paused = False
-        inbox, node.inbox = node.inbox, []
+        inbox = node.inbox
+        node.inbox = []
         for work in inbox:
             node.wake_or_wait(work)
 
@@ -346,7 +378,9 @@
             document.version,
             adopted.source,
         )
-        self.adoptions.setdefault(node.identity.daemon, []).append(adoption)
+        self.observer.adoptions.setdefault(node.identity.daemon, []).append(
+            adoption
+        )
 
     def in_force(
         self,
--- a/bench/control/network.py
+++ b/bench/control/network.py
@@ -20,13 +20,17 @@
 Cut = Callable[[Identity, Identity], bool]
 
 
+# When, in which order, and what is called.
+Due = tuple[float, int, Callable[[], None]]
+
+
 class Clock:
     """Virtual time: callbacks in the order of their time."""
 
     def __init__(self) -> None:
         """Start at zero with nothing to do."""
         self.now = float(0)
-        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.queue: list[Due] = []
         self.order = count()
 
     def call_in(self, delay: float, callback: Callable[[], None]) -> None:
@@ -38,8 +42,9 @@
         """Let time pass."""
         stop = self.now + seconds
         while self.queue and self.queue[0][0] <= stop:
-            self.now, _, callback = heapq.heappop(self.queue)
-            callback()
+            due = heapq.heappop(self.queue)
+            self.now = due[0]
+            due[2]()
         self.now = stop
 
 
--- a/src/laburnumyard/core/membership/_settings.py
+++ b/src/laburnumyard/core/membership/_settings.py
@@ -67,7 +67,7 @@
     misses_to_probe: float = 2.0
     misses_to_suspect: float = 3.0
     gossip_fanout: int = 3
-    gossip_rounds: int = 2
+    gossip_rounds: int = 3
     gossip_interval_s: float = 0.1
     gossip_members: int = 24
     hearsay_probe_s: float = 5.0
