--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 lint: setup
 	$(BIN)/ruff format --check --quiet .
 	$(BIN)/ruff check --quiet .
-	$(BIN)/flake8 src tests scripts
+	$(BIN)/flake8 src tests scripts demo bench
 
 contracts: setup
 	$(BIN)/lint-imports --no-cache
--- a/src/laburnumyard/daemon/_dispatcher.py
+++ b/src/laburnumyard/daemon/_dispatcher.py
@@ -11,7 +11,8 @@
 
 from laburnumyard.core import requests
 from laburnumyard.core.errors import ErrorKind, Failure
-from laburnumyard.core.ids import RequestId, Seconds
+from laburnumyard.core.ids import RequestId, Seconds, TargetName
+from laburnumyard.core.routing import RoutingTable
 from laburnumyard.daemon._answers import Response
 from laburnumyard.daemon._clock import boot_time
 from laburnumyard.daemon._jobs import Job
@@ -93,6 +94,32 @@
         for effect in self.queue.handle(event, boot_time()):
             self.carry_out(effect)
 
+    def release(self, target: TargetName, table: RoutingTable) -> None:
+        """Give back the jobs whose key the target no longer owns.
+
+        A job that waits has not run. One that runs is given back only if it
+        may run again.
+        """
+        for waiting in tuple(self.waiting.values()):
+            if table.owner(waiting.job.key_hash) == target:
+                continue
+            if waiting.scope is not None:
+                self._release_running(waiting)
+            elif not waiting.turn.is_set():
+                self._release_waiting(waiting)
+
+    def _release_waiting(self, waiting: _Waiting) -> None:
+        self.feed(requests.CallerGone(waiting.job.request_id))
+        waiting.queued = False
+        waiting.failure = Failure(ErrorKind.NOT_OWNER, 'the key moved')
+        waiting.turn.set()
+
+    def _release_running(self, waiting: _Waiting) -> None:
+        if waiting.job.repeatable:
+            detail = 'the key moved while it ran'
+            waiting.failure = Failure(ErrorKind.TARGET_BROKE_OFF, detail)
+            waiting.scope.cancel()
+
     async def _take_turns(
         self,
         waiting: _Waiting,
--- a/src/laburnumyard/daemon/_node.py
+++ b/src/laburnumyard/daemon/_node.py
@@ -89,6 +89,7 @@
             sender.run_at,
             quarantine,
             self.metrics,
+            lambda daemon: self.members.feed(membership.LinkLost(daemon)),
         )
         ledger = requests.TicketLedger(
             self.view.name, self.view.incarnation, self.settings.limits
@@ -143,6 +144,7 @@
 
     def note_snapshot(self, service: ServiceName, snapshot: Snapshot) -> None:
         """Take in a new assignment."""
+        self.targets.release_moved(service, self.view.tables[service])
         self.ownership.take_snapshot(service, snapshot)
         self.tell_scopes()
 
--- a/src/laburnumyard/daemon/_router.py
+++ b/src/laburnumyard/daemon/_router.py
@@ -2,13 +2,15 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from types import MappingProxyType
 
 import anyio
 from expression import Error, Result
 
 from laburnumyard.core.errors import ErrorKind, Failure
-from laburnumyard.core.ids import DaemonName, ServiceName, TargetName
+from laburnumyard.core.ids import DaemonName, Seconds, ServiceName, TargetName
 from laburnumyard.core.requests import (
+    Fingerprint,
     Quarantine,
     RetryBudget,
     fingerprint_of,
@@ -23,6 +25,19 @@
 from laburnumyard.daemon._view import View
 
 Outcome = Result[Response, Failure]
+# Errors after which another daemon is tried at once.
+PEER_KINDS = frozenset((ErrorKind.PEER_UNREACHABLE, ErrorKind.PEER_BROKE_OFF))
+# How long a newer assignment is waited for after an error, in seconds. A
+# target that is not yet the owner is about to get its grant.
+OWNER_WAITS_S = MappingProxyType(
+    {
+        ErrorKind.NO_OWNER: 0.4,
+        ErrorKind.NOT_OWNER: 0.05,
+        ErrorKind.TARGET_UNREACHABLE: 0.4,
+        ErrorKind.TARGET_BROKE_OFF: 0.1,
+    }
+)
+NOBODY: frozenset[DaemonName] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +56,25 @@
     dispatcher: DaemonName
 
 
+@dataclass(slots=True)
+class Attempt:
+    """A job and what was met on its way so far.
+
+    Parameters
+    ----------
+    job
+        The job.
+    tries
+        Which try this is, from 1.
+    avoided
+        Daemons that were not reached.
+    """
+
+    job: Job
+    tries: int = 1
+    avoided: frozenset[DaemonName] = NOBODY
+
+
 class Router:
     """Has jobs run at the owners of their keys.
 
@@ -56,6 +90,8 @@
         The requests that are suspected of crashing targets.
     metrics
         Where retries are counted.
+    note_lost_peer
+        Told of a daemon that was not reached.
     """
 
     def __init__(
@@ -65,6 +101,7 @@
         run_at: Callable[[Job, Route], Awaitable[Outcome]],
         quarantine: Quarantine,
         metrics: Metrics,
+        note_lost_peer: Callable[[DaemonName], None],
     ) -> None:
         """Start with full retry budgets."""
         self.view = view
@@ -72,6 +109,7 @@
         self.run_at = run_at
         self.quarantine = quarantine
         self.metrics = metrics
+        self.note_lost_peer = note_lost_peer
         self.budgets: dict[ServiceName, RetryBudget] = {}
 
     async def route(self, job: Job) -> Outcome:
@@ -95,53 +133,89 @@
             return Error(refusal)
         budget = self._budget(job.service)
         budget.note_request()
-        tries = 1
+        attempt = Attempt(job)
         while True:
-            outcome = await self._try(job, tries)
-            if outcome.is_ok() or self.quarantine.is_suspect(
-                suspected, boot_time()
+            outcome = await self._try(attempt)
+            if outcome.is_ok() or not self._is_retried(
+                attempt, outcome.error.kind, suspected
             ):
                 return outcome
-            kind = outcome.error.kind
-            remaining = job.deadline - boot_time()
-            if not may_retry(kind, job.repeatable, remaining, job.hops, budget):
-                return outcome
             budget.spend()
-            job.hops += 1
-            await self._pause(job, kind, tries)
-            tries += 1
+            await self._pause(attempt, outcome.error.kind)
 
-    async def _try(self, job: Job, tries: int) -> Outcome:
+    def _is_retried(
+        self,
+        attempt: Attempt,
+        kind: ErrorKind,
+        suspected: Fingerprint,
+    ) -> bool:
+        job = attempt.job
+        now = boot_time()
+        if self.quarantine.is_suspect(suspected, now):
+            return False
+        budget = self._budget(job.service)
+        remaining = Seconds(job.deadline - now)
+        return may_retry(kind, job.repeatable, remaining, job.hops, budget)
+
+    async def _try(self, attempt: Attempt) -> Outcome:
         started = boot_time()
-        route = self.find(job)
+        route = self.find(attempt.job, attempt.avoided)
         if route.is_error():
             return Error(route.error)
         found = route.ok
         if found.dispatcher == self.view.name:
-            outcome = await self.run_here(job, found.target)
+            outcome = await self.run_here(attempt.job, found.target)
         else:
-            outcome = await self.run_at(job, found)
+            outcome = await self.run_at(attempt.job, found)
+        if outcome.is_error() and outcome.error.kind in PEER_KINDS:
+            attempt.avoided |= {found.dispatcher}
+            self.note_lost_peer(found.dispatcher)
         if self.view.settings.log.decisions:
-            _log_route(job, found, tries, outcome, boot_time() - started)
+            _log_route(attempt, found, outcome, boot_time() - started)
         return outcome
 
-    def find(self, job: Job) -> Result[Route, Failure]:
-        """Return the owner of a job's key and its dispatcher."""
+    def find(
+        self,
+        job: Job,
+        avoided: frozenset[DaemonName] = NOBODY,
+    ) -> Result[Route, Failure]:
+        """Return the owner of a job's key and its dispatcher.
+
+        Parameters
+        ----------
+        job
+            The job.
+        avoided
+            Daemons that were not reached a moment ago.
+        """
         table = self.view.tables.get(job.service)
         target = table.owner(job.key_hash) if table else None
         if target is None:
             detail = f'no assignment of {job.service} holds the key yet'
             return Error(Failure(ErrorKind.NO_OWNER, detail))
-        dispatcher = self.view.dispatcher_of(target)
+        dispatcher = self.view.dispatcher_of(target, avoided)
         if dispatcher is None:
             detail = f'no daemon is alive near {target}'
             return Error(Failure(ErrorKind.NO_OWNER, detail))
         return Result.Ok(Route(target, dispatcher))
 
-    async def _pause(self, job: Job, kind: ErrorKind, tries: int) -> None:
+    async def _pause(self, attempt: Attempt, kind: ErrorKind) -> None:
+        job = attempt.job
         self.metrics.count('retries')
-        log_event(Event.RETRIED, request=job.request_id, kind=kind, tries=tries)
-        await anyio.sleep(retry_delay(tries, draw_fraction()))
+        log_event(
+            Event.RETRIED,
+            request=job.request_id,
+            kind=kind,
+            tries=attempt.tries,
+        )
+        wait = OWNER_WAITS_S.get(kind)
+        if wait is not None:
+            with anyio.move_on_after(wait * attempt.tries):
+                await self.view.wait_snapshot(job.service)
+        elif kind not in PEER_KINDS:
+            await anyio.sleep(retry_delay(attempt.tries, draw_fraction()))
+        attempt.tries += 1
+        job.hops += 1
 
     def _budget(self, service: ServiceName) -> RetryBudget:
         budget = self.budgets.get(service)
@@ -152,12 +226,12 @@
 
 
 def _log_route(
-    job: Job,
+    attempt: Attempt,
     route: Route,
-    tries: int,
     outcome: Outcome,
     taken: float,
 ) -> None:
+    job = attempt.job
     log_event(
         Event.ROUTED,
         request=job.request_id,
@@ -165,7 +239,7 @@
         key_hash=job.key_hash,
         target=route.target,
         dispatcher=route.dispatcher,
-        tries=tries,
+        tries=attempt.tries,
         reason='owner',
         outcome='answered' if outcome.is_ok() else outcome.error.kind,
         seconds=f'{taken:.4f}',
--- a/src/laburnumyard/daemon/_run.py
+++ b/src/laburnumyard/daemon/_run.py
@@ -1,6 +1,5 @@
 """Starts a daemon, serves until it is told to leave, and drains it."""
 
-import os
 import signal
 
 import anyio
@@ -28,14 +27,8 @@
         Checked settings.
     """
     configure_log(settings.log)
-    # The loop's library must not use io_uring on the operators' VMs.
-    os.environ['UV_USE_IO_URING'] = '0'
-    anyio.run(
-        serve,
-        settings,
-        backend='asyncio',
-        backend_options={'use_uvloop': True},
-    )
+    # Not uvloop: it opens an io_uring, whatever its switch says.
+    anyio.run(serve, settings, backend='asyncio')
 
 
 async def serve(settings: Settings) -> None:
--- a/src/laburnumyard/daemon/_targets.py
+++ b/src/laburnumyard/daemon/_targets.py
@@ -6,6 +6,7 @@
 from laburnumyard.core.configuration import Configuration
 from laburnumyard.core.errors import ErrorKind, Failure
 from laburnumyard.core.ids import ServiceName, TargetName
+from laburnumyard.core.routing import RoutingTable
 from laburnumyard.daemon._answers import Response
 from laburnumyard.daemon._clock import boot_time
 from laburnumyard.daemon._deaths import DeathWatch
@@ -62,6 +63,12 @@
             change = requests.SettingsChanged(settings)
             self.dispatchers[name].feed(change)
 
+    def release_moved(self, service: ServiceName, table: RoutingTable) -> None:
+        """Give back the jobs whose keys now belong to another target."""
+        for name, dispatcher in self.dispatchers.items():
+            if self.links[name].target.service == service:
+                dispatcher.release(name, table)
+
     def drain(self) -> None:
         """Serve what waits and take nothing new."""
         event = requests.Drain(ErrorKind.SHUTTING_DOWN, serve_waiting=True)
--- a/src/laburnumyard/daemon/_view.py
+++ b/src/laburnumyard/daemon/_view.py
@@ -2,9 +2,12 @@
 
 from dataclasses import dataclass, field
 
+import anyio
+
 from laburnumyard.core.configuration import Configuration
 from laburnumyard.core.ids import (
     DaemonName,
+    DataCentre,
     Incarnation,
     ServiceName,
     TargetName,
@@ -12,12 +15,14 @@
 )
 from laburnumyard.core.membership import UNHEARD, MemberTable
 from laburnumyard.core.ownership import Snapshot
+from laburnumyard.core.rendezvous import rank
 from laburnumyard.core.routing import RoutingTable
 from laburnumyard.schema._generated.objects import Fencing, Target
 from laburnumyard.schema._generated.settings import Settings
 from laburnumyard.wire import Peer
 
 NO_VERSION = Version(0)
+NOBODY: frozenset[DaemonName] = frozenset()
 
 
 @dataclass(slots=True)
@@ -40,6 +45,8 @@
         The routing table of each service.
     is_draining
         Whether the daemon is shutting down.
+    changes
+        Set at the next assignment of a service that somebody waits for.
     """
 
     settings: Settings
@@ -50,6 +57,7 @@
     snapshots: dict[ServiceName, Snapshot] = field(default_factory=dict)
     tables: dict[ServiceName, RoutingTable] = field(default_factory=dict)
     is_draining: bool = False
+    changes: dict[ServiceName, anyio.Event] = field(default_factory=dict)
 
     @property
     def name(self) -> DaemonName:
@@ -61,18 +69,55 @@
         version = snapshot.head.version
         self.snapshots[service] = snapshot
         self.tables[service] = RoutingTable(snapshot.assignment, version)
+        self.changes.pop(service, anyio.Event()).set()
+
+    async def wait_snapshot(self, service: ServiceName) -> None:
+        """Wait for a newer assignment of a service."""
+        if service not in self.changes:
+            self.changes[service] = anyio.Event()
+        await self.changes[service].wait()
 
-    def dispatcher_of(self, name: TargetName) -> DaemonName | None:
+    def dispatcher_of(
+        self,
+        name: TargetName,
+        avoided: frozenset[DaemonName] = NOBODY,
+    ) -> DaemonName | None:
         """Return the daemon that dispatches to a target.
 
-        A target without fencing is dispatched to by its guard alone.
+        Parameters
+        ----------
+        name
+            The target.
+        avoided
+            Daemons that were not reached a moment ago.
+
+        Returns
+        -------
+        DaemonName or None
+            None if nobody can. A target without fencing is dispatched to by
+            its guard alone.
         """
         target = self.configuration.targets.get(name)
         if target is None:
             return None
         if target.fencing is Fencing.none:
             return self._guard_of(name, target)
-        return self.members.dispatcher_of(name, target.data_centre)
+        if not avoided:
+            return self.members.dispatcher_of(name, target.data_centre)
+        return self._next_dispatcher(name, target, avoided)
+
+    def _next_dispatcher(
+        self,
+        name: TargetName,
+        target: Target,
+        avoided: frozenset[DaemonName],
+    ) -> DaemonName | None:
+        near = self.members.in_data_centre(DataCentre(target.data_centre))
+        for group in (near, self.members.live()):
+            names = {each.daemon for each in group} - avoided
+            if names:
+                return DaemonName(rank(f'dispatcher/{name}', names)[0])
+        return None
 
     def peer(self, daemon: DaemonName) -> Peer | None:
         """Return where another daemon listens; None if it is not known."""
--- a/src/standins/_cluster_files.py
+++ b/src/standins/_cluster_files.py
@@ -25,6 +25,8 @@
         The size of each target.
     fencing
         ``token`` or ``none``.
+    work_ms
+        How long a request runs, in milliseconds.
     """
 
     name: str
@@ -32,6 +34,7 @@
     slots: int = 3
     connections: int = 110
     fencing: str = 'token'
+    work_ms: float = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/standins/cluster.py
+++ b/src/standins/cluster.py
@@ -94,9 +94,15 @@
             service=target.service.name,
             slots=target.service.slots,
             fencing=target.service.fencing,
+            journal=self.journal_of(name),
+            work_ms=target.service.work_ms,
         )
         self.spawn(name, command)
 
+    def journal_of(self, name: str) -> Path:
+        """Return the file in which a target notes what it starts to run."""
+        return self.folder / f'{name}.journal'
+
     def start_daemon(self, name: str) -> None:
         """Start one daemon."""
         settings = str(self.folder / f'{name}.toml')
--- a/tests/core/ownership/world.py
+++ b/tests/core/ownership/world.py
@@ -67,7 +67,6 @@
         if both_ways:
             self.cuts.add((other, one))
 
-
     def heal(self, one: str, other: str) -> None:
         """Open the ways between two nodes or data centres."""
         self.cuts -= {(one, other), (other, one)}
