Requests that only look for their owner are retried outside the budget

Cause: after a target's loss its whole queue is routed anew at once; the retry budget (10 % of requests, 10 at once) refused the rest, 10 of 4200 as not-run, although none of them had cost a target any work. Ruled out: hops (tries=1 in the log), deadlines (1.4 s were left). Change: errors of a request that was only looking for its owner cost no budget; hops and deadline still bound it. A suspected member is linked to whatever its incarnation: it may have been restarted while it was cut off.

--- a/src/laburnumyard/core/requests/__init__.py
+++ b/src/laburnumyard/core/requests/__init__.py
@@ -108,6 +108,7 @@
 )
 from laburnumyard.core.requests._retries import (
     RetryBudget,
+    costs_budget,
     may_retry,
     retry_delay,
 )
@@ -155,6 +156,7 @@
     'TicketLedger',
     'Void',
     'WakeAt',
+    'costs_budget',
     'fingerprint_of',
     'may_retry',
     'parse_ticket',
--- a/src/laburnumyard/core/requests/_retries.py
+++ b/src/laburnumyard/core/requests/_retries.py
@@ -28,6 +28,11 @@
     ),
 )
 
+# Errors of requests that have not been sent to the target that owns their key.
+UNLOADING_KINDS = frozenset(
+    (ErrorKind.NO_OWNER, ErrorKind.NOT_OWNER, ErrorKind.PEER_UNREACHABLE),
+)
+
 
 class RetryBudget:
     """The retries of one service at one daemon: a share of its requests.
@@ -57,6 +62,14 @@
         self.retries -= 1
 
 
+def costs_budget(kind: ErrorKind) -> bool:
+    """Tell whether a retry after an error adds load to a target.
+
+    A request that was only looking for its owner has cost no target work.
+    """
+    return kind not in UNLOADING_KINDS
+
+
 def may_retry(
     kind: ErrorKind,
     repeatable: bool,
@@ -88,7 +101,9 @@
     """
     if kind not in RETRIED_KINDS or hops >= HOPS_LIMIT:
         return False
-    if remaining < LEAST_REMAINING_S or not budget.has_retry:
+    if remaining < LEAST_REMAINING_S:
+        return False
+    if costs_budget(kind) and not budget.has_retry:
         return False
     return repeatable or ANSWERS[kind].ran is Ran.NOT_RUN
 
--- a/src/laburnumyard/daemon/_router.py
+++ b/src/laburnumyard/daemon/_router.py
@@ -13,6 +13,7 @@
     Fingerprint,
     Quarantine,
     RetryBudget,
+    costs_budget,
     fingerprint_of,
     may_retry,
     retry_delay,
@@ -140,7 +141,8 @@
                 attempt, outcome.error.kind, suspected
             ):
                 return outcome
-            budget.spend()
+            if costs_budget(outcome.error.kind):
+                budget.spend()
             await self._pause(attempt, outcome.error.kind)
 
     def _is_retried(
--- a/src/laburnumyard/daemon/_view.py
+++ b/src/laburnumyard/daemon/_view.py
@@ -13,7 +13,7 @@
     TargetName,
     Version,
 )
-from laburnumyard.core.membership import UNHEARD, MemberTable
+from laburnumyard.core.membership import MemberState, MemberTable
 from laburnumyard.core.ownership import Snapshot
 from laburnumyard.core.rendezvous import rank
 from laburnumyard.core.routing import RoutingTable
@@ -120,13 +120,17 @@
         return None
 
     def peer(self, daemon: DaemonName) -> Peer | None:
-        """Return where another daemon listens; None if it is not known."""
+        """Return where another daemon listens; None if it is not known.
+
+        A suspected member may have been restarted, so that any incarnation
+        of it will do.
+        """
         member = self.members.state.members.get(daemon)
         if member is None:
             return None
         identity = member.identity
-        is_heard = identity.incarnation != UNHEARD
-        incarnation = identity.incarnation if is_heard else None
+        is_sure = member.state is MemberState.LIVE
+        incarnation = identity.incarnation if is_sure else None
         return Peer(daemon, identity.address, incarnation)
 
     def _guard_of(self, name: TargetName, target: Target) -> DaemonName | None:
