--- a/bench/control/effects.py
+++ b/bench/control/effects.py
@@ -43,7 +43,7 @@
     if network.passes(node.identity, receiver.identity):
         fleet.clock.call_in(
             network.delay(node.identity, receiver.identity),
-            partial(receiver.receive, node.identity.daemon, message),
+            partial(receiver.receive, node.identity, message),
         )
 
 
@@ -87,6 +87,8 @@
 
     def arrive(self, probed: Any) -> None:
         """Have the other daemon answer, or its VM refuse."""
+        if not probed.admits(self.node.identity):
+            return
         if probed.is_running:
             probed.wake_or_wait(partial(self.answer, probed))
         elif self.daemon not in self.fleet.platform.lost:
--- a/bench/control/fleet.py
+++ b/bench/control/fleet.py
@@ -14,6 +14,8 @@
 from laburnumyard.schema._generated import messages
 
 TICK_S = 0.1
+# The least time between two words to the documents about live members.
+PEERS_INTERVAL_S = 0.5
 CONFIG = dissemination.DocumentName('config')
 
 
@@ -155,6 +157,7 @@
         self.is_paused = False
         self.inbox: list[Callable[[], None]] = []
         self.peers_version = -1
+        self.peers_due_at = float(0)
         self.busy_s = float(0)
         self.handled = 0
         self.documents_take(dissemination.NamesChanged(fleet.names))
@@ -176,8 +179,11 @@
     def tell_peers(self) -> None:
         """Tell the documents of the live members when they change."""
         directory = self.table.directory
-        if directory.version == self.peers_version:
+        now = self.fleet.clock.now
+        is_known = directory.version == self.peers_version
+        if is_known or now < self.peers_due_at:
             return
+        self.peers_due_at = now + PEERS_INTERVAL_S
         self.peers_version = directory.version
         me = self.identity
         near: list[DaemonName] = []
@@ -213,9 +219,18 @@
         for effect in effects:
             perform(effect, self)
 
-    def receive(self, sender: DaemonName, message: messages.Message) -> None:
+    def admits(self, sender: membership.Identity) -> bool:
+        """Tell whether another daemon gets a link."""
+        return self.table.admits(sender.daemon, sender.incarnation)
+
+    def receive(
+        self,
+        sender: membership.Identity,
+        message: messages.Message,
+    ) -> None:
         """Take a message, now or after the pause."""
-        self.wake_or_wait(partial(self.take, message, sender))
+        if self.admits(sender):
+            self.wake_or_wait(partial(self.take, message, sender.daemon))
 
     def wake_or_wait(self, work: Callable[[], None]) -> None:
         """Do something, now or after the pause."""
--- a/src/laburnumyard/core/membership/__init__.py
+++ b/src/laburnumyard/core/membership/__init__.py
@@ -9,9 +9,10 @@
 runs the effects in order: `SendHeartbeat` and `Send` by ``pool.send``, to
 ``table.address_of(daemon)``.
 
-The shell sets ``table.state.documents_digest`` from the documents. It stops
-taking part when ``table.state.is_superseded``, and takes no role while
-``table.state.is_stale``: its view is as old as the pause.
+``table.admits`` decides about the hello of each incoming link. The shell sets
+``table.state.documents_digest`` from the documents. It stops taking part when
+``table.state.is_superseded``, and takes no role while ``table.state.is_stale``:
+its view is as old as the pause.
 """
 
 from laburnumyard.core.membership._effects import (
--- a/src/laburnumyard/core/membership/_believing.py
+++ b/src/laburnumyard/core/membership/_believing.py
@@ -62,14 +62,29 @@
     if member.silent_since is None:
         member.silent_since = state.now
     if not member.is_rumoured and member.identity.incarnation != UNHEARD:
-        member.is_rumoured = True
-        state.rumours.add(member.identity.daemon)
+        _start_rumour(state, member)
     settle(state, member)
     member.probe_at = state.now + member.probe_pause_s
     pause = 2 * member.probe_pause_s
     member.probe_pause_s = min(pause, state.settings.probe_backoff_s)
 
 
+def _start_rumour(state: TableState, member: Member) -> None:
+    """Tell others of a suspicion, but ever more seldom if it is refuted.
+
+    A member that only this daemon fails to reach refutes each rumour; without
+    the pause the two would never come to rest.
+    """
+    if state.now < member.rumour_at:
+        return
+    settings = state.settings
+    pause = max(member.rumour_pause_s, settings.rumour_pause_s)
+    member.rumour_at = state.now + pause
+    member.rumour_pause_s = min(2 * pause, settings.rumour_pause_max_s)
+    member.is_rumoured = True
+    state.rumours.add(member.identity.daemon)
+
+
 def hear(
     state: TableState,
     daemon: DaemonName,
@@ -131,6 +146,7 @@
 def refute(state: TableState, refutation: int) -> None:
     """Have everyone told that this daemon is alive after all."""
     state.refutation = max(state.refutation, refutation) + 1
+    state.directory.note_change()
     state.rumours.add(state.myself.daemon)
     log_own(state, Decision.REFUTED)
 
--- a/src/laburnumyard/core/membership/_digests.py
+++ b/src/laburnumyard/core/membership/_digests.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from laburnumyard.core.membership._member import Identity
+from laburnumyard.schema._generated import messages
 
 BUCKETS = 64
 # How many members' digests are kept.
@@ -21,22 +21,22 @@
 
 
 @lru_cache(CACHED)
-def digest_of(identity: Identity, is_leaving: bool) -> int:
-    """Return the digest of what two tables should agree on.
-
-    Suspicions are left out, as they are soft and differ from place to place.
-    """
-    fields = f'{identity.daemon}\n{identity.incarnation}\n{is_leaving}'
+def digest_of(news: messages.Member) -> int:
+    """Return the digest of what two tables should agree on."""
+    fields = (
+        f'{news.daemon}\n{news.incarnation}\n{news.leaving}\n'
+        f'{news.refutation}\n{news.suspected}'
+    )
     return xxhash.xxh3_64_intdigest(fields.encode())
 
 
-def digest_buckets(members: Iterable[tuple[Identity, bool]]) -> tuple[int, ...]:
+def digest_buckets(members: Iterable[messages.Member]) -> tuple[int, ...]:
     """Return the digest of each bucket.
 
     Parameters
     ----------
     members
-        Each member and whether it leaves.
+        What is said of each member.
 
     Returns
     -------
@@ -44,9 +44,8 @@
         One number of 64 bits for each bucket, whatever the order of members.
     """
     buckets = [0 for _ in range(BUCKETS)]
-    for identity, is_leaving in members:
-        place = bucket_of(identity.daemon)
-        buckets[place] ^= digest_of(identity, is_leaving)
+    for news in members:
+        buckets[bucket_of(news.daemon)] ^= digest_of(news)
     return tuple(buckets)
 
 
--- a/src/laburnumyard/core/membership/_member.py
+++ b/src/laburnumyard/core/membership/_member.py
@@ -70,8 +70,12 @@
         Since when this daemon itself fails to reach it, or None.
     changed_at
         When the state changed, in seconds.
+    rumour_at
+        Before when this daemon starts no rumour of it again, in seconds.
+    rumour_pause_s
+        The pause after the next such rumour, in seconds.
     probe_at
-        When a suspected member is probed again, in seconds.
+        When a suspected or doubtful member may be probed again, in seconds.
     probe_pause_s
         The pause before the probe after that, in seconds.
     """
@@ -86,6 +90,8 @@
     listed_leaving: Incarnation | None = None
     heard_at: float | None = None
     silent_since: float | None = None
+    rumour_at: float = 0
+    rumour_pause_s: float = 0
     probe_at: float = 0
     probe_pause_s: float = 0
 
@@ -171,7 +177,8 @@
 
 
 def take_beliefs(member: Member, news: messages.Member) -> None:
-    """Believe of a member what the news says."""
+    """Believe of a member what the news says, against own older evidence."""
+    member.silent_since = None
     member.is_leaving = news.leaving
     member.refutation = news.refutation
     member.is_rumoured = news.suspected
--- a/src/laburnumyard/core/membership/_reacting.py
+++ b/src/laburnumyard/core/membership/_reacting.py
@@ -1,5 +1,6 @@
 """What each event does to the member table."""
 
+from dataclasses import replace
 from functools import singledispatch
 
 from laburnumyard.core.ids import DaemonName, Incarnation
@@ -15,6 +16,7 @@
 )
 from laburnumyard.core.membership._effects import Decision, Probe
 from laburnumyard.core.membership._member import (
+    UNHEARD,
     Member,
     MemberState,
     identity_in,
@@ -50,7 +52,10 @@
         member.is_listed = daemon in listed
     for daemon, vm in listed.items():
         found = state.members.get(daemon)
-        _take_listing(state, found or add_member(state, vm.identity), vm)
+        if found is None:
+            unheard = replace(vm.identity, incarnation=UNHEARD)
+            found = add_member(state, unheard)
+        _take_listing(state, found, vm)
 
 
 def _take_listing(
@@ -100,8 +105,11 @@
 @react.register
 def _(event: events.ProbeFailed, state: TableState) -> None:
     member = state.members.get(event.daemon)
-    if member is not None:
-        suspect(state, member)
+    if member is None:
+        return
+    if member.state is MemberState.LIVE:
+        state.schedule.scan = state.now
+    suspect(state, member)
 
 
 @react.register
@@ -131,13 +139,16 @@
         take_beliefs(member, news)
         settle(state, member)
         return True
-    if _is_refuted_here(state, member, news) or not merge(member, news):
+    if _is_doubtful(state, member, news):
+        _doubt(state, member)
+        return False
+    if not merge(member, news):
         return False
     settle(state, member)
     return True
 
 
-def _is_refuted_here(
+def _is_doubtful(
     state: TableState,
     member: Member,
     news: messages.Member,
@@ -157,6 +168,13 @@
     return state.now - member.heard_at < window
 
 
+def _doubt(state: TableState, member: Member) -> None:
+    """Probe a member instead of believing others, once for each interval."""
+    if state.now >= member.probe_at:
+        member.probe_at = state.now + state.settings.watcher_interval_s
+        state.effects.append(Probe(member.identity.daemon))
+
+
 def _take_own_news(state: TableState, news: messages.Member) -> None:
     own = state.myself.incarnation
     if news.incarnation > own:
--- a/src/laburnumyard/core/membership/_settings.py
+++ b/src/laburnumyard/core/membership/_settings.py
@@ -29,6 +29,11 @@
         The least time between two batches of news, in seconds.
     gossip_members
         How many members one batch holds at most.
+    rumour_pause_s
+        The pause before this daemon suspects the same member aloud again, in
+        seconds; it doubles each time.
+    rumour_pause_max_s
+        The longest such pause, in seconds.
     hearsay_probe_s
         The wait before a member that others suspect is probed, in seconds.
     probe_backoff_s
@@ -37,6 +42,9 @@
         The pause before the first probe of a suspected member, in seconds.
     probe_interval_s
         The least time between probes of suspected members, in seconds.
+    scan_interval_s
+        The interval between probes of live members drawn at random, in
+        seconds. A failed one is followed by the next at once.
     sync_interval_s
         The least time between two comparisons of member tables, in seconds.
     sync_backoff_s
@@ -70,10 +78,13 @@
     gossip_rounds: int = 3
     gossip_interval_s: float = 0.1
     gossip_members: int = 24
+    rumour_pause_s: float = 30.0
+    rumour_pause_max_s: float = 960.0
     hearsay_probe_s: float = 5.0
     probe_backoff_s: float = 60.0
     probe_first_s: float = 1.0
     probe_interval_s: float = 0.5
+    scan_interval_s: float = 2.0
     sync_interval_s: float = 2.0
     sync_backoff_s: float = 30.0
     cleaning_interval_s: float = 5.0
--- a/src/laburnumyard/core/membership/_state.py
+++ b/src/laburnumyard/core/membership/_state.py
@@ -26,6 +26,7 @@
     deputies: float = 0
     watchers: float = 0
     probe: float = 0
+    scan: float = 0
     sync: float = 0
     sync_pause_s: float = 0
     vm_list: float = 0
--- a/src/laburnumyard/core/membership/_syncing.py
+++ b/src/laburnumyard/core/membership/_syncing.py
@@ -37,13 +37,14 @@
 
 
 def _find_buckets(state: TableState) -> tuple[int, ...]:
-    others = (
-        (member.identity, member.is_leaving)
-        for member in state.members.values()
-        if is_told(member)
-    )
-    mine = (state.myself, state.directory.is_leaving)
-    return digest_buckets((mine, *others))
+    return digest_buckets(_told_members(state))
+
+
+def _told_members(state: TableState) -> Iterator[messages.Member]:
+    yield own_news(state)
+    for member in state.members.values():
+        if is_told(member):
+            yield news_about(member)
 
 
 def own_digest(state: TableState) -> int:
@@ -87,20 +88,13 @@
     differing = {
         place for place, digest in enumerate(mine) if digest != theirs[place]
     }
-    found = tuple(_members_in(state, differing))
+    found = tuple(
+        news
+        for news in _told_members(state)
+        if bucket_of(news.daemon) in differing
+    )
     for start in range(0, len(found), MEMBERS_PER_MESSAGE):
         part = found[start : start + MEMBERS_PER_MESSAGE]
         state.effects.append(Send(daemon, messages.Members(members=part)))
     if digests.reply and differing:
         send_digests(state, daemon, reply=False)
-
-
-def _members_in(
-    state: TableState,
-    buckets: set[int],
-) -> Iterator[messages.Member]:
-    if bucket_of(state.myself.daemon) in buckets:
-        yield own_news(state)
-    for daemon, member in state.members.items():
-        if is_told(member) and bucket_of(daemon) in buckets:
-            yield news_about(member)
--- a/src/laburnumyard/core/membership/_table.py
+++ b/src/laburnumyard/core/membership/_table.py
@@ -2,7 +2,12 @@
 
 from collections.abc import Callable
 
-from laburnumyard.core.ids import DaemonName, DataCentre, TargetName
+from laburnumyard.core.ids import (
+    DaemonName,
+    DataCentre,
+    Incarnation,
+    TargetName,
+)
 from laburnumyard.core.membership._directory import Directory
 from laburnumyard.core.membership._effects import Effect
 from laburnumyard.core.membership._events import Event
@@ -78,6 +83,17 @@
         member = self.state.members.get(daemon)
         return member.identity.address if member else None
 
+    def admits(self, daemon: DaemonName, incarnation: Incarnation) -> bool:
+        """Tell whether a daemon may link, by the hello of its link.
+
+        A process that a newer incarnation has replaced is refused by all, so
+        nobody answers its probes and it stays stale.
+        """
+        member = self.state.members.get(daemon)
+        if member is None:
+            return True
+        return incarnation >= member.identity.incarnation
+
     def live(self) -> tuple[Identity, ...]:
         """Return the live members, this daemon included unless it leaves."""
         return self.directory.live()
--- a/src/laburnumyard/core/membership/_ticking.py
+++ b/src/laburnumyard/core/membership/_ticking.py
@@ -39,6 +39,7 @@
     _send_heartbeats(state)
     _check_watched(state)
     _probe_suspect(state)
+    _scan(state)
     _gossip(state)
     _clean(state)
 
@@ -56,6 +57,7 @@
     state.is_stale = True
     state.watches.restart(state.now)
     state.refutation += 1
+    state.directory.note_change()
     state.rumours.add(state.myself.daemon)
     state.schedule.sync = state.now
     log_own(state, Decision.WOKE)
@@ -160,6 +162,21 @@
         state.effects.append(Probe(chosen.identity.daemon))
 
 
+def _scan(state: TableState) -> None:
+    """Probe any live member now and then.
+
+    This finds losses that nobody has told of, as when a member is lost
+    together with all of its watchers.
+    """
+    if state.now < state.schedule.scan:
+        return
+    state.schedule.scan = state.now + state.settings.scan_interval_s
+    candidates = _candidates(state)
+    if candidates:
+        drawn = candidates[int(state.draw() * len(candidates))]
+        state.effects.append(Probe(drawn))
+
+
 def _probe_time(member: Member) -> float:
     return member.probe_at
 
--- /dev/null
+++ b/tests/core/membership/conftest.py
@@ -0,0 +1,81 @@
+from collections import Counter
+
+import pytest
+
+from bench.control.fleet import Fleet, Layout
+
+LETTER = Layout(regions=(4, 4, 3), daemons=690)
+TODAY = Layout(regions=(3,), daemons=9)
+WIDE = Layout(regions=(4, 4, 3), daemons=66)
+MEDIUM = Layout(regions=(3, 3, 3), daemons=27)
+
+
+def beliefs(fleet):
+    """Count how many members each running daemon believes live."""
+    return Counter(len(node.table.live()) for node in fleet.running())
+
+
+def check_all_live(fleet):
+    """Check that each running daemon believes just the running ones live."""
+    running = {node.identity.daemon for node in fleet.running()}
+    for node in fleet.running():
+        believed = {one.daemon for one in node.table.live()}
+        assert believed == running, (
+            f'{node.identity.daemon} at {fleet.clock.now:.1f} s: '
+            f'missing {running - believed}, wrong {believed - running}'
+        )
+
+
+def believers(fleet, daemon):
+    """Return which other running daemons believe a daemon live."""
+    return {
+        node.identity.daemon
+        for node in fleet.running()
+        if node.identity.daemon != daemon
+        and any(one.daemon == daemon for one in node.table.live())
+    }
+
+
+def others(fleet, daemon):
+    """Return the other running daemons."""
+    return {
+        node.identity.daemon
+        for node in fleet.running()
+        if node.identity.daemon != daemon
+    }
+
+
+@pytest.fixture
+def today():
+    """Nine daemons in three data centres that know each other."""
+    fleet = Fleet(TODAY, seed=1)
+    fleet.start_warm()
+    fleet.clock.run(3)
+    return fleet
+
+
+@pytest.fixture
+def medium():
+    """27 daemons in three regions that know each other."""
+    fleet = Fleet(MEDIUM, seed=2)
+    fleet.start_warm()
+    fleet.clock.run(3)
+    return fleet
+
+
+@pytest.fixture
+def letter():
+    """690 daemons in eleven data centres that know each other."""
+    fleet = Fleet(LETTER, seed=3)
+    fleet.start_warm()
+    fleet.clock.run(2)
+    return fleet
+
+
+@pytest.fixture
+def wide():
+    """66 daemons in eleven data centres that know each other."""
+    fleet = Fleet(WIDE, seed=4)
+    fleet.start_warm()
+    fleet.clock.run(2)
+    return fleet
