Operators' orders to move and drain; suspects of a target's death told to all daemons

Also: a daemon that leaves no longer waits 30 s for a successor that does not exist (seen: the second of three daemons to leave did not end within 12 s).

--- a/src/laburnumyard/core/routing.py
+++ b/src/laburnumyard/core/routing.py
@@ -3,7 +3,7 @@
 from bisect import bisect_right
 
 from laburnumyard.core.ids import KeyHash, ServiceName, TargetName, Version
-from laburnumyard.schema._generated.messages import Assignment
+from laburnumyard.schema._generated.messages import Assignment, OwnedRange
 
 
 class RoutingTable:
@@ -37,10 +37,13 @@
         TargetName or None
             The owner as of this version.
         """
+        owned = self.range_of(key_hash)
+        return TargetName(owned.target) if owned else None
+
+    def range_of(self, key_hash: KeyHash) -> OwnedRange | None:
+        """Return the range that holds a key, or None in a hole."""
         position = bisect_right(self.starts, key_hash) - 1
         if position < 0:
             return None
         owned = self.ranges[position]
-        if key_hash > owned.last:
-            return None
-        return TargetName(owned.target)
+        return owned if key_hash <= owned.last else None
--- a/src/laburnumyard/daemon/_inbox.py
+++ b/src/laburnumyard/daemon/_inbox.py
@@ -11,6 +11,7 @@
 from laburnumyard.daemon._members import MembersRunner
 from laburnumyard.daemon._ownership import OwnershipRunner
 from laburnumyard.daemon._submits import SubmitReceiver
+from laburnumyard.daemon._wishes import Wishes
 from laburnumyard.schema._generated import messages
 from laburnumyard.wire import IncomingLink
 
@@ -26,6 +27,8 @@
         The grants that this daemon guards.
     submits
         Runs requests that other daemons pass on.
+    wishes
+        Heeds operators' orders and news of suspects.
     """
 
     def __init__(
@@ -35,6 +38,7 @@
         ownership: OwnershipRunner,
         guards: Guards,
         submits: SubmitReceiver,
+        wishes: Wishes,
     ) -> None:
         """Keep whom messages concern."""
         self.members = members
@@ -42,6 +46,7 @@
         self.ownership = ownership
         self.guards = guards
         self.submits = submits
+        self.wishes = wishes
 
     def take(
         self,
@@ -140,6 +145,26 @@
     ) -> None:
         self.ownership.take_over(message)
 
+    @route.register
+    def _move(self, message: messages.MoveRange, link: IncomingLink) -> None:
+        self.wishes.take_move(message)
+
+    @route.register
+    def _drain(
+        self,
+        message: messages.DrainTarget,
+        link: IncomingLink,
+    ) -> None:
+        self.wishes.take_drain(message)
+
+    @route.register
+    def _suspects(
+        self,
+        message: messages.Suspects,
+        link: IncomingLink,
+    ) -> None:
+        self.wishes.take_suspects(message)
+
     @route.register(messages.GuardSeal)
     @route.register(messages.GuardGrant)
     def _guard(
--- a/src/laburnumyard/daemon/_node.py
+++ b/src/laburnumyard/daemon/_node.py
@@ -24,6 +24,7 @@
 from laburnumyard.daemon._targets import Targets
 from laburnumyard.daemon._tickets import TicketOffice
 from laburnumyard.daemon._view import View
+from laburnumyard.daemon._wishes import Wishes
 from laburnumyard.platform import StoreClient, VmList
 from laburnumyard.schema._generated.messages import Hello
 from laburnumyard.schema._generated.settings import Settings
@@ -50,12 +51,16 @@
         self.build_links()
         self.build_requests()
         self.build_control()
+        self.wishes = Wishes(
+            self.view, self.ownership, self.quarantine, self.pool
+        )
         self.inbox = Inbox(
             self.members,
             self.documents,
             self.ownership,
             self.guards,
             SubmitReceiver(self.targets.run_here, self.office.submit_here),
+            self.wishes,
         )
 
     def build_links(self) -> None:
@@ -79,7 +84,12 @@
     def build_requests(self) -> None:
         """Build what serves requests."""
         quarantine = requests.Quarantine()
-        deaths = DeathWatch(quarantine, lambda suspects: None, self.tasks)
+        deaths = DeathWatch(
+            quarantine,
+            lambda suspects: self.wishes.tell_suspects(suspects),
+            self.tasks,
+        )
+        self.quarantine = quarantine
         sender = SubmitSender(self.view, self.pool)
         self.guards = Guards(self.view)
         self.targets = Targets(self.view, self.guards, deaths)
--- a/src/laburnumyard/daemon/_operations.py
+++ b/src/laburnumyard/daemon/_operations.py
@@ -3,11 +3,17 @@
 from collections.abc import Mapping
 from http import HTTPStatus
 
-from laburnumyard.core.ids import ServiceName
+from laburnumyard.core.ids import ServiceName, TargetName
 from laburnumyard.core.keys import hash_key
 from laburnumyard.daemon._admin import AdminAnswer, AdminRequest, Handler
 from laburnumyard.daemon._clock import boot_time
 from laburnumyard.daemon._node import Node
+from laburnumyard.daemon._wishes import wait_until
+
+UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
+# How long an order to move or drain is waited for, and how often looked at.
+ORDER_TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.05
 
 
 class Operations:
@@ -94,6 +100,88 @@
             }
         )
 
+    async def move(self, request: AdminRequest) -> AdminAnswer:
+        """Move the range of a key to a target and wait until it is there."""
+        service = ServiceName(str(request.message.get('service', '')))
+        target = TargetName(str(request.message.get('target', '')))
+        key = str(request.message.get('key', ''))
+        problem = self._move_problem(service, target, key)
+        if problem:
+            return AdminAnswer({'error': problem}, HTTPStatus.NOT_FOUND)
+        key_hash = hash_key(key)
+        if not self.node.wishes.move(service, key_hash, target):
+            detail = f'the lease manager of {key!r} is not reached; try again'
+            return AdminAnswer({'error': detail}, UNAVAILABLE)
+        tables = self.node.view.tables
+        has_moved = await wait_until(
+            lambda: tables[service].owner(key_hash) == target,
+            ORDER_TIMEOUT_S,
+            POLL_INTERVAL_S,
+        )
+        if has_moved:
+            return AdminAnswer(
+                {'service': service, 'key': key, 'target': target}
+            )
+        return _unknown('the range has not moved yet')
+
+    async def drain(self, request: AdminRequest) -> AdminAnswer:
+        """Empty a target and wait until it owns nothing."""
+        target = TargetName(str(request.message.get('target', '')))
+        if self._service_of(target) is None:
+            return self._no_target(target)
+        self.node.wishes.drain(target, draining=True)
+        is_empty = await wait_until(
+            lambda: not self._owns(target),
+            ORDER_TIMEOUT_S,
+            POLL_INTERVAL_S,
+        )
+        if is_empty:
+            return AdminAnswer({'target': target, 'draining': True})
+        return _unknown(f'{target} still owns ranges')
+
+    async def undrain(self, request: AdminRequest) -> AdminAnswer:
+        """Let a target own ranges again."""
+        target = TargetName(str(request.message.get('target', '')))
+        if self._service_of(target) is None:
+            return self._no_target(target)
+        self.node.wishes.drain(target, draining=False)
+        return AdminAnswer({'target': target, 'draining': False})
+
+    def _move_problem(
+        self,
+        service: ServiceName,
+        target: TargetName,
+        key: str,
+    ) -> str:
+        if service not in self.node.view.tables:
+            known = ', '.join(sorted(self.node.view.tables))
+            return f'service {service!r}: name one of {known}'
+        if self._service_of(target) != service:
+            return f'target {target!r}: name a target of {service}'
+        return '' if key else 'key: name the key whose range is to move'
+
+    def _service_of(self, target: TargetName) -> str | None:
+        configuration = self.node.view.configuration
+        if configuration is None or target not in configuration.targets:
+            return None
+        return configuration.targets[target].service
+
+    def _owns(self, target: TargetName) -> bool:
+        service = ServiceName(str(self._service_of(target)))
+        table = self.node.view.tables.get(service)
+        return table is not None and any(
+            owned.target == target for owned in table.ranges
+        )
+
+    def _no_target(self, target: TargetName) -> AdminAnswer:
+        detail = f'target {target!r}: name a configured target'
+        return AdminAnswer({'error': detail}, HTTPStatus.NOT_FOUND)
+
+
+def _unknown(detail: str) -> AdminAnswer:
+    status = HTTPStatus.GATEWAY_TIMEOUT
+    return AdminAnswer({'error': f'{detail}; look at it again'}, status)
+
 
 def make_handlers(node: Node) -> Mapping[tuple[str, str], Handler]:
     """Return what answers each call of the admin address."""
@@ -104,4 +192,7 @@
         ('GET', '/metrics'): operations.metrics,
         ('GET', '/status'): operations.status,
         ('GET', '/owner'): operations.owner,
+        ('POST', '/move'): operations.move,
+        ('POST', '/drain'): operations.drain,
+        ('POST', '/undrain'): operations.undrain,
     }
--- a/src/laburnumyard/daemon/_ownership.py
+++ b/src/laburnumyard/daemon/_ownership.py
@@ -5,7 +5,13 @@
 from anyio.abc import TaskGroup
 
 from laburnumyard.core import membership, ownership
-from laburnumyard.core.ids import DaemonName, DataCentre, Seconds, ServiceName
+from laburnumyard.core.ids import (
+    DaemonName,
+    DataCentre,
+    Seconds,
+    ServiceName,
+    TargetName,
+)
 from laburnumyard.core.rendezvous import rank
 from laburnumyard.daemon._assignment_store import AssignmentStore
 from laburnumyard.daemon._guards import Guards
@@ -59,6 +65,7 @@
         self.publish = publish
         self.runners: dict[ScopeId, ScopeRunner] = {}
         self.stores: dict[ServiceName, AssignmentStore] = {}
+        self.drained: dict[TargetName, None] = {}
 
     def reconfigure(self) -> None:
         """Take a new configuration: new scopes start, all learn the plan."""
@@ -74,8 +81,8 @@
         snapshot: ownership.Snapshot,
     ) -> None:
         """Tell the managers of a service its newest head."""
-        for runner in self._of_service(service):
-            runner.feed(ownership.HeadRead(snapshot, asked_at=None))
+        news = ownership.HeadRead(snapshot, asked_at=None)
+        self.feed_service(service, news)
         self.assess()
 
     def assess(self) -> None:
@@ -105,15 +112,36 @@
         if runner is not None and not self.view.is_draining:
             runner.feed(ownership.TakeOver())
 
+    def feed_service(
+        self,
+        service: ServiceName,
+        event: ownership.Event,
+    ) -> None:
+        """Hand an event to every manager of a service."""
+        for runner in self._of_service(service):
+            runner.feed(event)
+
+    def drain(self, target: TargetName, draining: bool) -> None:
+        """Empty a target, or use it again, until this daemon ends."""
+        self.drained.pop(target, None)
+        if draining:
+            self.drained[target] = None
+        event = ownership.TargetDraining(target, draining)
+        for runner in self.runners.values():
+            runner.feed(event)
+
     def leave(self) -> None:
         """Hand every scope over."""
         for runner in self.runners.values():
             runner.feed(ownership.Leave())
 
     @property
-    def is_idle(self) -> bool:
-        """Whether this daemon manages nothing."""
-        return all(each.manager.is_idle for each in self.runners.values())
+    def is_handed_over(self) -> bool:
+        """Whether this daemon manages nothing that another could manage."""
+        return all(
+            runner.manager.is_idle or self._successor(scope) is None
+            for scope, runner in self.runners.items()
+        )
 
     def _services(self) -> tuple[ServiceName, ...]:
         return tuple(self.view.configuration.services)
@@ -137,6 +165,8 @@
             return
         runner = self._start(scope, plan)
         self.runners[scope] = runner
+        for target in self.drained:
+            runner.feed(ownership.TargetDraining(target))
         snapshot = self.view.snapshots.get(scope.service)
         if snapshot is not None:
             runner.feed(ownership.HeadRead(snapshot, asked_at=None))
@@ -168,10 +198,8 @@
     def _is_due(self, scope: ScopeId) -> bool:
         """Tell whether this daemon is to take a scope over now."""
         members = self.view.members
-        first = members.manager_of(
-            membership.Scope(scope.service, scope.data_centre)
-        )
-        if first != self.view.name:
+        wanted = membership.Scope(scope.service, scope.data_centre)
+        if members.manager_of(wanted) != self.view.name:
             return False
         snapshot = self.view.snapshots.get(scope.service)
         held = snapshot and snapshot.head.scopes.get(scope.data_centre)
@@ -183,14 +211,16 @@
         return held.manager not in live
 
     def _offer(self, scope: ScopeId) -> None:
-        wanted = membership.Scope(scope.service, scope.data_centre)
-        successor = self.view.members.manager_of(wanted)
-        if successor is None or successor == self.view.name:
-            return
-        peer = self.view.peer(successor)
+        successor = self._successor(scope)
+        peer = self.view.peer(successor) if successor else None
         if peer is not None:
             self.pool.send(peer, HandOver(scope.service, scope.data_centre))
 
+    def _successor(self, scope: ScopeId) -> DaemonName | None:
+        wanted = membership.Scope(scope.service, scope.data_centre)
+        successor = self.view.members.manager_of(wanted)
+        return None if successor == self.view.name else successor
+
     def _tell_guards(self, scope: ScopeId, runner: ScopeRunner) -> None:
         for target in self.view.configuration.service_targets(scope.service):
             is_here = target.data_centre == scope.data_centre
--- a/src/laburnumyard/daemon/_run.py
+++ b/src/laburnumyard/daemon/_run.py
@@ -100,6 +100,6 @@
     return (
         node.entry.in_flight == 0
         and node.targets.is_idle
-        and node.ownership.is_idle
+        and node.ownership.is_handed_over
         and node.office.ledger.running == 0
     )
--- /dev/null
+++ b/src/laburnumyard/daemon/_wishes.py
@@ -0,0 +1,144 @@
+"""Operators' orders and news of suspects, on their way between daemons."""
+
+from collections.abc import Callable
+
+import anyio
+
+from laburnumyard.core import ownership, requests
+from laburnumyard.core.ids import (
+    DaemonName,
+    KeyHash,
+    Seconds,
+    ServiceName,
+    TargetName,
+)
+from laburnumyard.daemon._clock import MILLISECONDS_PER_SECOND, boot_time
+from laburnumyard.daemon._ownership import OwnershipRunner
+from laburnumyard.daemon._view import View
+from laburnumyard.schema._generated import messages
+from laburnumyard.wire import LinkPool
+
+
+class Wishes:
+    """Carries orders to lease managers, and suspects to every daemon.
+
+    Parameters
+    ----------
+    view
+        The heads and the members.
+    ownership
+        The lease managers of this daemon.
+    quarantine
+        The suspects that this daemon knows.
+    pool
+        The links to the other daemons.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        ownership_runner: OwnershipRunner,
+        quarantine: requests.Quarantine,
+        pool: LinkPool,
+    ) -> None:
+        """Keep whom orders concern."""
+        self.view = view
+        self.ownership = ownership_runner
+        self.quarantine = quarantine
+        self.pool = pool
+
+    def move(
+        self,
+        service: ServiceName,
+        key_hash: KeyHash,
+        target: TargetName,
+    ) -> bool:
+        """Order the range of a key to a target.
+
+        Returns
+        -------
+        bool
+            Whether the lease manager of the range's owner was reached.
+        """
+        table = self.view.tables[service]
+        owned = table.range_of(key_hash)
+        if owned is None:
+            return False
+        order = messages.MoveRange(service, owned.start, owned.last, target)
+        manager = self._manager_of(service, TargetName(owned.target))
+        if manager == self.view.name:
+            self.take_move(order)
+            return True
+        peer = self.view.peer(manager) if manager else None
+        return peer is not None and self.pool.send(peer, order).is_ok()
+
+    def take_move(self, order: messages.MoveRange) -> None:
+        """Heed an order to move a range."""
+        owned = messages.OwnedRange(order.start, order.last, order.target)
+        wish = ownership.MoveRequested(
+            ownership.hash_range(owned), TargetName(order.target)
+        )
+        self.ownership.feed_service(ServiceName(order.service), wish)
+
+    def drain(self, target: TargetName, *, draining: bool) -> None:
+        """Order every daemon to empty a target, or to use it again."""
+        order = messages.DrainTarget(target, draining)
+        self.take_drain(order)
+        self._broadcast(order)
+
+    def take_drain(self, order: messages.DrainTarget) -> None:
+        """Heed an order to empty a target."""
+        self.ownership.drain(TargetName(order.target), order.draining)
+
+    def tell_suspects(self, suspects: tuple[requests.Suspect, ...]) -> None:
+        """Tell every daemon of requests after which a target died."""
+        self._broadcast(messages.Suspects(tuple(map(_wire, suspects))))
+
+    def take_suspects(self, news: messages.Suspects) -> None:
+        """Merge what another daemon knows of suspects."""
+        suspects = tuple(map(_suspect, news.suspects))
+        self.quarantine.merge(suspects, boot_time())
+
+    def _manager_of(
+        self,
+        service: ServiceName,
+        target: TargetName,
+    ) -> DaemonName | None:
+        head = self.view.snapshots[service].head
+        scope = head.scopes.get(head.homes.get(target))
+        return scope.manager if scope else None
+
+    def _broadcast(self, message: messages.Message) -> None:
+        for member in self.view.members.live():
+            peer = self.view.peer(member.daemon)
+            if peer is not None:
+                self.pool.send(peer, message)
+
+
+async def wait_until(
+    condition: Callable[[], bool],
+    timeout_s: float,
+    interval_s: float,
+) -> bool:
+    """Wait for a condition; return whether it came to hold in time."""
+    with anyio.move_on_after(timeout_s):
+        # The condition is of state that many events change.
+        while not condition():  # noqa: ASYNC110
+            await anyio.sleep(interval_s)
+    return condition()
+
+
+def _wire(suspect: requests.Suspect) -> messages.SuspectRequest:
+    return messages.SuspectRequest(
+        fingerprint=suspect.fingerprint,
+        deaths=tuple(map(messages.Death, sorted(suspect.deaths))),
+        remaining_ms=int(suspect.remaining * MILLISECONDS_PER_SECOND),
+    )
+
+
+def _suspect(news: messages.SuspectRequest) -> requests.Suspect:
+    return requests.Suspect(
+        requests.Fingerprint(news.fingerprint),
+        frozenset(requests.DeathId(death.name) for death in news.deaths),
+        Seconds(news.remaining_ms / MILLISECONDS_PER_SECOND),
+    )
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -75,6 +75,23 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Death:
+    """The message ``Death`` of messages.capnp."""
+
+    name: str
+
+
+def _write_death(message: Death, builder: Any) -> None:
+    builder.name = message.name
+
+
+def _read_death(reader: Any) -> Death:
+    return Death(
+        name=reader.name,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Document:
     """The message ``Document`` of messages.capnp."""
@@ -179,6 +196,26 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class DrainTarget:
+    """The message ``DrainTarget`` of messages.capnp."""
+
+    target: str
+    draining: bool
+
+
+def _write_drain_target(message: DrainTarget, builder: Any) -> None:
+    builder.target = message.target
+    builder.draining = message.draining
+
+
+def _read_drain_target(reader: Any) -> DrainTarget:
+    return DrainTarget(
+        target=reader.target,
+        draining=reader.draining,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class FetchDocument:
     """The message ``FetchDocument`` of messages.capnp."""
@@ -532,6 +569,32 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class MoveRange:
+    """The message ``MoveRange`` of messages.capnp."""
+
+    service: str
+    start: int
+    last: int
+    target: str
+
+
+def _write_move_range(message: MoveRange, builder: Any) -> None:
+    builder.service = message.service
+    builder.start = message.start
+    builder.last = message.last
+    builder.target = message.target
+
+
+def _read_move_range(reader: Any) -> MoveRange:
+    return MoveRange(
+        service=reader.service,
+        start=reader.start,
+        last=reader.last,
+        target=reader.target,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class OwnedRange:
     """The message ``OwnedRange`` of messages.capnp."""
@@ -715,6 +778,52 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class SuspectRequest:
+    """The message ``SuspectRequest`` of messages.capnp."""
+
+    fingerprint: bytes
+    deaths: tuple[Death, ...]
+    remaining_ms: int
+
+
+def _write_suspect_request(message: SuspectRequest, builder: Any) -> None:
+    builder.fingerprint = message.fingerprint
+    parts = message.deaths
+    slots = builder.init('deaths', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_death(part, slot)
+    builder.remainingMs = message.remaining_ms
+
+
+def _read_suspect_request(reader: Any) -> SuspectRequest:
+    return SuspectRequest(
+        fingerprint=reader.fingerprint,
+        deaths=tuple(map(_read_death, reader.deaths)),
+        remaining_ms=reader.remainingMs,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Suspects:
+    """The message ``Suspects`` of messages.capnp."""
+
+    suspects: tuple[SuspectRequest, ...]
+
+
+def _write_suspects(message: Suspects, builder: Any) -> None:
+    parts = message.suspects
+    slots = builder.init('suspects', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_suspect_request(part, slot)
+
+
+def _read_suspects(reader: Any) -> Suspects:
+    return Suspects(
+        suspects=tuple(map(_read_suspect_request, reader.suspects)),
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Versions:
     """The message ``Versions`` of messages.capnp."""
@@ -765,6 +874,9 @@
     | Members
     | DocumentPart
     | DocumentPatch
+    | MoveRange
+    | DrainTarget
+    | Suspects
 )
 
 _WRITERS: dict[type, Any] = {
@@ -788,6 +900,9 @@
     Members: ('members', _write_members),
     DocumentPart: ('documentPart', _write_document_part),
     DocumentPatch: ('documentPatch', _write_document_patch),
+    MoveRange: ('moveRange', _write_move_range),
+    DrainTarget: ('drainTarget', _write_drain_target),
+    Suspects: ('suspects', _write_suspects),
 }
 _READERS: dict[str, Any] = {
     'hello': _read_hello,
@@ -810,6 +925,9 @@
     'members': _read_members,
     'documentPart': _read_document_part,
     'documentPatch': _read_document_patch,
+    'moveRange': _read_move_range,
+    'drainTarget': _read_drain_target,
+    'suspects': _read_suspects,
 }
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -223,6 +223,35 @@
   busy @6 :UInt32;
 }
 
+# An operator's order to the lease manager of the range's owner.
+struct MoveRange {
+  service @0 :Text;
+  start @1 :UInt64;
+  last @2 :UInt64;
+  target @3 :Text;
+}
+
+# An operator's order to every daemon, whose lease managers heed it.
+struct DrainTarget {
+  target @0 :Text;
+  draining @1 :Bool;
+}
+
+# Requests after which targets died; every daemon merges them.
+struct Suspects {
+  suspects @0 :List(SuspectRequest);
+}
+
+struct SuspectRequest {
+  fingerprint @0 :Data;
+  deaths @1 :List(Death);
+  remainingMs @2 :UInt32;
+}
+
+struct Death {
+  name @0 :Text;
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -245,5 +274,8 @@
     members @17 :Members;
     documentPart @18 :DocumentPart;
     documentPatch @19 :DocumentPatch;
+    moveRange @20 :MoveRange;
+    drainTarget @21 :DrainTarget;
+    suspects @22 :Suspects;
   }
 }
