Target stand-in: busy counts work on released keys only

A lease manager waits for it before it gives a range to another target; under load all slots are busy for ever, so that a graceful move was always given up.

--- a/src/standins/_target_app.py
+++ b/src/standins/_target_app.py
@@ -94,6 +94,7 @@
             outcome = await self.state.slots.run(job.work_ms, call, start)
         else:
             outcome = start()
+        self.state.running.pop(id(job.run), None)
         job.run.end_ms = read_clock_ms()
         job.run.cancelled = outcome is Outcome.CANCELLED
         return outcome
@@ -106,6 +107,7 @@
         if not self.state.owns(job.run.key_hash):
             return Outcome.NOT_OWNER
         self.state.log.start(job.run)
+        self.state.running[id(job.run)] = job.run
         if job.is_poison:
             os._exit(POISONED_EXIT_CODE)
         return Outcome.DONE
--- a/src/standins/_target_control.py
+++ b/src/standins/_target_control.py
@@ -83,7 +83,7 @@
         'sequence': fence.sequence,
         'clock_ms': now_ms,
         'ranges': export_ranges(fence.held(now_ms)),
-        'busy': state.slots.busy,
+        'busy': state.busy_released,
     }
     await answer_json(call, reply, status)
 
--- a/src/standins/_target_state.py
+++ b/src/standins/_target_state.py
@@ -8,7 +8,7 @@
 import anyio
 
 from standins._grants import Fence
-from standins._runs import RunLog
+from standins._runs import Run, RunLog
 from standins._slots import Slots
 
 NS_PER_MS = 1_000_000
@@ -89,6 +89,7 @@
     clients: set[Any] = field(default_factory=set)
     silent_clients: set[Any] = field(default_factory=set)
     thawed: anyio.Event = field(default_factory=anyio.Event)
+    running: dict[int, Run] = field(default_factory=dict)
     log: RunLog = field(init=False)
     slots: Slots = field(init=False)
 
@@ -115,6 +116,12 @@
             return False
         return self.fence.owns(int(key_hash), int(read_clock_ms()))
 
+    @property
+    def busy_released(self) -> int:
+        """How many requests run on keys that are no longer held."""
+        runs = self.running.values()
+        return sum(not self.owns(run.key_hash) for run in runs)
+
     def settle_faults(self) -> None:
         """Make the changed faults take effect."""
         if not self.faults.frozen:
--- a/tests/standins/test_grants.py
+++ b/tests/standins/test_grants.py
@@ -2,7 +2,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from standins._grants import Fence, Lifetime
+from standins._grants import Fence, Lifetime, import_ranges
+from standins._runs import Run
+from standins._target_state import TargetSettings, TargetState, read_clock_ms
 
 RANGES = ((10, 20),)
 
@@ -69,3 +71,16 @@
     fence.grant(Lifetime(3, 2, 5200, 1400), (), 5300)
     stretches = [(past.from_ms, past.until_ms) for past in fence.history]
     assert_that(stretches, Equals([(1010, 2900), (5100, 5300)]))
+
+
+def test_busy_counts_only_work_on_keys_that_are_no_longer_held():
+    state = TargetState(TargetSettings('c1', 'catalogue'))
+    now_ms = int(read_clock_ms())
+    state.fence.seal(1)
+    held = import_ranges([['0', '99']])
+    state.fence.grant(Lifetime(1, 1, now_ms, 60_000), held, now_ms)
+    run = Run(request_id='r', ticket='', echo='', key_hash='50')
+    state.running[id(run)] = run
+    assert_that(state.busy_released, Equals(0))
+    state.fence.grant(Lifetime(1, 2, now_ms, 60_000), (), now_ms)
+    assert_that(state.busy_released, Equals(1))
