--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: figures from seeds, in virtual time or on loopback."""
--- /dev/null
+++ b/bench/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under load: a seeded model in virtual time."""
--- a/src/laburnumyard/core/requests/_fairness.py
+++ b/src/laburnumyard/core/requests/_fairness.py
@@ -169,7 +169,7 @@
     def entitled_waiting(self, now: Seconds) -> int:
         """Count the waiting requests within their customers' paid shares."""
         return sum(
-            min(flow.waiting, flow.paid_slots - flow.paid_running)
+            min(flow.waiting, max(flow.paid_slots - flow.paid_running, 0))
             for flow in self.active.values()
             if flow.is_within_share(now)
         )
--- a/src/laburnumyard/core/requests/_flows.py
+++ b/src/laburnumyard/core/requests/_flows.py
@@ -9,7 +9,7 @@
 from laburnumyard.schema._generated.objects import PriorityClass
 
 # How far a customer's use may run ahead of its paid share.
-PAID_BURST_S = 2
+PAID_BURST_S = 5
 # A class that lives on its least share has no advance.
 LEAST_SHARE_BURST_S = 0
 
@@ -84,11 +84,7 @@
 
     def is_within_share(self, now: Seconds) -> bool:
         """Tell whether one more run would be within the paid share."""
-        return (
-            self.meter is not None
-            and self.paid_running < self.paid_slots
-            and self.meter.is_within(now)
-        )
+        return self.meter is not None and self.meter.is_within(now)
 
     def append(self, entry: Entry) -> None:
         """Let a request wait behind the others of the customer."""
--- a/src/laburnumyard/core/requests/_preemption.py
+++ b/src/laburnumyard/core/requests/_preemption.py
@@ -1,6 +1,6 @@
 """Which lent slots are taken back for a customer's paid share."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 from laburnumyard.core.ids import Seconds
 from laburnumyard.core.requests._entries import Entry, State
@@ -8,7 +8,10 @@
 
 # A request is preempted at most so often, so that it comes to an end.
 PREEMPTIONS_LIMIT = 3
-# A run that takes this many times the median is taken for a straggler.
+# A run is stopped before this part of the median run time, when little work
+# is lost, or after this many times the median, when no end is in sight. In
+# between it ends soon: stopping it would waste more than it saves.
+EARLY_FACTOR = 0.25
 STRAGGLER_FACTOR = 2
 
 
@@ -34,15 +37,29 @@
     Returns
     -------
     list of Entry
-        Lent, repeatable runs: first those that are expected to go on for
-        the longest time, then those that have done the least work.
+        Lent, repeatable runs; stragglers come first, then those that have
+        done the least work.
     """
     stopping = sum(entry.state is not State.RUNNING for entry in running)
+    missing = wanted - stopping
+    if missing <= 0:
+        return []
     lent = [entry for entry in running if _may_stop(entry)]
-    long = [entry for entry in lent if _is_long(entry, times, now)]
-    short = [entry for entry in lent if entry not in long]
-    ordered = (*long, *sorted(short, key=_started, reverse=True))
-    return list(ordered[: max(wanted - stopping, 0)])
+    stragglers = [entry for entry in lent if now >= _late_at(entry, times)]
+    early = [entry for entry in lent if _is_early(entry, times, now)]
+    early.sort(key=_started, reverse=True)
+    return [*stragglers, *early][:missing]
+
+
+def next_straggler(
+    running: Iterable[Entry],
+    times: OperationTimes,
+    now: Seconds,
+) -> Seconds | None:
+    """Give when the next lent run will be taken for a straggler."""
+    lent = (entry for entry in running if _may_stop(entry))
+    late = (_late_at(entry, times) for entry in lent)
+    return min((moment for moment in late if moment > now), default=None)
 
 
 def _may_stop(entry: Entry) -> bool:
@@ -54,9 +71,14 @@
     )
 
 
-def _is_long(entry: Entry, times: OperationTimes, now: Seconds) -> bool:
+def _late_at(entry: Entry, times: OperationTimes) -> Seconds:
+    typical = times.typical(entry.request.operation)
+    return Seconds(entry.started + STRAGGLER_FACTOR * typical)
+
+
+def _is_early(entry: Entry, times: OperationTimes, now: Seconds) -> bool:
     typical = times.typical(entry.request.operation)
-    return entry.is_long or now - entry.started > STRAGGLER_FACTOR * typical
+    return now - entry.started < EARLY_FACTOR * typical
 
 
 def _started(entry: Entry) -> Seconds:
--- a/src/laburnumyard/core/requests/_target_queue.py
+++ b/src/laburnumyard/core/requests/_target_queue.py
@@ -17,7 +17,7 @@
 from laburnumyard.core.requests._events import Drain, Event
 from laburnumyard.core.requests._fairness import Flows, Turn
 from laburnumyard.core.requests._handlers import apply
-from laburnumyard.core.requests._preemption import victims
+from laburnumyard.core.requests._preemption import next_straggler, victims
 from laburnumyard.core.requests._settings import QueueSettings
 from laburnumyard.core.requests._throttle import Throttle
 
@@ -95,7 +95,7 @@
         apply(event, self, now)
         self._expire(now)
         self._dispatch(now)
-        self._arm(now)
+        self._wake_at(self.deadlines.next_due())
         return self.effects
 
     def refuse(self, entry: Entry, failure: Failure) -> None:
@@ -154,6 +154,8 @@
             self._start(turn, now)
         if limit and self.flows.waiting:
             self._reclaim(now)
+        elif self.entries and now < self.throttle.paused_until:
+            self._wake_at(self.throttle.paused_until)
 
     def _start(self, turn: Turn, now: Seconds) -> None:
         entry = turn.entry
@@ -175,15 +177,14 @@
         wanted = self.flows.entitled_waiting(now)
         if not wanted:
             return
-        for entry in victims(self.running.values(), wanted, self.times, now):
+        running = self.running.values()
+        for entry in victims(running, wanted, self.times, now):
             entry.state = State.PREEMPTING
             entry.preemptions += 1
             self.effects.append(Preempt(entry.request.request_id))
+        self._wake_at(next_straggler(running, self.times, now))
 
-    def _arm(self, now: Seconds) -> None:
-        due = self.deadlines.next_due()
-        if self.flows.waiting and now < self.throttle.paused_until:
-            due = min(due, self.throttle.paused_until)
+    def _wake_at(self, due: Seconds | None) -> None:
         if due is not None and (self.armed is None or due < self.armed):
             self.armed = due
             self.effects.append(WakeAt(due))
--- a/tests/core/requests/test_target_queue.py
+++ b/tests/core/requests/test_target_queue.py
@@ -40,6 +40,32 @@
     check(world)
 
 
+def test_lent_run_that_ends_soon_is_not_stopped(new_world):
+    world = new_world(slots=1)
+    for _ in range(16):
+        world.arrive('trujillo')
+        world.advance(1)
+    lent = world.arrive('trujillo')
+    world.advance(0.006)
+    paid = world.arrive('clinic')
+    world.advance(1)
+    assert_that(world.run_log[-2:], Equals([lent, paid]))
+
+
+def test_lent_run_that_turns_out_a_straggler_is_stopped(new_world):
+    world = new_world(slots=1)
+    for _ in range(16):
+        world.arrive('trujillo')
+        world.advance(1)
+    lent = world.arrive('trujillo', length=1)
+    world.advance(0.006)
+    paid = world.arrive('clinic')
+    world.advance(0.1)
+    assert_that(world.run_log[-3:], Equals([lent, paid, lent]))
+    world.advance(2)
+    check(world)
+
+
 def test_lent_run_that_is_not_repeatable_goes_on(new_world):
     world = new_world(slots=1)
     lent = world.arrive('trujillo', length=1, repeatable=False)
