--- a/bench/requests/simulation.py
+++ b/bench/requests/simulation.py
@@ -33,7 +33,8 @@
     def run(self) -> None:
         """Go on until nothing is left to call."""
         while self.calls:
-            self.now, _, call, arguments = heappop(self.calls)
+            due, _order, call, arguments = heappop(self.calls)
+            self.now = due
             call(*arguments)
 
 
--- a/bench/requests/workload.py
+++ b/bench/requests/workload.py
@@ -111,7 +111,7 @@
     """Draw all requests of a run, in the order of their arrival."""
     random = Random(seed)
     drawn = [
-        _job(random, source, moment, entries)
+        draw_job(random, source, moment, entries)
         for source in sources
         for moment in _arrivals(random, source, duration)
     ]
@@ -131,13 +131,18 @@
         moment += random.expovariate(rate * highest)
 
 
-def _job(random: Random, source: Source, moment: float, entries: int) -> Job:
+def draw_job(
+    random: Random, source: Source, moment: float, entries: int
+) -> Job:
+    """Draw one request of a source."""
     service = source.service
     is_long = random.random() < LONG_PART
     mean = LONG_MEAN if is_long else SHORT_MEAN
     length = random.gammavariate(LENGTH_SHAPE, mean / LENGTH_SHAPE)
     is_straggler = random.random() * STRAGGLER_INTERVAL < 1
+    factor = STRAGGLER_FACTOR if is_straggler else 1
     is_deferred = source.customer == DEFERRED
+    patience = DEFERRED_DEADLINE if is_deferred else DEADLINE
     return Job(
         number=0,
         service=service.name,
@@ -145,9 +150,9 @@
         entry=random.randrange(entries),
         customer=source.customer,
         operation=LONG if is_long else SHORT,
-        length=length * STRAGGLER_FACTOR if is_straggler else length,
+        length=length * factor,
         is_straggler=is_straggler,
         is_repeatable=random.random() < service.repeatable_part,
         arrival=moment,
-        deadline=moment + (DEFERRED_DEADLINE if is_deferred else DEADLINE),
+        deadline=moment + patience,
     )
--- a/src/laburnumyard/core/requests/__init__.py
+++ b/src/laburnumyard/core/requests/__init__.py
@@ -55,7 +55,8 @@
 ``note_death`` when a target died (all its connections ended and a fresh one
 is refused), its result to all peers, who ``merge`` it; ``suspects`` goes to
 a daemon that joins. A request that ``is_suspect`` is not retried by the
-system. ``ConnectionPolicy`` is held per target beside its idle connections.
+system. The entry holds a refusal back for ``refusal_delay`` before it answers
+its caller. ``ConnectionPolicy`` is held per target beside its idle connections.
 """
 
 from laburnumyard.core.requests._connections import (
@@ -91,6 +92,7 @@
     TargetSheds,
     Tick,
 )
+from laburnumyard.core.requests._flow_control import refusal_delay
 from laburnumyard.core.requests._ledger import TicketLedger
 from laburnumyard.core.requests._quarantine import (
     DeathId,
@@ -159,5 +161,6 @@
     'may_retry',
     'parse_ticket',
     'queue_settings',
+    'refusal_delay',
     'retry_delay',
 )
