--- /dev/null
+++ b/tests/core/dissemination/conftest.py
@@ -0,0 +1,86 @@
+import pytest
+
+from bench.control.fleet import CONFIG, Fleet, Layout
+from bench.control.store import make_document
+
+LETTER = Layout(regions=(4, 4, 3), daemons=690)
+WIDE = Layout(regions=(4, 4, 3), daemons=66)
+TODAY = Layout(regions=(3,), daemons=9)
+# From the letter: a configuration is in force everywhere within 13 s.
+IN_FORCE_S = 13
+
+
+def start(layout, seed, version=1):
+    """Return daemons that know each other and hold the first version."""
+    fleet = Fleet(layout, seed=seed)
+    publish(fleet, version)
+    fleet.start_warm()
+    fleet.clock.run(4)
+    check_in_force(fleet, version)
+    return fleet
+
+
+def publish(fleet, version, name=CONFIG):
+    """Have the store accept a version."""
+    same = b'same in every version' * 50
+    changed = f'changed in {version}'.encode() * 50
+    fleet.store.put(make_document(name, version, (same, changed)))
+
+
+def check_in_force(fleet, version, apart=(), name=CONFIG):
+    """Check what is in force at each running daemon, as an outsider."""
+    found = fleet.in_force(name)
+    late = {
+        daemon: held
+        for daemon, held in found.items()
+        if held != version and daemon not in apart
+    }
+    assert not late, f'at {fleet.clock.now:.1f} s not {version}: {late}'
+
+
+def reach(fleet, version, apart=(), name=CONFIG):
+    """Check that a version comes into force within the bound."""
+    for _ in range(IN_FORCE_S):
+        fleet.clock.run(1)
+        held = fleet.in_force(name)
+        if all(held[one] == version for one in held if one not in apart):
+            return
+    check_in_force(fleet, version, apart, name)
+
+
+def check_never_falls(fleet):
+    """Check that no version fell in the life of any daemon."""
+    for daemon, adoptions in fleet.observer.adoptions.items():
+        highest = {}
+        for adoption in adoptions:
+            life = (adoption.incarnation, adoption.name)
+            before = highest.get(life, 0)
+            assert adoption.version > before, (
+                f'{daemon} fell from {before} to {adoption.version}'
+            )
+            highest[life] = adoption.version
+
+
+def sources(fleet, daemon):
+    """Return how a daemon knew of each version of its newest life."""
+    incarnation = fleet.nodes[daemon].identity.incarnation
+    return [
+        adoption.source
+        for adoption in fleet.observer.adoptions.get(daemon, ())
+        if adoption.incarnation == incarnation
+    ]
+
+
+@pytest.fixture
+def today():
+    return start(TODAY, seed=1)
+
+
+@pytest.fixture
+def wide():
+    return start(WIDE, seed=2)
+
+
+@pytest.fixture
+def letter():
+    return start(LETTER, seed=3)
--- /dev/null
+++ b/tests/core/dissemination/test_fetching.py
@@ -0,0 +1,167 @@
+from collections import deque
+from dataclasses import replace
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from bench.control.store import make_document, read_head
+from laburnumyard.core import dissemination
+from laburnumyard.schema._generated import messages
+
+NAME = dissemination.DocumentName('config')
+SMALL_PARTS = dissemination.DisseminationSettings(part_bytes=64)
+
+
+def new_documents():
+    documents = dissemination.Documents(SMALL_PARTS, read_head, lambda: 0.5)
+    documents.handle(dissemination.NamesChanged((NAME,)), 0)
+    return documents
+
+
+def document_of(version):
+    contents = (b'%d' % version * 100, bytes(range(256)) * 4)
+    return make_document(NAME, version, contents)
+
+
+def told(version, confirmed=False):
+    return messages.Versions(
+        documents=(messages.DocumentVersion(NAME, version, confirmed),),
+        members=(),
+        reply=False,
+    )
+
+
+@pytest.fixture
+def holder():
+    """dissemination.Documents that hold version 1 and then 2."""
+    documents = new_documents()
+    documents.handle(dissemination.Published(document_of(1)), 0)
+    documents.handle(dissemination.Published(document_of(2)), 0)
+    return documents
+
+
+@pytest.fixture
+def fresh():
+    return new_documents()
+
+
+def keep(part):
+    return part
+
+
+def exchange(asker, answerer, effects, spoil=keep):
+    """Carry messages between two, and return the asker's other effects."""
+    rest = []
+    waiting = deque(effects)
+    while waiting:
+        effect = waiting.popleft()
+        message = getattr(effect, 'message', None)
+        if isinstance(message, messages.FetchDocument):
+            answers = answerer.handle(
+                dissemination.FetchHeard('asker', message), 0
+            )
+            part = spoil(answers[0].message)
+            waiting.extend(
+                asker.handle(dissemination.PartHeard('holder', part), 0)
+            )
+        else:
+            rest.append(effect)
+    return rest
+
+
+def test_document_comes_part_by_part(fresh, holder):
+    asked = fresh.handle(dissemination.VersionsHeard('holder', told(2)), 0)
+    effects = exchange(fresh, holder, asked)
+    assert_that(
+        effects[0],
+        Equals(dissemination.Adopt(document_of(2), dissemination.Source.PEER)),
+    )
+
+
+@pytest.mark.parametrize(
+    ('confirmed', 'source'),
+    [(True, dissemination.Source.READER), (False, dissemination.Source.PEER)],
+)
+def test_source_says_whether_a_reader_vouched(fresh, holder, confirmed, source):
+    asked = fresh.handle(
+        dissemination.VersionsHeard('holder', told(2, confirmed)), 0
+    )
+    exchange(fresh, holder, asked)
+    assert_that(fresh.source_of(NAME), Is(source))
+
+
+def test_reader_vouches_later_for_a_version_of_a_peer(fresh, holder):
+    exchange(
+        fresh,
+        holder,
+        fresh.handle(dissemination.VersionsHeard('holder', told(2)), 0),
+    )
+    fresh.handle(
+        dissemination.VersionsHeard('reader', told(2, confirmed=True)), 1
+    )
+    assert_that(fresh.source_of(NAME), Is(dissemination.Source.READER))
+
+
+def test_damaged_patch_is_refused_and_the_whole_version_asked_for(
+    fresh, holder
+):
+    def spoil(part):
+        spoiled.append(part)
+        if len(spoiled) > 1:
+            return part
+        return replace(part, content=b'\xff' * len(part.content))
+
+    spoiled = []
+    asked = fresh.handle(dissemination.VersionsHeard('holder', told(2)), 0)
+    effects = exchange(fresh, holder, asked, spoil)
+    assert_that(isinstance(effects[0], dissemination.LogRefused), Is(True))
+    assert_that(fresh.find(NAME), Equals(document_of(2)))
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'offset': 7},
+        {'version': 9},
+        {'patch_bytes': 1 << 30},
+        {'patch_bytes': 1},
+        {'content': b''},
+        {'base_version': 77},
+        {'name': 'unknown'},
+    ],
+    ids=str,
+)
+def test_part_that_does_not_fit_changes_nothing(fresh, holder, change):
+    asked = fresh.handle(dissemination.VersionsHeard('holder', told(2)), 0)
+    fetch = asked[0].message
+    part = holder.handle(dissemination.FetchHeard('asker', fetch), 0)[0].message
+    later = replace(part, offset=64, content=part.content)
+    fresh.handle(dissemination.PartHeard('holder', part), 0)
+    fresh.handle(dissemination.PartHeard('holder', replace(later, **change)), 0)
+    fresh.handle(dissemination.PartHeard('stranger', later), 0)
+    assert_that(fresh.find(NAME), Is(None))
+    asked = fresh.handle(dissemination.Tick(), 1)
+    exchange(fresh, holder, asked)
+    assert_that(fresh.find(NAME), Equals(document_of(2)))
+
+
+def test_silent_source_is_followed_by_the_next(fresh):
+    fresh.handle(dissemination.VersionsHeard('first', told(2)), 0)
+    fresh.handle(dissemination.VersionsHeard('second', told(2)), 0)
+    effects = fresh.handle(dissemination.Tick(), 1)
+    asked = [one.daemon for one in effects if hasattr(one, 'daemon')]
+    assert_that(asked[0], Equals('second'))
+
+
+def test_version_that_changes_in_the_middle_is_fetched_anew(fresh, holder):
+    def spoil(part):
+        parts.append(part)
+        if len(parts) == 2:
+            holder.handle(dissemination.Published(document_of(3)), 0)
+        return part
+
+    parts = []
+    asked = fresh.handle(dissemination.VersionsHeard('holder', told(2)), 0)
+    exchange(fresh, holder, asked, spoil)
+    assert_that(fresh.find(NAME), Equals(document_of(3)))
