--- a/src/laburnumyard/daemon/_view.py
+++ b/src/laburnumyard/daemon/_view.py
@@ -2,18 +2,28 @@
 
 from dataclasses import dataclass, field
 
+import anyio
+
 from laburnumyard.core.configuration import Configuration
 from laburnumyard.core.ids import (
     DaemonName,
+    DataCentre,
     Incarnation,
     ServiceName,
     TargetName,
+    Version,
 )
-from laburnumyard.core.membership import MemberTable
+from laburnumyard.core.membership import MemberState, MemberTable
+from laburnumyard.core.ownership import Snapshot
+from laburnumyard.core.rendezvous import rank
 from laburnumyard.core.routing import RoutingTable
+from laburnumyard.schema._generated.objects import Fencing, Target
 from laburnumyard.schema._generated.settings import Settings
 from laburnumyard.wire import Peer
 
+NO_VERSION = Version(0)
+NOBODY: frozenset[DaemonName] = frozenset()
+
 
 @dataclass(slots=True)
 class View:
@@ -27,36 +37,102 @@
         The daemon's incarnation.
     members
         The other daemons.
-    configuration
+    configuration, configuration_version
         The configuration in force, None before the first.
+    snapshots
+        The newest head and assignment of each service.
     tables
         The routing table of each service.
     is_draining
         Whether the daemon is shutting down.
+    changes
+        Set at the next assignment of a service that somebody waits for.
     """
 
     settings: Settings
     incarnation: Incarnation
     members: MemberTable
     configuration: Configuration | None = None
+    configuration_version: Version = NO_VERSION
+    snapshots: dict[ServiceName, Snapshot] = field(default_factory=dict)
     tables: dict[ServiceName, RoutingTable] = field(default_factory=dict)
     is_draining: bool = False
+    changes: dict[ServiceName, anyio.Event] = field(default_factory=dict)
 
     @property
     def name(self) -> DaemonName:
         """The name of this daemon."""
         return DaemonName(self.settings.daemon.name)
 
-    def dispatcher_of(self, target: TargetName) -> DaemonName | None:
-        """Return the daemon that dispatches to a target."""
-        place = self.configuration.targets.get(target)
-        if place is None:
+    def take_snapshot(self, service: ServiceName, snapshot: Snapshot) -> None:
+        """Route by a newer assignment."""
+        version = snapshot.head.version
+        self.snapshots[service] = snapshot
+        self.tables[service] = RoutingTable(snapshot.assignment, version)
+        self.changes.pop(service, anyio.Event()).set()
+
+    async def wait_snapshot(self, service: ServiceName) -> None:
+        """Wait for a newer assignment of a service."""
+        if service not in self.changes:
+            self.changes[service] = anyio.Event()
+        await self.changes[service].wait()
+
+    def dispatcher_of(
+        self,
+        name: TargetName,
+        avoided: frozenset[DaemonName] = NOBODY,
+    ) -> DaemonName | None:
+        """Return the daemon that dispatches to a target.
+
+        Parameters
+        ----------
+        name
+            The target.
+        avoided
+            Daemons that were not reached a moment ago.
+
+        Returns
+        -------
+        DaemonName or None
+            None if nobody can. A target without fencing is dispatched to by
+            its guard alone.
+        """
+        target = self.configuration.targets.get(name)
+        if target is None:
             return None
-        return self.members.dispatcher_of(target, place.data_centre)
+        if target.fencing is Fencing.none:
+            return self._guard_of(name, target)
+        if not avoided:
+            return self.members.dispatcher_of(name, target.data_centre)
+        return self._next_dispatcher(name, target, avoided)
+
+    def _next_dispatcher(
+        self,
+        name: TargetName,
+        target: Target,
+        avoided: frozenset[DaemonName],
+    ) -> DaemonName | None:
+        near = self.members.in_data_centre(DataCentre(target.data_centre))
+        for group in (near, self.members.live()):
+            names = {each.daemon for each in group} - avoided
+            if names:
+                return DaemonName(rank(f'dispatcher/{name}', names)[0])
+        return None
 
     def peer(self, daemon: DaemonName) -> Peer | None:
-        """Return where another daemon listens; None if it is not known."""
-        member = self.members.member(daemon)
+        """Return where another daemon listens; None if it is not known.
+
+        A suspected member may have been restarted, so that any incarnation
+        of it will do.
+        """
+        member = self.members.state.members.get(daemon)
         if member is None:
             return None
-        return Peer(daemon, member.peer_address, member.incarnation)
+        identity = member.identity
+        is_sure = member.state is MemberState.LIVE
+        incarnation = identity.incarnation if is_sure else None
+        return Peer(daemon, identity.address, incarnation)
+
+    def _guard_of(self, name: TargetName, target: Target) -> DaemonName | None:
+        snapshot = self.snapshots.get(ServiceName(target.service))
+        return snapshot.head.guards.get(name) if snapshot else None
