--- /dev/null
+++ b/bench/entry.py
@@ -0,0 +1,118 @@
+"""What one daemon carries beside the bare target, on loopback.
+
+Run with ``python -m bench.entry``. The target, two daemons, the platform and
+the load are processes of their own. ``vm-1`` dispatches to the target; a
+request to ``vm-2`` takes one hop to ``vm-1``.
+"""
+
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Mapping
+from pathlib import Path
+
+import fire
+
+from standins.cluster import Cluster, ClusterPlan, ServiceShape, running
+
+CONNECTIONS = 20
+# Any place: the only target owns the whole hash space.
+KEY_HASH = 7
+Figures = Mapping[str, float]
+
+
+def plan_cluster(decisions: bool) -> ClusterPlan:
+    """Return one target that takes every connection at once."""
+    shape = ServiceShape(
+        'catalogue', targets=1, slots=CONNECTIONS, work_ms=0
+    )
+    log = () if decisions else ('[log]', 'decisions = false')
+    return ClusterPlan(
+        (shape,),
+        daemons=2,
+        data_centres=('lima-a', 'lima-b'),
+        limits=log,
+    )
+
+
+def measure(
+    address: str, duration_s: float, rate: float = 0, is_bare: bool = False
+) -> Figures:
+    """Send a load from another process and return its figures."""
+    options = {
+        'addresses': address,
+        'connections': CONNECTIONS,
+        'duration_s': duration_s,
+        'rate': rate,
+        'path': '/catalogue/read',
+    }
+    if is_bare:
+        options['key_hash'] = KEY_HASH
+    flags = [f'--{name}={options[name]}' for name in options]
+    command = (sys.executable, '-m', 'standins.load', *flags)
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    pairs = (line.partition('=') for line in done.stdout.splitlines())
+    return {name: float(figure) for name, _, figure in pairs}
+
+
+def print_figure(name: str, figure: float) -> None:
+    """Print one name=value line."""
+    sys.stdout.write(f'{name}={figure:.3f}\n')
+
+
+def check_whole(name: str, figures: Figures) -> None:
+    """Print how many requests got no whole answer."""
+    lost = figures['callers.sent'] - figures['callers.whole']
+    print_figure(f'{name}.not_whole', lost)
+
+
+def compare(name: str, address: str, target: str, duration_s: float) -> None:
+    """Measure one way to the target and the bare target beside it."""
+    bare = measure(target, duration_s, is_bare=True)
+    routed = measure(address, duration_s)
+    limit = routed['callers.whole_per_s']
+    print_figure(f'{name}.bare_per_s', bare['callers.whole_per_s'])
+    print_figure(f'{name}.per_s', limit)
+    print_figure(f'{name}.ratio', limit / bare['callers.whole_per_s'])
+    print_figure(f'{name}.p50_ms', routed['callers.p50_ms'])
+    print_figure(f'{name}.p99_ms', routed['callers.p99_ms'])
+    check_whole(name, routed)
+    half = limit / 2
+    bare = measure(target, duration_s, half, is_bare=True)
+    routed = measure(address, duration_s, half)
+    added = routed['callers.p50_ms'] - bare['callers.p50_ms']
+    print_figure(f'{name}.half_load_per_s', routed['callers.whole_per_s'])
+    print_figure(f'{name}.half_load_p50_ms', routed['callers.p50_ms'])
+    print_figure(f'{name}.half_load_p99_ms', routed['callers.p99_ms'])
+    print_figure(f'{name}.added_median_ms', added)
+    check_whole(f'{name}.half_load', routed)
+
+
+def main(
+    duration_s: float = 4, decisions: bool = True, hop: bool = True
+) -> None:
+    """Print the figures of the daemon and, with a hop, of two daemons.
+
+    Parameters
+    ----------
+    duration_s
+        The length of each of the measurements, in seconds.
+    decisions
+        Whether the daemons log each routing decision.
+    hop
+        Whether the way over two daemons is measured, too.
+    """
+    print_figure('load_average_start', os.getloadavg()[0])
+    with tempfile.TemporaryDirectory() as folder:
+        with running(Cluster(plan_cluster(decisions), Path(folder))) as cluster:
+            target = cluster.places.targets[0].address
+            near, far = cluster.caller_addresses
+            compare('entry', near, target, duration_s)
+            if hop:
+                compare('hop', far, target, duration_s)
+    print_figure('load_average_end', os.getloadavg()[0])
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
