--- a/src/laburnumyard/wire/_pool.py
+++ b/src/laburnumyard/wire/_pool.py
@@ -157,6 +157,8 @@
             slot = _Slot(peer)
             self.slots[peer.daemon] = slot
         if slot.link is None and self.loop.time() >= slot.retry_at:
+            # The peer may have been restarted since the slot was made.
+            slot.peer = peer
             slot.link = self.open(slot)
         return slot.link
 
