A daemon restarted while store and VM list are down learns of its peers from their links

Ruled out: the peers' links (they reached it once the new incarnation was accepted), dissemination (it answers whoever asks). Change: the hello carries region and peer address; a hello is taken as news of its sender.

--- a/bench/control/links.py
+++ b/bench/control/links.py
@@ -19,8 +19,20 @@
     messages.Header(name=f'header-{place}', value='some value')
     for place in range(4)
 )
-SERVER = messages.Hello(daemon='server', incarnation=1, data_centre='a')
-CLIENT = messages.Hello(daemon='client', incarnation=1, data_centre='a')
+SERVER = messages.Hello(
+    daemon='server',
+    incarnation=1,
+    data_centre='a',
+    region='lima',
+    peer_address='',
+)
+CLIENT = messages.Hello(
+    daemon='client',
+    incarnation=1,
+    data_centre='a',
+    region='lima',
+    peer_address='',
+)
 
 
 def submit() -> messages.Submit:
--- a/src/laburnumyard/daemon/_members.py
+++ b/src/laburnumyard/daemon/_members.py
@@ -15,6 +15,8 @@
 from laburnumyard.schema._generated.messages import (
     Gossip,
     Heartbeat,
+    Hello,
+    Member,
     MemberDigests,
     Members,
     Ping,
@@ -73,6 +75,25 @@
             self.version = self.table.directory.version
             self.on_change()
 
+    def meet(self, hello: Hello) -> bool:
+        """Learn of a daemon from its hello; every daemon may link.
+
+        A daemon that starts while the VM list is down knows nobody: it learns
+        of the others from the links that they open to it.
+        """
+        news = Member(
+            daemon=hello.daemon,
+            incarnation=hello.incarnation,
+            data_centre=hello.data_centre,
+            region=hello.region,
+            peer_address=hello.peer_address,
+            leaving=False,
+            suspected=False,
+            refutation=0,
+        )
+        self.feed(membership.MembersHeard((news,)))
+        return True
+
     @singledispatchmethod
     def carry_out(self, effect: membership.Effect) -> None:
         """Carry out one effect of the table."""
--- a/src/laburnumyard/daemon/_node.py
+++ b/src/laburnumyard/daemon/_node.py
@@ -70,6 +70,8 @@
             settings.daemon.name,
             self.view.incarnation,
             settings.daemon.data_centre,
+            settings.daemon.region,
+            settings.listen.peers,
         )
         links = LinkSettings(body_bytes=settings.limits.body_bytes)
         self.pool = LinkPool(hello, links, draw_fraction)
@@ -77,7 +79,8 @@
             settings.listen.peers,
             hello,
             lambda link, message: self.inbox.take(link, message),
-            settings=links,
+            lambda hello: self.members.meet(hello),
+            links,
         )
         self.store = StoreClient(settings.store, boot_time, draw_fraction)
 
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -455,12 +455,16 @@
     daemon: str
     incarnation: int
     data_centre: str
+    region: str
+    peer_address: str
 
 
 def _write_hello(message: Hello, builder: Any) -> None:
     builder.daemon = message.daemon
     builder.incarnation = message.incarnation
     builder.dataCentre = message.data_centre
+    builder.region = message.region
+    builder.peerAddress = message.peer_address
 
 
 def _read_hello(reader: Any) -> Hello:
@@ -468,6 +472,8 @@
         daemon=reader.daemon,
         incarnation=reader.incarnation,
         data_centre=reader.dataCentre,
+        region=reader.region,
+        peer_address=reader.peerAddress,
     )
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -21,6 +21,9 @@
   daemon @0 :Text;
   incarnation @1 :UInt64;
   dataCentre @2 :Text;
+  # Where the sender itself listens, so that it can be linked back to.
+  region @3 :Text;
+  peerAddress @4 :Text;
 }
 
 # A request on its way from the entry to the dispatcher of its target, or
--- a/tests/wire/conftest.py
+++ b/tests/wire/conftest.py
@@ -25,6 +25,8 @@
         daemon=daemon,
         incarnation=incarnation,
         data_centre='lima-1',
+        region='lima',
+        peer_address='',
     )
 
 
