--- a/src/laburnumyard/core/requests/__init__.py
+++ b/src/laburnumyard/core/requests/__init__.py
@@ -15,7 +15,8 @@
 
 ``Arrive`` is fed once for each try, under an id that no request in the queue
 has; the deadline in it is absolute, on the clock of ``now``. The effects of
-every ``handle`` are carried out in their order:
+every ``handle`` are carried out in their order, all of them before the next
+event is fed:
 
 - ``Send``: send to the target. Exactly one ``Finished`` must follow, whatever
   happens. The shell answers the caller itself on ``ANSWERED``, ``SHED``
@@ -37,12 +38,16 @@
 ``Cancel``. A run that is not repeatable goes on then. ``Drain`` with
 ``serve_waiting`` is for a daemon that leaves, without it for a target that
 leaves. When a target dies, each of its runs ends with ``BROKEN_OFF``.
+``TargetSheds`` is also fed when the ``ConnectionPolicy`` finds the target
+``UNREACHABLE``: the queue then pauses and tries with one request at a time.
 
 How a shell drives the ledger
 -----------------------------
 ``parse_ticket`` reads the caller's header. The entry passes a submission to
 ``ticket.issuer``, or answers ``ticket-void`` itself if that daemon has
-another incarnation by now. The issuer calls ``submit``: after ``Run`` it
+another incarnation by now. Every other failure on the way to the ledger goes
+through ``failure_before_ledger``: an earlier submission of the ticket may have
+run. The issuer calls ``submit``: after ``Run`` it
 passes the request to the dispatcher once and calls ``finish`` exactly once,
 with ``Ran.NOT_RUN`` only if the answer's kind promises it. Every other
 decision carries what the caller gets.
@@ -115,7 +120,11 @@
 )
 from laburnumyard.core.requests._settings import QueueSettings, queue_settings
 from laburnumyard.core.requests._target_queue import TargetQueue
-from laburnumyard.core.requests._tickets import Ticket, parse_ticket
+from laburnumyard.core.requests._tickets import (
+    Ticket,
+    failure_before_ledger,
+    parse_ticket,
+)
 
 __all__ = (
     'Arrive',
@@ -157,6 +166,7 @@
     'TicketLedger',
     'Void',
     'WakeAt',
+    'failure_before_ledger',
     'fingerprint_of',
     'may_retry',
     'parse_ticket',
--- a/src/laburnumyard/core/requests/_deadlines.py
+++ b/src/laburnumyard/core/requests/_deadlines.py
@@ -1,11 +1,13 @@
 """When the next deadline of a queue is due."""
 
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 
 from laburnumyard.core.ids import Seconds
 from laburnumyard.core.requests._entries import Entry, State
 
 OVER = frozenset((State.DONE, State.CANCELLING))
+# The heap may hold so many requests that are over before it is cleaned.
+LEAST_COMPACTED = 256
 
 
 class Deadlines:
@@ -32,3 +34,16 @@
         while self.heap and self.heap[0][-1].state in OVER:
             heappop(self.heap)
         return self.heap[0][0] if self.heap else None
+
+    def compact(self, held: int) -> None:
+        """Drop the requests that are over once they are the most.
+
+        Parameters
+        ----------
+        held
+            How many requests wait or run.
+        """
+        if len(self.heap) < max(LEAST_COMPACTED, 2 * held):
+            return
+        self.heap = [item for item in self.heap if item[-1].state not in OVER]
+        heapify(self.heap)
--- a/src/laburnumyard/core/requests/_estimates.py
+++ b/src/laburnumyard/core/requests/_estimates.py
@@ -51,13 +51,17 @@
         if recent.record(run_time):
             self._update_shortest()
 
+    def record_cut_off(self, run_time: Seconds) -> None:
+        """Take in for how long a run without an answer took a slot."""
+        self._add(run_time)
+
     def typical(self, operation: str) -> Seconds:
         """Give the median run time; 0 while too little is known."""
         recent = self.recent.get(operation)
         return Seconds(0) if recent is None else recent.median
 
     def mean(self) -> Seconds:
-        """Give the mean run time of all operations, 0 while unknown."""
+        """Give the mean time that a run takes a slot, 0 while unknown."""
         if self.samples < LEAST_SAMPLES:
             return Seconds(0)
         return Seconds(self.total / self.samples)
--- a/src/laburnumyard/core/requests/_fairness.py
+++ b/src/laburnumyard/core/requests/_fairness.py
@@ -166,12 +166,12 @@
         if line.least is not None:
             line.least.correct(difference)
 
-    def entitled_waiting(self, now: Seconds) -> int:
-        """Count the waiting requests within their customers' paid shares."""
+    def entitled_waiting(self, now: Seconds, is_long_allowed: bool) -> int:
+        """Count the waiting requests for which lent slots are taken back."""
         return sum(
             min(flow.waiting, max(flow.paid_slots - flow.paid_running, 0))
             for flow in self.active.values()
-            if flow.is_within_share(now)
+            if flow.is_within_share(now) and flow.head(is_long_allowed)
         )
 
     def _open(self, customer: CustomerName) -> Flow:
--- a/src/laburnumyard/core/requests/_handlers.py
+++ b/src/laburnumyard/core/requests/_handlers.py
@@ -136,6 +136,8 @@
         queue.throttle.on_answer()
     elif outcome in REFUSING:
         queue.throttle.on_refusal(now)
+    else:
+        queue.times.record_cut_off(run_time)
 
 
 @apply.register(CallerGone)
--- a/src/laburnumyard/core/requests/_target_queue.py
+++ b/src/laburnumyard/core/requests/_target_queue.py
@@ -95,6 +95,7 @@
         apply(event, self, now)
         self._expire(now)
         self._dispatch(now)
+        self.deadlines.compact(len(self.entries))
         self._wake_at(self.deadlines.next_due())
         return self.effects
 
@@ -126,7 +127,7 @@
             return Seconds(0)
         flow = entry.flow
         if flow.is_within_share(now):
-            ahead = self.flows.entitled_waiting(now)
+            ahead = self.flows.entitled_waiting(now, is_long_allowed=True)
         else:
             turns = (flow.waiting + 1) * len(self.flows.active)
             ahead = min(self.flows.waiting, turns)
@@ -153,7 +154,7 @@
                 break
             self._start(turn, now)
         if limit and self.flows.waiting:
-            self._reclaim(now)
+            self._reclaim(limit, now)
         elif self.entries and now < self.throttle.paused_until:
             self._wake_at(self.throttle.paused_until)
 
@@ -173,8 +174,9 @@
         longs = sum(entry.is_long for entry in self.running.values())
         return longs < max(limit - 1, 1)
 
-    def _reclaim(self, now: Seconds) -> None:
-        wanted = self.flows.entitled_waiting(now)
+    def _reclaim(self, limit: int, now: Seconds) -> None:
+        is_long_allowed = self._is_long_allowed(limit)
+        wanted = self.flows.entitled_waiting(now, is_long_allowed)
         if not wanted:
             return
         running = self.running.values()
--- a/src/laburnumyard/core/requests/_tickets.py
+++ b/src/laburnumyard/core/requests/_tickets.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from laburnumyard.core.errors import ErrorKind, Failure, Ran
 from laburnumyard.core.ids import DaemonName, Incarnation, TicketId
 
 HEXADECIMAL = 16
@@ -75,3 +76,26 @@
     ticket = Ticket(issuer, Incarnation(numbers[0]), *numbers[1:])
     # Only the one spelling that was issued is taken.
     return ticket if ticket.ticket_id == text else None
+
+
+def failure_before_ledger(failure: Failure) -> Failure:
+    """Give what a submission with a ticket is told without its ledger.
+
+    Only the ledger knows whether an earlier submission of the same ticket
+    ran. A daemon that could not ask it must not promise that the request
+    did not run, even if this submission went nowhere.
+
+    Parameters
+    ----------
+    failure
+        Why the submission did not reach the ledger.
+
+    Returns
+    -------
+    Failure
+        The same, or ``peer-broke-off`` where its kind promises too much.
+    """
+    answer = failure.answer
+    if answer.ran is Ran.NOT_RUN and answer.may_retry:
+        return Failure(ErrorKind.PEER_BROKE_OFF, failure.kind.value)
+    return failure
--- a/tests/core/requests/world.py
+++ b/tests/core/requests/world.py
@@ -1,6 +1,6 @@
 """A target, its shell and an observer, all in virtual time."""
 
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from types import MappingProxyType
@@ -97,6 +97,7 @@
         self.requests = {}
         self.gone = set()
         self.wake = None
+        self.inbox = deque()
         self.slots = slots
 
     def arrive(self, customer, **options):
@@ -118,8 +119,14 @@
         return request_id
 
     def feed(self, event):
-        for effect in self.queue.handle(event, self.now):
-            self.carry_out(effect)
+        """Feed an event, then those that its effects bring about."""
+        self.inbox.append(event)
+        if len(self.inbox) > 1:
+            return
+        while self.inbox:
+            for effect in self.queue.handle(self.inbox[0], self.now):
+                self.carry_out(effect)
+            self.inbox.popleft()
 
     def advance(self, seconds):
         """Let time pass; runs end and timers fire in their order."""
