Decoder reads fields without __getattr__

Cause: an attribute of a pycapnp reader is found by __getattr__ after a failed look-up, 0.74 us; its _get costs 0.24 us. Decoding a Submit with 4 headers and 1 KiB took 16.8 us, now 10.5 us; a SubmitAnswer 10.4 us, now 7.6 us. Ruled out: _set for builders (0.28 us instead of 0.24 us). One link on the plain asyncio loop, three runs on a busy machine: 12444, 12442 and 13262 requests/s.

--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -92,9 +92,9 @@
     def read(self) -> str:
         """Return the argument that takes the field from a reader."""
         if not self.item:
-            return f'{self.name}=reader.{self.wire}'
+            return f"{self.name}=get('{self.wire}')"
         parser = f'_read_{snake_case(self.item)}'
-        return f'{self.name}=tuple(map({parser}, reader.{self.wire}))'
+        return f"{self.name}=tuple(map({parser}, get('{self.wire}')))"
 
 
 def struct_code(struct) -> Iterator[str]:
@@ -114,6 +114,8 @@
     )
     yield from chain.from_iterable(field.write() for field in fields)
     yield from ('', '', f'def _read_{function}(reader: Any) -> {name}:')
+    # Attributes of a reader go through __getattr__, at three times the cost.
+    yield '    get = reader._get'
     yield f'    return {name}('
     yield from (f'        {field.read()},' for field in fields)
     yield '    )'
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -32,9 +32,10 @@
 
 
 def _read_assignment(reader: Any) -> Assignment:
+    get = reader._get
     return Assignment(
-        service=reader.service,
-        ranges=tuple(map(_read_owned_range, reader.ranges)),
+        service=get('service'),
+        ranges=tuple(map(_read_owned_range, get('ranges'))),
     )
 
 
@@ -50,8 +51,9 @@
 
 
 def _read_cancel(reader: Any) -> Cancel:
+    get = reader._get
     return Cancel(
-        number=reader.number,
+        number=get('number'),
     )
 
 
@@ -69,9 +71,10 @@
 
 
 def _read_chunk_patch(reader: Any) -> ChunkPatch:
+    get = reader._get
     return ChunkPatch(
-        base=reader.base,
-        content=reader.content,
+        base=get('base'),
+        content=get('content'),
     )
 
 
@@ -87,8 +90,9 @@
 
 
 def _read_death(reader: Any) -> Death:
+    get = reader._get
     return Death(
-        name=reader.name,
+        name=get('name'),
     )
 
 
@@ -108,10 +112,11 @@
 
 
 def _read_document(reader: Any) -> Document:
+    get = reader._get
     return Document(
-        name=reader.name,
-        version=reader.version,
-        content=reader.content,
+        name=get('name'),
+        version=get('version'),
+        content=get('content'),
     )
 
 
@@ -137,13 +142,14 @@
 
 
 def _read_document_part(reader: Any) -> DocumentPart:
+    get = reader._get
     return DocumentPart(
-        name=reader.name,
-        version=reader.version,
-        base_version=reader.baseVersion,
-        patch_bytes=reader.patchBytes,
-        offset=reader.offset,
-        content=reader.content,
+        name=get('name'),
+        version=get('version'),
+        base_version=get('baseVersion'),
+        patch_bytes=get('patchBytes'),
+        offset=get('offset'),
+        content=get('content'),
     )
 
 
@@ -166,10 +172,11 @@
 
 
 def _read_document_patch(reader: Any) -> DocumentPatch:
+    get = reader._get
     return DocumentPatch(
-        head=reader.head,
-        chunks=tuple(map(_read_chunk_patch, reader.chunks)),
-        revision=reader.revision,
+        head=get('head'),
+        chunks=tuple(map(_read_chunk_patch, get('chunks'))),
+        revision=get('revision'),
     )
 
 
@@ -191,11 +198,12 @@
 
 
 def _read_document_version(reader: Any) -> DocumentVersion:
+    get = reader._get
     return DocumentVersion(
-        name=reader.name,
-        version=reader.version,
-        confirmed=reader.confirmed,
-        confirmed_age_ms=reader.confirmedAgeMs,
+        name=get('name'),
+        version=get('version'),
+        confirmed=get('confirmed'),
+        confirmed_age_ms=get('confirmedAgeMs'),
     )
 
 
@@ -213,9 +221,10 @@
 
 
 def _read_drain_target(reader: Any) -> DrainTarget:
+    get = reader._get
     return DrainTarget(
-        target=reader.target,
-        draining=reader.draining,
+        target=get('target'),
+        draining=get('draining'),
     )
 
 
@@ -237,11 +246,12 @@
 
 
 def _read_fetch_document(reader: Any) -> FetchDocument:
+    get = reader._get
     return FetchDocument(
-        name=reader.name,
-        known_version=reader.knownVersion,
-        version=reader.version,
-        offset=reader.offset,
+        name=get('name'),
+        known_version=get('knownVersion'),
+        version=get('version'),
+        offset=get('offset'),
     )
 
 
@@ -260,8 +270,9 @@
 
 
 def _read_gossip(reader: Any) -> Gossip:
+    get = reader._get
     return Gossip(
-        members=tuple(map(_read_member, reader.members)),
+        members=tuple(map(_read_member, get('members'))),
     )
 
 
@@ -292,14 +303,15 @@
 
 
 def _read_guard_answer(reader: Any) -> GuardAnswer:
+    get = reader._get
     return GuardAnswer(
-        number=reader.number,
-        accepted=reader.accepted,
-        term=reader.term,
-        sequence=reader.sequence,
-        clock_ms=reader.clockMs,
-        ranges=tuple(map(_read_owned_range, reader.ranges)),
-        busy=reader.busy,
+        number=get('number'),
+        accepted=get('accepted'),
+        term=get('term'),
+        sequence=get('sequence'),
+        clock_ms=get('clockMs'),
+        ranges=tuple(map(_read_owned_range, get('ranges'))),
+        busy=get('busy'),
     )
 
 
@@ -334,16 +346,17 @@
 
 
 def _read_guard_grant(reader: Any) -> GuardGrant:
+    get = reader._get
     return GuardGrant(
-        number=reader.number,
-        service=reader.service,
-        target=reader.target,
-        term=reader.term,
-        sequence=reader.sequence,
-        clock_ms=reader.clockMs,
-        lifetime_ms=reader.lifetimeMs,
-        ranges=tuple(map(_read_owned_range, reader.ranges)),
-        replaces=reader.replaces,
+        number=get('number'),
+        service=get('service'),
+        target=get('target'),
+        term=get('term'),
+        sequence=get('sequence'),
+        clock_ms=get('clockMs'),
+        lifetime_ms=get('lifetimeMs'),
+        ranges=tuple(map(_read_owned_range, get('ranges'))),
+        replaces=get('replaces'),
     )
 
 
@@ -365,11 +378,12 @@
 
 
 def _read_guard_seal(reader: Any) -> GuardSeal:
+    get = reader._get
     return GuardSeal(
-        number=reader.number,
-        service=reader.service,
-        target=reader.target,
-        term=reader.term,
+        number=get('number'),
+        service=get('service'),
+        target=get('target'),
+        term=get('term'),
     )
 
 
@@ -387,9 +401,10 @@
 
 
 def _read_hand_over(reader: Any) -> HandOver:
+    get = reader._get
     return HandOver(
-        service=reader.service,
-        data_centre=reader.dataCentre,
+        service=get('service'),
+        data_centre=get('dataCentre'),
     )
 
 
@@ -407,9 +422,10 @@
 
 
 def _read_header(reader: Any) -> Header:
+    get = reader._get
     return Header(
-        name=reader.name,
-        value=reader.value,
+        name=get('name'),
+        value=get('value'),
     )
 
 
@@ -437,14 +453,15 @@
 
 
 def _read_heartbeat(reader: Any) -> Heartbeat:
+    get = reader._get
     return Heartbeat(
-        daemon=reader.daemon,
-        incarnation=reader.incarnation,
-        sequence=reader.sequence,
-        leaving=reader.leaving,
-        digest=reader.digest,
-        interval_ms=reader.intervalMs,
-        documents=reader.documents,
+        daemon=get('daemon'),
+        incarnation=get('incarnation'),
+        sequence=get('sequence'),
+        leaving=get('leaving'),
+        digest=get('digest'),
+        interval_ms=get('intervalMs'),
+        documents=get('documents'),
     )
 
 
@@ -464,10 +481,11 @@
 
 
 def _read_hello(reader: Any) -> Hello:
+    get = reader._get
     return Hello(
-        daemon=reader.daemon,
-        incarnation=reader.incarnation,
-        data_centre=reader.dataCentre,
+        daemon=get('daemon'),
+        incarnation=get('incarnation'),
+        data_centre=get('dataCentre'),
     )
 
 
@@ -488,9 +506,10 @@
 
 
 def _read_load_report(reader: Any) -> LoadReport:
+    get = reader._get
     return LoadReport(
-        service=reader.service,
-        ranges=tuple(map(_read_range_load, reader.ranges)),
+        service=get('service'),
+        ranges=tuple(map(_read_range_load, get('ranges'))),
     )
 
 
@@ -520,15 +539,16 @@
 
 
 def _read_member(reader: Any) -> Member:
+    get = reader._get
     return Member(
-        daemon=reader.daemon,
-        incarnation=reader.incarnation,
-        data_centre=reader.dataCentre,
-        region=reader.region,
-        peer_address=reader.peerAddress,
-        leaving=reader.leaving,
-        suspected=reader.suspected,
-        refutation=reader.refutation,
+        daemon=get('daemon'),
+        incarnation=get('incarnation'),
+        data_centre=get('dataCentre'),
+        region=get('region'),
+        peer_address=get('peerAddress'),
+        leaving=get('leaving'),
+        suspected=get('suspected'),
+        refutation=get('refutation'),
     )
 
 
@@ -546,9 +566,10 @@
 
 
 def _read_member_digests(reader: Any) -> MemberDigests:
+    get = reader._get
     return MemberDigests(
-        buckets=reader.buckets,
-        reply=reader.reply,
+        buckets=get('buckets'),
+        reply=get('reply'),
     )
 
 
@@ -567,8 +588,9 @@
 
 
 def _read_members(reader: Any) -> Members:
+    get = reader._get
     return Members(
-        members=tuple(map(_read_member, reader.members)),
+        members=tuple(map(_read_member, get('members'))),
     )
 
 
@@ -590,11 +612,12 @@
 
 
 def _read_move_range(reader: Any) -> MoveRange:
+    get = reader._get
     return MoveRange(
-        service=reader.service,
-        start=reader.start,
-        last=reader.last,
-        target=reader.target,
+        service=get('service'),
+        start=get('start'),
+        last=get('last'),
+        target=get('target'),
     )
 
 
@@ -614,10 +637,11 @@
 
 
 def _read_owned_range(reader: Any) -> OwnedRange:
+    get = reader._get
     return OwnedRange(
-        start=reader.start,
-        last=reader.last,
-        target=reader.target,
+        start=get('start'),
+        last=get('last'),
+        target=get('target'),
     )
 
 
@@ -633,8 +657,9 @@
 
 
 def _read_ping(reader: Any) -> Ping:
+    get = reader._get
     return Ping(
-        number=reader.number,
+        number=get('number'),
     )
 
 
@@ -650,8 +675,9 @@
 
 
 def _read_pong(reader: Any) -> Pong:
+    get = reader._get
     return Pong(
-        number=reader.number,
+        number=get('number'),
     )
 
 
@@ -677,13 +703,14 @@
 
 
 def _read_range_load(reader: Any) -> RangeLoad:
+    get = reader._get
     return RangeLoad(
-        start=reader.start,
-        last=reader.last,
-        requests=reader.requests,
-        busy_ms=reader.busyMs,
-        hot_key=reader.hotKey,
-        hot_requests=reader.hotRequests,
+        start=get('start'),
+        last=get('last'),
+        requests=get('requests'),
+        busy_ms=get('busyMs'),
+        hot_key=get('hotKey'),
+        hot_requests=get('hotRequests'),
     )
 
 
@@ -728,21 +755,22 @@
 
 
 def _read_submit(reader: Any) -> Submit:
+    get = reader._get
     return Submit(
-        number=reader.number,
-        request_id=reader.requestId,
-        service=reader.service,
-        target=reader.target,
-        customer=reader.customer,
-        key=reader.key,
-        method=reader.method,
-        path=reader.path,
-        headers=tuple(map(_read_header, reader.headers)),
-        body=reader.body,
-        deadline_ms=reader.deadlineMs,
-        repeatable=reader.repeatable,
-        ticket=reader.ticket,
-        hops=reader.hops,
+        number=get('number'),
+        request_id=get('requestId'),
+        service=get('service'),
+        target=get('target'),
+        customer=get('customer'),
+        key=get('key'),
+        method=get('method'),
+        path=get('path'),
+        headers=tuple(map(_read_header, get('headers'))),
+        body=get('body'),
+        deadline_ms=get('deadlineMs'),
+        repeatable=get('repeatable'),
+        ticket=get('ticket'),
+        hops=get('hops'),
     )
 
 
@@ -771,13 +799,14 @@
 
 
 def _read_submit_answer(reader: Any) -> SubmitAnswer:
+    get = reader._get
     return SubmitAnswer(
-        number=reader.number,
-        kind=reader.kind,
-        detail=reader.detail,
-        status=reader.status,
-        headers=tuple(map(_read_header, reader.headers)),
-        body=reader.body,
+        number=get('number'),
+        kind=get('kind'),
+        detail=get('detail'),
+        status=get('status'),
+        headers=tuple(map(_read_header, get('headers'))),
+        body=get('body'),
     )
 
 
@@ -800,10 +829,11 @@
 
 
 def _read_suspect_request(reader: Any) -> SuspectRequest:
+    get = reader._get
     return SuspectRequest(
-        fingerprint=reader.fingerprint,
-        deaths=tuple(map(_read_death, reader.deaths)),
-        remaining_ms=reader.remainingMs,
+        fingerprint=get('fingerprint'),
+        deaths=tuple(map(_read_death, get('deaths'))),
+        remaining_ms=get('remainingMs'),
     )
 
 
@@ -822,8 +852,9 @@
 
 
 def _read_suspects(reader: Any) -> Suspects:
+    get = reader._get
     return Suspects(
-        suspects=tuple(map(_read_suspect_request, reader.suspects)),
+        suspects=tuple(map(_read_suspect_request, get('suspects'))),
     )
 
 
@@ -849,10 +880,11 @@
 
 
 def _read_versions(reader: Any) -> Versions:
+    get = reader._get
     return Versions(
-        documents=tuple(map(_read_document_version, reader.documents)),
-        members=tuple(map(_read_member, reader.members)),
-        reply=reader.reply,
+        documents=tuple(map(_read_document_version, get('documents'))),
+        members=tuple(map(_read_member, get('members'))),
+        reply=get('reply'),
     )
 
 
