Target stand-in: a renewed revocation extends no earlier grant

Cause: renew() extended the last entry of the history also where the grant in force held no range, so a frozen target that came back and lost its keys seemed to own them for as long as its revocation was renewed. Ruled out: two owners in the product; owns() answered False all the time. Change: the history is extended only while ranges are held. Before: the new test failed with [5200 + 1400]; after: it passes.

--- a/src/standins/_grants.py
+++ b/src/standins/_grants.py
@@ -85,7 +85,7 @@
             return False
         was_held = now_ms < self.until_ms
         self.until_ms = max(self.until_ms, life.until_ms)
-        if was_held and self.history:
+        if was_held and self.ranges:
             self.history[-1].until_ms = self.until_ms
         else:
             self._open(now_ms)
--- a/src/standins/cluster.py
+++ b/src/standins/cluster.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from http import HTTPStatus
 from http.client import HTTPConnection
@@ -108,14 +108,19 @@
         settings = str(self.folder / f'{name}.toml')
         self.spawn(name, (*self.program, 'daemon', settings))
 
-    def spawn(self, name: str, command: tuple[str, ...]) -> None:
+    def spawn(
+        self,
+        name: str,
+        command: tuple[str, ...],
+        environment: Mapping[str, str] = os.environ,
+    ) -> None:
         """Start a process whose output goes to a file of its name."""
         with open(self.folder / f'{name}.log', 'ab') as log:
             self.processes[name] = subprocess.Popen(
                 command,
                 stdout=log,
                 stderr=log,
-                env=os.environ,
+                env=environment,
             )
 
     def publish(self, base: int = 0) -> None:
--- /dev/null
+++ b/tests/processes/conftest.py
@@ -0,0 +1,75 @@
+from pathlib import Path
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from standins.cluster import Cluster, ClusterPlan, ServiceShape, running
+from standins.load import CallerClass
+from standins.relayed_cluster import RelayedCluster
+from standins.trial import Trial
+
+ROOT = Path(__file__).parents[2]
+PLAN = ClusterPlan(
+    services=(ServiceShape('catalogue', 4), ServiceShape('orders', 3)),
+)
+
+
+@pytest.fixture(autouse=True)
+def python_path(monkeypatch):
+    monkeypatch.setenv('PYTHONPATH', f'{ROOT}/src')
+
+
+@pytest.fixture
+def trial(tmp_path):
+    with running(Cluster(PLAN, tmp_path)) as cluster:
+        yield Trial(cluster)
+
+
+@pytest.fixture
+def relayed_trial(tmp_path):
+    with running(RelayedCluster(PLAN, tmp_path)) as cluster:
+        yield Trial(cluster)
+
+
+@pytest.fixture
+def mixed_load():
+    def build(duration_s):
+        return (
+            CallerClass(
+                name='catalogue',
+                connections=12,
+                rate=120,
+                duration_s=duration_s,
+                keys=40,
+            ),
+            CallerClass(
+                name='orders',
+                path='/orders/confirm',
+                method='POST',
+                connections=9,
+                rate=30,
+                duration_s=duration_s,
+                keys=30,
+                body_bytes=200,
+                tickets=True,
+            ),
+        )
+
+    return build
+
+
+@pytest.fixture
+def assert_intact():
+    """Return a check that no invariant was seen to break."""
+
+    def check(trial, least_whole=50):
+        findings = trial.find()
+        for name, verdict in findings.verdicts.items():
+            print(f'{name}: {verdict}')
+        assert_that(list(findings.problems()), Equals([]))
+        whole = sum(each.whole for each in findings.verdicts.values())
+        assert_that(whole >= least_whole, Equals(True))
+        return findings
+
+    return check
--- a/tests/standins/test_grants.py
+++ b/tests/standins/test_grants.py
@@ -69,3 +69,11 @@
     fence.grant(Lifetime(3, 2, 5200, 1400), (), 5300)
     stretches = [(past.from_ms, past.until_ms) for past in fence.history]
     assert_that(stretches, Equals([(1010, 2900), (5100, 5300)]))
+
+
+def test_renewed_revocation_does_not_extend_what_was_held_before(fence):
+    fence.grant(Lifetime(3, 2, 5000, 1400), (), 5000)
+    fence.renew(Lifetime(3, 2, 5100, 1400), 5100)
+    fence.renew(Lifetime(3, 2, 5200, 1400), 5200)
+    ends = [past['until_ms'] for past in fence.export_history()]
+    assert_that(ends, Equals([2400]))
