Link pool: wanted incarnation is taken up at the next opening

Cause: a slot whose link had failed kept the Peer of its first opening. When a member is suspected any incarnation will do, but the slot went on asking for the old one, so a restarted daemon was refused as wrong-peer for ever. Ruled out: the view (its peer had no incarnation) and the backoff. Change: the slot takes the wanted peer at each opening.

--- a/src/laburnumyard/wire/_pool.py
+++ b/src/laburnumyard/wire/_pool.py
@@ -157,6 +157,8 @@
             slot = _Slot(peer)
             self.slots[peer.daemon] = slot
         if slot.link is None and self.loop.time() >= slot.retry_at:
+            # Which incarnation is wanted may have changed in the backoff.
+            slot.peer = peer
             slot.link = self.open(slot)
         return slot.link
 
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -82,6 +82,13 @@
     assert_that(daemon.came, Equals([]))
 
 
+async def test_any_incarnation_is_linked_after_the_wrong_one(pool, peer):
+    await ask(pool, replace(peer, incarnation=2), 'key')
+    await asyncio.sleep(pool.settings.backoff_max_s)
+    answer = await ask(pool, replace(peer, incarnation=None), 'key')
+    assert_that(answer.is_ok(), Is(True))
+
+
 async def test_refused_daemon_gets_no_link(pool, peer, daemon, server):
     server.admits = lambda remote: remote.incarnation > 1
     answer = await ask(pool, peer, 'key')
