--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements that print name=value lines."""
+"""Benchmarks: figures from seeds, in virtual time or on loopback."""
