--- /dev/null
+++ b/src/laburnumyard/daemon/_operations.py
@@ -0,0 +1,198 @@
+"""What the admin address answers."""
+
+from collections.abc import Mapping
+from http import HTTPStatus
+
+from laburnumyard.core.ids import ServiceName, TargetName
+from laburnumyard.core.keys import hash_key
+from laburnumyard.daemon._admin import AdminAnswer, AdminRequest, Handler
+from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._node import Node
+from laburnumyard.daemon._wishes import wait_until
+
+UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
+# How long an order to move or drain is waited for, and how often looked at.
+ORDER_TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.05
+
+
+class Operations:
+    """Answers operators' calls about one daemon.
+
+    Parameters
+    ----------
+    node
+        The daemon.
+    """
+
+    def __init__(self, node: Node) -> None:
+        """Keep the daemon."""
+        self.node = node
+
+    async def health(self, request: AdminRequest) -> AdminAnswer:
+        """Tell that the process answers."""
+        return AdminAnswer('ok\n')
+
+    async def ready(self, request: AdminRequest) -> AdminAnswer:
+        """Tell whether the balancer may send callers here."""
+        if self.node.is_ready:
+            return AdminAnswer('ready\n')
+        return AdminAnswer('not ready\n', HTTPStatus.SERVICE_UNAVAILABLE)
+
+    async def metrics(self, request: AdminRequest) -> AdminAnswer:
+        """Show counters and percentiles."""
+        lines = '\n'.join(self.node.metrics.lines())
+        return AdminAnswer(f'{lines}\n')
+
+    async def status(self, request: AdminRequest) -> AdminAnswer:
+        """Show what the daemon knows and which roles it has."""
+        node = self.node
+        view = node.view
+        return AdminAnswer(
+            {
+                'daemon': view.name,
+                'incarnation': view.incarnation,
+                'ready': node.is_ready,
+                'draining': view.is_draining,
+                'configuration': {'version': view.configuration_version},
+                'assignments': {
+                    service: snapshot.head.version
+                    for service, snapshot in view.snapshots.items()
+                },
+                'members': {
+                    name: member.state.value
+                    for name, member in view.members.state.members.items()
+                },
+                'scopes': [
+                    f'{scope.service}/{scope.data_centre}'
+                    for scope in node.ownership.held()
+                ],
+                'store': {
+                    'down': node.store.is_down(boot_time()),
+                    'last_contact_s': boot_time() - node.store.last_contact,
+                },
+                'in_flight': node.entry.in_flight,
+            }
+        )
+
+    async def owner(self, request: AdminRequest) -> AdminAnswer:
+        """Show which target owns a key and who dispatches to it."""
+        service = ServiceName(request.query.get('service', ''))
+        key = request.query.get('key', '')
+        view = self.node.view
+        table = view.tables.get(service)
+        if table is None or not key:
+            detail = (
+                f'service {service!r} and key {key!r}: name a configured '
+                f'service ({", ".join(sorted(view.tables))}) and a key'
+            )
+            return AdminAnswer({'error': detail}, HTTPStatus.NOT_FOUND)
+        key_hash = hash_key(key)
+        target = table.owner(key_hash)
+        return AdminAnswer(
+            {
+                'service': service,
+                'key': key,
+                'key_hash': key_hash,
+                'target': target,
+                'dispatcher': target and view.dispatcher_of(target),
+                'version': table.version,
+            }
+        )
+
+    async def move(self, request: AdminRequest) -> AdminAnswer:
+        """Move the range of a key to a target and wait until it is there."""
+        service = ServiceName(str(request.message.get('service', '')))
+        target = TargetName(str(request.message.get('target', '')))
+        key = str(request.message.get('key', ''))
+        problem = self._move_problem(service, target, key)
+        if problem:
+            return AdminAnswer({'error': problem}, HTTPStatus.NOT_FOUND)
+        key_hash = hash_key(key)
+        if not self.node.wishes.move(service, key_hash, target):
+            detail = f'the lease manager of {key!r} is not reached; try again'
+            return AdminAnswer({'error': detail}, UNAVAILABLE)
+        tables = self.node.view.tables
+        has_moved = await wait_until(
+            lambda: tables[service].owner(key_hash) == target,
+            ORDER_TIMEOUT_S,
+            POLL_INTERVAL_S,
+        )
+        if has_moved:
+            return AdminAnswer(
+                {'service': service, 'key': key, 'target': target}
+            )
+        return _unknown('the range has not moved yet')
+
+    async def drain(self, request: AdminRequest) -> AdminAnswer:
+        """Empty a target and wait until it owns nothing."""
+        target = TargetName(str(request.message.get('target', '')))
+        if self._service_of(target) is None:
+            return self._no_target(target)
+        self.node.wishes.drain(target, draining=True)
+        is_empty = await wait_until(
+            lambda: not self._owns(target),
+            ORDER_TIMEOUT_S,
+            POLL_INTERVAL_S,
+        )
+        if is_empty:
+            return AdminAnswer({'target': target, 'draining': True})
+        return _unknown(f'{target} still owns ranges')
+
+    async def undrain(self, request: AdminRequest) -> AdminAnswer:
+        """Let a target own ranges again."""
+        target = TargetName(str(request.message.get('target', '')))
+        if self._service_of(target) is None:
+            return self._no_target(target)
+        self.node.wishes.drain(target, draining=False)
+        return AdminAnswer({'target': target, 'draining': False})
+
+    def _move_problem(
+        self,
+        service: ServiceName,
+        target: TargetName,
+        key: str,
+    ) -> str:
+        if service not in self.node.view.tables:
+            known = ', '.join(sorted(self.node.view.tables))
+            return f'service {service!r}: name one of {known}'
+        if self._service_of(target) != service:
+            return f'target {target!r}: name a target of {service}'
+        return '' if key else 'key: name the key whose range is to move'
+
+    def _service_of(self, target: TargetName) -> str | None:
+        configuration = self.node.view.configuration
+        if configuration is None or target not in configuration.targets:
+            return None
+        return configuration.targets[target].service
+
+    def _owns(self, target: TargetName) -> bool:
+        service = ServiceName(str(self._service_of(target)))
+        table = self.node.view.tables.get(service)
+        return table is not None and any(
+            owned.target == target for owned in table.ranges
+        )
+
+    def _no_target(self, target: TargetName) -> AdminAnswer:
+        detail = f'target {target!r}: name a configured target'
+        return AdminAnswer({'error': detail}, HTTPStatus.NOT_FOUND)
+
+
+def _unknown(detail: str) -> AdminAnswer:
+    status = HTTPStatus.GATEWAY_TIMEOUT
+    return AdminAnswer({'error': f'{detail}; look at it again'}, status)
+
+
+def make_handlers(node: Node) -> Mapping[tuple[str, str], Handler]:
+    """Return what answers each call of the admin address."""
+    operations = Operations(node)
+    return {
+        ('GET', '/health'): operations.health,
+        ('GET', '/ready'): operations.ready,
+        ('GET', '/metrics'): operations.metrics,
+        ('GET', '/status'): operations.status,
+        ('GET', '/owner'): operations.owner,
+        ('POST', '/move'): operations.move,
+        ('POST', '/drain'): operations.drain,
+        ('POST', '/undrain'): operations.undrain,
+    }
--- /dev/null
+++ b/src/laburnumyard/daemon/_tickets.py
@@ -0,0 +1,149 @@
+"""The issuer's side of tickets, and the way of a submission to it."""
+
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+from expression import Error, Ok, Result
+
+from laburnumyard.core import requests
+from laburnumyard.core.callers import SHOWN
+from laburnumyard.core.errors import ErrorKind, Failure, Ran
+from laburnumyard.daemon._answers import Response
+from laburnumyard.daemon._clock import boot_time, draw_number
+from laburnumyard.daemon._jobs import Job
+
+Outcome = Result[Response, Failure]
+STOPPING = Failure(ErrorKind.INTERNAL, 'the daemon is stopping')
+
+
+@dataclass(slots=True)
+class _SingleRun:
+    """The one run of a ticket.
+
+    Its outcome is unknown until the target has answered.
+    """
+
+    job: Job
+    ticket: requests.Ticket
+    outcome: Outcome = field(default_factory=lambda: Error(STOPPING))
+    done: anyio.Event = field(default_factory=anyio.Event)
+
+
+class TicketOffice:
+    """Issues tickets and runs what is submitted with them at most once.
+
+    Parameters
+    ----------
+    ledger
+        What became of the tickets.
+    route
+        Runs a job at the owner of its key.
+    submit_at
+        Passes a submission to the daemon that issued its ticket.
+    tasks
+        Runs go on there when their caller leaves.
+    """
+
+    def __init__(
+        self,
+        ledger: requests.TicketLedger,
+        route: Callable[[Job], Awaitable[Outcome]],
+        submit_at: Callable[[Job, requests.Ticket], Awaitable[Outcome]],
+        tasks: TaskGroup,
+    ) -> None:
+        """Start with no ticket issued."""
+        self.ledger = ledger
+        self.route = route
+        self.submit_at = submit_at
+        self.tasks = tasks
+
+    def issue(self) -> str:
+        """Return a fresh ticket."""
+        return self.ledger.issue(draw_number(), boot_time()).ticket_id
+
+    async def submit(self, job: Job) -> Outcome:
+        """Submit a job at whichever daemon issued its ticket."""
+        ticket = requests.parse_ticket(job.ticket)
+        if ticket is None:
+            detail = (
+                f'ticket {job.ticket[:SHOWN]!r}: ask for one without a ticket'
+            )
+            return Error(Failure(ErrorKind.BAD_REQUEST, detail))
+        if ticket.issuer == self.ledger.issuer:
+            return await self.submit_here(job)
+        return await self.submit_at(job, ticket)
+
+    async def submit_here(self, job: Job) -> Outcome:
+        """Run a job unless its ticket has been used.
+
+        Returns
+        -------
+        Result
+            The first answer for every submission of the ticket.
+        """
+        ticket = requests.parse_ticket(job.ticket)
+        fingerprint = requests.fingerprint_of(
+            job.service, job.method, job.path, job.key, job.body
+        )
+        decision = self.ledger.submit(ticket, fingerprint, boot_time())
+        match decision:
+            case requests.Run():
+                return await self._run(job, ticket)
+            case requests.Replay(answer=answer):
+                return _decode(answer)
+            case requests.StillRunning():
+                return Error(Failure(ErrorKind.STILL_RUNNING))
+            case requests.Conflict():
+                return Error(Failure(ErrorKind.TICKET_CONFLICT))
+        return Error(decision.failure)
+
+    async def _run(self, job: Job, ticket: requests.Ticket) -> Outcome:
+        """Run a job to its end, also when its caller leaves."""
+        run = _SingleRun(job, ticket)
+        self.tasks.start_soon(self._run_once, run)
+        await run.done.wait()
+        return run.outcome
+
+    async def _run_once(self, run: _SingleRun) -> None:
+        try:
+            run.outcome = await self._route(run.job)
+        finally:
+            self._finish(run)
+
+    def _finish(self, run: _SingleRun) -> None:
+        ran = _ran(run.outcome)
+        self.ledger.finish(run.ticket, ran, _encode(run.outcome))
+        run.done.set()
+
+    async def _route(self, job: Job) -> Outcome:
+        try:
+            return await self.route(job)
+        except Exception as fault:
+            return Error(Failure(ErrorKind.INTERNAL, repr(fault)))
+
+
+def _ran(outcome: Outcome) -> Ran:
+    return Ran.RAN if outcome.is_ok() else outcome.error.answer.ran
+
+
+def _encode(outcome: Outcome) -> bytes:
+    if outcome.is_error():
+        failure = outcome.error
+        row = {'kind': failure.kind.value, 'detail': failure.detail}
+        return json.dumps(row).encode()
+    response = outcome.ok
+    row = {'status': response.status, 'headers': response.headers}
+    return b'\n'.join((json.dumps(row).encode(), response.body))
+
+
+def _decode(answer: bytes) -> Outcome:
+    head, _, body = answer.partition(b'\n')
+    row = json.loads(head)
+    kind = row.get('kind')
+    if kind is not None:
+        return Error(Failure(ErrorKind(kind), row['detail']))
+    headers = tuple(map(tuple, row['headers']))
+    return Ok(Response(row['status'], headers, body))
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -32,9 +32,10 @@
 
 
 def _read_assignment(reader: Any) -> Assignment:
+    get = reader._get
     return Assignment(
-        service=reader.service,
-        ranges=tuple(map(_read_owned_range, reader.ranges)),
+        service=get('service'),
+        ranges=tuple(map(_read_owned_range, get('ranges'))),
     )
 
 
@@ -50,8 +51,48 @@
 
 
 def _read_cancel(reader: Any) -> Cancel:
+    get = reader._get
     return Cancel(
-        number=reader.number,
+        number=get('number'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class ChunkPatch:
+    """The message ``ChunkPatch`` of messages.capnp."""
+
+    base: str
+    content: bytes
+
+
+def _write_chunk_patch(message: ChunkPatch, builder: Any) -> None:
+    builder.base = message.base
+    builder.content = message.content
+
+
+def _read_chunk_patch(reader: Any) -> ChunkPatch:
+    get = reader._get
+    return ChunkPatch(
+        base=get('base'),
+        content=get('content'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Death:
+    """The message ``Death`` of messages.capnp."""
+
+    name: str
+
+
+def _write_death(message: Death, builder: Any) -> None:
+    builder.name = message.name
+
+
+def _read_death(reader: Any) -> Death:
+    get = reader._get
+    return Death(
+        name=get('name'),
     )
 
 
@@ -71,10 +112,71 @@
 
 
 def _read_document(reader: Any) -> Document:
+    get = reader._get
     return Document(
-        name=reader.name,
-        version=reader.version,
-        content=reader.content,
+        name=get('name'),
+        version=get('version'),
+        content=get('content'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentPart:
+    """The message ``DocumentPart`` of messages.capnp."""
+
+    name: str
+    version: int
+    base_version: int
+    patch_bytes: int
+    offset: int
+    content: bytes
+
+
+def _write_document_part(message: DocumentPart, builder: Any) -> None:
+    builder.name = message.name
+    builder.version = message.version
+    builder.baseVersion = message.base_version
+    builder.patchBytes = message.patch_bytes
+    builder.offset = message.offset
+    builder.content = message.content
+
+
+def _read_document_part(reader: Any) -> DocumentPart:
+    get = reader._get
+    return DocumentPart(
+        name=get('name'),
+        version=get('version'),
+        base_version=get('baseVersion'),
+        patch_bytes=get('patchBytes'),
+        offset=get('offset'),
+        content=get('content'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentPatch:
+    """The message ``DocumentPatch`` of messages.capnp."""
+
+    head: bytes
+    chunks: tuple[ChunkPatch, ...]
+    revision: int
+
+
+def _write_document_patch(message: DocumentPatch, builder: Any) -> None:
+    builder.head = message.head
+    parts = message.chunks
+    slots = builder.init('chunks', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_chunk_patch(part, slot)
+    builder.revision = message.revision
+
+
+def _read_document_patch(reader: Any) -> DocumentPatch:
+    get = reader._get
+    return DocumentPatch(
+        head=get('head'),
+        chunks=tuple(map(_read_chunk_patch, get('chunks'))),
+        revision=get('revision'),
     )
 
 
@@ -84,17 +186,45 @@
 
     name: str
     version: int
+    confirmed: bool
+    confirmed_age_ms: int
 
 
 def _write_document_version(message: DocumentVersion, builder: Any) -> None:
     builder.name = message.name
     builder.version = message.version
+    builder.confirmed = message.confirmed
+    builder.confirmedAgeMs = message.confirmed_age_ms
 
 
 def _read_document_version(reader: Any) -> DocumentVersion:
+    get = reader._get
     return DocumentVersion(
-        name=reader.name,
-        version=reader.version,
+        name=get('name'),
+        version=get('version'),
+        confirmed=get('confirmed'),
+        confirmed_age_ms=get('confirmedAgeMs'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class DrainTarget:
+    """The message ``DrainTarget`` of messages.capnp."""
+
+    target: str
+    draining: bool
+
+
+def _write_drain_target(message: DrainTarget, builder: Any) -> None:
+    builder.target = message.target
+    builder.draining = message.draining
+
+
+def _read_drain_target(reader: Any) -> DrainTarget:
+    get = reader._get
+    return DrainTarget(
+        target=get('target'),
+        draining=get('draining'),
     )
 
 
@@ -104,17 +234,45 @@
 
     name: str
     known_version: int
+    version: int
+    offset: int
 
 
 def _write_fetch_document(message: FetchDocument, builder: Any) -> None:
     builder.name = message.name
     builder.knownVersion = message.known_version
+    builder.version = message.version
+    builder.offset = message.offset
 
 
 def _read_fetch_document(reader: Any) -> FetchDocument:
+    get = reader._get
     return FetchDocument(
-        name=reader.name,
-        known_version=reader.knownVersion,
+        name=get('name'),
+        known_version=get('knownVersion'),
+        version=get('version'),
+        offset=get('offset'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Gossip:
+    """The message ``Gossip`` of messages.capnp."""
+
+    members: tuple[Member, ...]
+
+
+def _write_gossip(message: Gossip, builder: Any) -> None:
+    parts = message.members
+    slots = builder.init('members', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_member(part, slot)
+
+
+def _read_gossip(reader: Any) -> Gossip:
+    get = reader._get
+    return Gossip(
+        members=tuple(map(_read_member, get('members'))),
     )
 
 
@@ -145,14 +303,15 @@
 
 
 def _read_guard_answer(reader: Any) -> GuardAnswer:
+    get = reader._get
     return GuardAnswer(
-        number=reader.number,
-        accepted=reader.accepted,
-        term=reader.term,
-        sequence=reader.sequence,
-        clock_ms=reader.clockMs,
-        ranges=tuple(map(_read_owned_range, reader.ranges)),
-        busy=reader.busy,
+        number=get('number'),
+        accepted=get('accepted'),
+        term=get('term'),
+        sequence=get('sequence'),
+        clock_ms=get('clockMs'),
+        ranges=tuple(map(_read_owned_range, get('ranges'))),
+        busy=get('busy'),
     )
 
 
@@ -187,16 +346,17 @@
 
 
 def _read_guard_grant(reader: Any) -> GuardGrant:
+    get = reader._get
     return GuardGrant(
-        number=reader.number,
-        service=reader.service,
-        target=reader.target,
-        term=reader.term,
-        sequence=reader.sequence,
-        clock_ms=reader.clockMs,
-        lifetime_ms=reader.lifetimeMs,
-        ranges=tuple(map(_read_owned_range, reader.ranges)),
-        replaces=reader.replaces,
+        number=get('number'),
+        service=get('service'),
+        target=get('target'),
+        term=get('term'),
+        sequence=get('sequence'),
+        clock_ms=get('clockMs'),
+        lifetime_ms=get('lifetimeMs'),
+        ranges=tuple(map(_read_owned_range, get('ranges'))),
+        replaces=get('replaces'),
     )
 
 
@@ -218,11 +378,12 @@
 
 
 def _read_guard_seal(reader: Any) -> GuardSeal:
+    get = reader._get
     return GuardSeal(
-        number=reader.number,
-        service=reader.service,
-        target=reader.target,
-        term=reader.term,
+        number=get('number'),
+        service=get('service'),
+        target=get('target'),
+        term=get('term'),
     )
 
 
@@ -240,9 +401,10 @@
 
 
 def _read_hand_over(reader: Any) -> HandOver:
+    get = reader._get
     return HandOver(
-        service=reader.service,
-        data_centre=reader.dataCentre,
+        service=get('service'),
+        data_centre=get('dataCentre'),
     )
 
 
@@ -260,9 +422,10 @@
 
 
 def _read_header(reader: Any) -> Header:
+    get = reader._get
     return Header(
-        name=reader.name,
-        value=reader.value,
+        name=get('name'),
+        value=get('value'),
     )
 
 
@@ -275,6 +438,8 @@
     sequence: int
     leaving: bool
     digest: int
+    interval_ms: int
+    documents: int
 
 
 def _write_heartbeat(message: Heartbeat, builder: Any) -> None:
@@ -283,15 +448,20 @@
     builder.sequence = message.sequence
     builder.leaving = message.leaving
     builder.digest = message.digest
+    builder.intervalMs = message.interval_ms
+    builder.documents = message.documents
 
 
 def _read_heartbeat(reader: Any) -> Heartbeat:
+    get = reader._get
     return Heartbeat(
-        daemon=reader.daemon,
-        incarnation=reader.incarnation,
-        sequence=reader.sequence,
-        leaving=reader.leaving,
-        digest=reader.digest,
+        daemon=get('daemon'),
+        incarnation=get('incarnation'),
+        sequence=get('sequence'),
+        leaving=get('leaving'),
+        digest=get('digest'),
+        interval_ms=get('intervalMs'),
+        documents=get('documents'),
     )
 
 
@@ -302,19 +472,26 @@
     daemon: str
     incarnation: int
     data_centre: str
+    region: str
+    peer_address: str
 
 
 def _write_hello(message: Hello, builder: Any) -> None:
     builder.daemon = message.daemon
     builder.incarnation = message.incarnation
     builder.dataCentre = message.data_centre
+    builder.region = message.region
+    builder.peerAddress = message.peer_address
 
 
 def _read_hello(reader: Any) -> Hello:
+    get = reader._get
     return Hello(
-        daemon=reader.daemon,
-        incarnation=reader.incarnation,
-        data_centre=reader.dataCentre,
+        daemon=get('daemon'),
+        incarnation=get('incarnation'),
+        data_centre=get('dataCentre'),
+        region=get('region'),
+        peer_address=get('peerAddress'),
     )
 
 
@@ -335,9 +512,10 @@
 
 
 def _read_load_report(reader: Any) -> LoadReport:
+    get = reader._get
     return LoadReport(
-        service=reader.service,
-        ranges=tuple(map(_read_range_load, reader.ranges)),
+        service=get('service'),
+        ranges=tuple(map(_read_range_load, get('ranges'))),
     )
 
 
@@ -351,6 +529,8 @@
     region: str
     peer_address: str
     leaving: bool
+    suspected: bool
+    refutation: int
 
 
 def _write_member(message: Member, builder: Any) -> None:
@@ -360,16 +540,90 @@
     builder.region = message.region
     builder.peerAddress = message.peer_address
     builder.leaving = message.leaving
+    builder.suspected = message.suspected
+    builder.refutation = message.refutation
 
 
 def _read_member(reader: Any) -> Member:
+    get = reader._get
     return Member(
-        daemon=reader.daemon,
-        incarnation=reader.incarnation,
-        data_centre=reader.dataCentre,
-        region=reader.region,
-        peer_address=reader.peerAddress,
-        leaving=reader.leaving,
+        daemon=get('daemon'),
+        incarnation=get('incarnation'),
+        data_centre=get('dataCentre'),
+        region=get('region'),
+        peer_address=get('peerAddress'),
+        leaving=get('leaving'),
+        suspected=get('suspected'),
+        refutation=get('refutation'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class MemberDigests:
+    """The message ``MemberDigests`` of messages.capnp."""
+
+    buckets: bytes
+    reply: bool
+
+
+def _write_member_digests(message: MemberDigests, builder: Any) -> None:
+    builder.buckets = message.buckets
+    builder.reply = message.reply
+
+
+def _read_member_digests(reader: Any) -> MemberDigests:
+    get = reader._get
+    return MemberDigests(
+        buckets=get('buckets'),
+        reply=get('reply'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Members:
+    """The message ``Members`` of messages.capnp."""
+
+    members: tuple[Member, ...]
+
+
+def _write_members(message: Members, builder: Any) -> None:
+    parts = message.members
+    slots = builder.init('members', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_member(part, slot)
+
+
+def _read_members(reader: Any) -> Members:
+    get = reader._get
+    return Members(
+        members=tuple(map(_read_member, get('members'))),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class MoveRange:
+    """The message ``MoveRange`` of messages.capnp."""
+
+    service: str
+    start: int
+    last: int
+    target: str
+
+
+def _write_move_range(message: MoveRange, builder: Any) -> None:
+    builder.service = message.service
+    builder.start = message.start
+    builder.last = message.last
+    builder.target = message.target
+
+
+def _read_move_range(reader: Any) -> MoveRange:
+    get = reader._get
+    return MoveRange(
+        service=get('service'),
+        start=get('start'),
+        last=get('last'),
+        target=get('target'),
     )
 
 
@@ -389,10 +643,47 @@
 
 
 def _read_owned_range(reader: Any) -> OwnedRange:
+    get = reader._get
     return OwnedRange(
-        start=reader.start,
-        last=reader.last,
-        target=reader.target,
+        start=get('start'),
+        last=get('last'),
+        target=get('target'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """The message ``Ping`` of messages.capnp."""
+
+    number: int
+
+
+def _write_ping(message: Ping, builder: Any) -> None:
+    builder.number = message.number
+
+
+def _read_ping(reader: Any) -> Ping:
+    get = reader._get
+    return Ping(
+        number=get('number'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Pong:
+    """The message ``Pong`` of messages.capnp."""
+
+    number: int
+
+
+def _write_pong(message: Pong, builder: Any) -> None:
+    builder.number = message.number
+
+
+def _read_pong(reader: Any) -> Pong:
+    get = reader._get
+    return Pong(
+        number=get('number'),
     )
 
 
@@ -418,13 +709,14 @@
 
 
 def _read_range_load(reader: Any) -> RangeLoad:
+    get = reader._get
     return RangeLoad(
-        start=reader.start,
-        last=reader.last,
-        requests=reader.requests,
-        busy_ms=reader.busyMs,
-        hot_key=reader.hotKey,
-        hot_requests=reader.hotRequests,
+        start=get('start'),
+        last=get('last'),
+        requests=get('requests'),
+        busy_ms=get('busyMs'),
+        hot_key=get('hotKey'),
+        hot_requests=get('hotRequests'),
     )
 
 
@@ -469,21 +761,22 @@
 
 
 def _read_submit(reader: Any) -> Submit:
+    get = reader._get
     return Submit(
-        number=reader.number,
-        request_id=reader.requestId,
-        service=reader.service,
-        target=reader.target,
-        customer=reader.customer,
-        key=reader.key,
-        method=reader.method,
-        path=reader.path,
-        headers=tuple(map(_read_header, reader.headers)),
-        body=reader.body,
-        deadline_ms=reader.deadlineMs,
-        repeatable=reader.repeatable,
-        ticket=reader.ticket,
-        hops=reader.hops,
+        number=get('number'),
+        request_id=get('requestId'),
+        service=get('service'),
+        target=get('target'),
+        customer=get('customer'),
+        key=get('key'),
+        method=get('method'),
+        path=get('path'),
+        headers=tuple(map(_read_header, get('headers'))),
+        body=get('body'),
+        deadline_ms=get('deadlineMs'),
+        repeatable=get('repeatable'),
+        ticket=get('ticket'),
+        hops=get('hops'),
     )
 
 
@@ -512,13 +805,62 @@
 
 
 def _read_submit_answer(reader: Any) -> SubmitAnswer:
+    get = reader._get
     return SubmitAnswer(
-        number=reader.number,
-        kind=reader.kind,
-        detail=reader.detail,
-        status=reader.status,
-        headers=tuple(map(_read_header, reader.headers)),
-        body=reader.body,
+        number=get('number'),
+        kind=get('kind'),
+        detail=get('detail'),
+        status=get('status'),
+        headers=tuple(map(_read_header, get('headers'))),
+        body=get('body'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectRequest:
+    """The message ``SuspectRequest`` of messages.capnp."""
+
+    fingerprint: bytes
+    deaths: tuple[Death, ...]
+    remaining_ms: int
+
+
+def _write_suspect_request(message: SuspectRequest, builder: Any) -> None:
+    builder.fingerprint = message.fingerprint
+    parts = message.deaths
+    slots = builder.init('deaths', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_death(part, slot)
+    builder.remainingMs = message.remaining_ms
+
+
+def _read_suspect_request(reader: Any) -> SuspectRequest:
+    get = reader._get
+    return SuspectRequest(
+        fingerprint=get('fingerprint'),
+        deaths=tuple(map(_read_death, get('deaths'))),
+        remaining_ms=get('remainingMs'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Suspects:
+    """The message ``Suspects`` of messages.capnp."""
+
+    suspects: tuple[SuspectRequest, ...]
+
+
+def _write_suspects(message: Suspects, builder: Any) -> None:
+    parts = message.suspects
+    slots = builder.init('suspects', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_suspect_request(part, slot)
+
+
+def _read_suspects(reader: Any) -> Suspects:
+    get = reader._get
+    return Suspects(
+        suspects=tuple(map(_read_suspect_request, get('suspects'))),
     )
 
 
@@ -544,10 +886,11 @@
 
 
 def _read_versions(reader: Any) -> Versions:
+    get = reader._get
     return Versions(
-        documents=tuple(map(_read_document_version, reader.documents)),
-        members=tuple(map(_read_member, reader.members)),
-        reply=reader.reply,
+        documents=tuple(map(_read_document_version, get('documents'))),
+        members=tuple(map(_read_member, get('members'))),
+        reply=get('reply'),
     )
 
 
@@ -565,6 +908,16 @@
     | GuardSeal
     | GuardGrant
     | GuardAnswer
+    | Ping
+    | Pong
+    | Gossip
+    | MemberDigests
+    | Members
+    | DocumentPart
+    | DocumentPatch
+    | MoveRange
+    | DrainTarget
+    | Suspects
 )
 
 _WRITERS: dict[type, Any] = {
@@ -581,6 +934,16 @@
     GuardSeal: ('guardSeal', _write_guard_seal),
     GuardGrant: ('guardGrant', _write_guard_grant),
     GuardAnswer: ('guardAnswer', _write_guard_answer),
+    Ping: ('ping', _write_ping),
+    Pong: ('pong', _write_pong),
+    Gossip: ('gossip', _write_gossip),
+    MemberDigests: ('memberDigests', _write_member_digests),
+    Members: ('members', _write_members),
+    DocumentPart: ('documentPart', _write_document_part),
+    DocumentPatch: ('documentPatch', _write_document_patch),
+    MoveRange: ('moveRange', _write_move_range),
+    DrainTarget: ('drainTarget', _write_drain_target),
+    Suspects: ('suspects', _write_suspects),
 }
 _READERS: dict[str, Any] = {
     'hello': _read_hello,
@@ -596,6 +959,16 @@
     'guardSeal': _read_guard_seal,
     'guardGrant': _read_guard_grant,
     'guardAnswer': _read_guard_answer,
+    'ping': _read_ping,
+    'pong': _read_pong,
+    'gossip': _read_gossip,
+    'memberDigests': _read_member_digests,
+    'members': _read_members,
+    'documentPart': _read_document_part,
+    'documentPatch': _read_document_patch,
+    'moveRange': _read_move_range,
+    'drainTarget': _read_drain_target,
+    'suspects': _read_suspects,
 }
 
 
--- a/src/laburnumyard/schema/_generated/settings.py
+++ b/src/laburnumyard/schema/_generated/settings.py
@@ -16,6 +16,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     name: Annotated[str, Field(max_length=64, min_length=1)]
     """
@@ -38,6 +39,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     callers: Annotated[
         str, Field(pattern="^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$")
@@ -59,6 +61,21 @@
     """
 
 
+class AdminSettings(BaseModel):
+    """
+    Who may give operators' orders on the admin address.
+    """
+
+    model_config = ConfigDict(
+        extra="forbid",
+        frozen=True,
+    )
+    token_sha256: Annotated[str, Field(pattern="^([0-9a-f]{64})?$")] = ""
+    """
+    The SHA-256 of the operators' token, in hexadecimal; without it every call that changes something is refused.
+    """
+
+
 class StoreSettings(BaseModel):
     """
     The platform's key-value service and its list of VMs.
@@ -66,6 +83,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     address: Annotated[
         str, Field(pattern="^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$")
@@ -102,6 +120,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     body_bytes: Annotated[int, Field(ge=1024, le=16777216)] = 262144
     """
@@ -148,6 +167,7 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     grant_life_s: Annotated[float, Field(gt=0.0)] = 1.4
     """
@@ -201,8 +221,9 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
-    level: Level = "INFO"
+    level: Level = Level.INFO
     """
     The least severity that is written.
     """
@@ -219,10 +240,12 @@
 
     model_config = ConfigDict(
         extra="forbid",
+        frozen=True,
     )
     daemon: DaemonSettings
     listen: ListenSettings
     store: StoreSettings
+    admin: Annotated[AdminSettings, Field(validate_default=True)] = {}
     limits: Annotated[LimitSettings, Field(validate_default=True)] = {}
     timing: Annotated[TimingSettings, Field(validate_default=True)] = {}
     log: Annotated[LogSettings, Field(validate_default=True)] = {}
