A restarted manager's scope is taken over; words of leaving are kept in the head

The rule is now the function needs_manager, which compares incarnations.

A word of leaving was lost with the daemons that had heard it: it now stands in the head (draining) until it is taken back.

--- a/src/laburnumyard/core/ownership/__init__.py
+++ b/src/laburnumyard/core/ownership/__init__.py
@@ -8,8 +8,9 @@
    idle. Feed ``HeadRead`` with ``asked_at=None`` for each head that arrives
    from peers, and ``PlanChanged`` for each new configuration.
 2. Feed ``TakeOver`` when this daemon is first in the rendezvous order of
-   ``SERVICE/DATA_CENTRE`` over the live daemons of other data centres, and the
-   head names no manager or one that is suspected.
+   ``SERVICE/DATA_CENTRE`` over the live daemons of other data centres, and
+   ``needs_manager`` holds for the scope. Compare incarnations, not only names:
+   a daemon that was restarted before anybody suspected it manages nothing.
 3. Call ``handle(event, now)`` with a boot-time clock for everything that
    happens, and ``handle(Tick(), now)`` at ``wake_at(now)``. Run the returned
    effects in order:
@@ -69,6 +70,7 @@
     Snapshot,
     decode_head,
     encode_head,
+    needs_manager,
 )
 from laburnumyard.core.ownership._manager import LeaseManager
 from laburnumyard.core.ownership._messages import (
@@ -160,6 +162,7 @@
     'encode_head',
     'hash_range',
     'initial_assignment',
+    'needs_manager',
     'owner_of',
     'ranges_by_target',
     'service_plan',
--- a/src/laburnumyard/core/ownership/_changing.py
+++ b/src/laburnumyard/core/ownership/_changing.py
@@ -107,6 +107,7 @@
         homes=_homes(state, draft),
         withdrawn=tuple(sorted(draft.withdrawn)),
         guards=draft.guards,
+        draining=tuple(sorted(draft.draining)),
         settling=tuple(sorted(draft.settling)),
     )
     return Change(
--- a/src/laburnumyard/core/ownership/_drafting.py
+++ b/src/laburnumyard/core/ownership/_drafting.py
@@ -1,7 +1,7 @@
 """The parts of the next head that a change of the assignment touches."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 from laburnumyard.core.ids import DaemonName, Seconds, TargetName
@@ -10,6 +10,7 @@
 from laburnumyard.core.ownership._membership import (
     available_targets,
     is_leaving,
+    said_to_leave,
 )
 from laburnumyard.core.ownership._plan import needs_guard, work_ends_by
 from laburnumyard.core.ownership._planner import (
@@ -38,6 +39,8 @@
         Targets that take no further ranges.
     guards
         The daemon that holds the grants of each target without fencing.
+    draining
+        Targets that are said to be leaving.
     settling
         Targets at which work that a former guard sent may still be running.
     frozen
@@ -47,17 +50,13 @@
     assignment: Assignment
     withdrawn: frozenset[TargetName]
     guards: Mapping[TargetName, DaemonName]
+    draining: frozenset[TargetName] = frozenset()
     settling: frozenset[TargetName] = frozenset()
     frozen: frozenset[TargetName] = frozenset()
 
     def is_same(self, other: 'Draft') -> bool:
         """Tell whether a swap from one to the other would change nothing."""
-        return (
-            self.assignment == other.assignment
-            and self.withdrawn == other.withdrawn
-            and self.guards == other.guards
-            and self.settling == other.settling
-        )
+        return replace(self, frozen=other.frozen) == other
 
 
 def movable_parts(
@@ -87,12 +86,15 @@
         state.snapshot.assignment,
         frozenset(known.intersection(head.withdrawn)),
         {name: head.guards[name] for name in known & head.guards.keys()},
+        frozenset(known.intersection(head.draining)),
         frozenset(known.intersection(head.settling)),
     )
 
 
 def withdraw(state: ManagerState, draft: Draft, now: Seconds) -> None:
     """Note which targets take no further ranges, and which do again."""
+    mine = state.leases.keys()
+    draft.draining = (draft.draining - mine) | (said_to_leave(state) & mine)
     for lease in state.leases.values():
         name = lease.name
         is_lost = _is_deserted(state, lease, now)
--- a/src/laburnumyard/core/ownership/_head.py
+++ b/src/laburnumyard/core/ownership/_head.py
@@ -80,6 +80,9 @@
         Targets that take no further ranges: lost or draining ones.
     guards
         The daemon that holds the grants of each target without fencing.
+    draining
+        Targets that somebody has said to be leaving; kept here so that the
+        word outlives the daemon that heard it.
     settling
         Targets at which work that a former guard sent may still be running.
     """
@@ -102,6 +105,7 @@
         Annotated[TargetName, _TEXT],
         Annotated[DaemonName, _TEXT],
     ] = field(default_factory=dict)
+    draining: tuple[Annotated[TargetName, _TEXT], ...] = ()
     settling: tuple[Annotated[TargetName, _TEXT], ...] = ()
 
     @property
@@ -111,6 +115,28 @@
         return max(terms, default=Term(0))
 
 
+def needs_manager(
+    scope: Scope | None,
+    live: Mapping[DaemonName, Incarnation],
+) -> bool:
+    """Tell whether a scope has no manager that runs.
+
+    Parameters
+    ----------
+    scope
+        The scope's entry in the head; ``None`` if it has none.
+    live
+        The incarnation of each daemon that is thought to run. A daemon that
+        has been restarted manages nothing of what its earlier process did.
+
+    Returns
+    -------
+    bool
+        Whether the daemon that comes first in order should take over.
+    """
+    return scope is None or live.get(scope.manager) != scope.incarnation
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """One state of a service's assignment in the store.
--- a/src/laburnumyard/core/ownership/_membership.py
+++ b/src/laburnumyard/core/ownership/_membership.py
@@ -12,7 +12,7 @@
     withdrawn: Iterable[TargetName] = (),
 ) -> set[TargetName]:
     """Return the targets that can take ranges, as far as is known here."""
-    unusable = {*withdrawn, *state.draining, *state.down}
+    unusable = {*withdrawn, *said_to_leave(state), *state.down}
     for lease in state.leases.values():
         if not lease.sealed or lease.is_lost(now):
             unusable.add(lease.name)
@@ -36,4 +36,10 @@
     """Tell whether a target's ranges are to move away."""
     kind = state.plan.targets.get(target)
     is_configured_away = kind is None or kind.draining
-    return is_configured_away or target in state.draining
+    return is_configured_away or target in said_to_leave(state)
+
+
+def said_to_leave(state: ManagerState) -> frozenset[TargetName]:
+    """Return the targets that somebody has said to be leaving."""
+    stored = state.snapshot.head.draining if state.snapshot else ()
+    return frozenset(state.draining.union(stored) - state.staying)
--- a/src/laburnumyard/core/ownership/_noting.py
+++ b/src/laburnumyard/core/ownership/_noting.py
@@ -32,8 +32,10 @@
 ) -> None:
     if event.draining:
         state.draining.add(event.target)
+        state.staying.discard(event.target)
     else:
         state.draining.discard(event.target)
+        state.staying.add(event.target)
 
 
 @note.register
--- a/src/laburnumyard/core/ownership/_state.py
+++ b/src/laburnumyard/core/ownership/_state.py
@@ -220,6 +220,8 @@
         The targets of the scope, while it holds the term.
     draining
         Targets that said, or are said by the platform, to leave.
+    staying
+        Targets that are said to leave no longer.
     down
         Guarded targets that their guard cannot reach.
     guards
@@ -249,6 +251,7 @@
     call_count: int = 0
     leases: dict[TargetName, TargetLease] = field(default_factory=dict)
     draining: set[TargetName] = field(default_factory=set)
+    staying: set[TargetName] = field(default_factory=set)
     down: set[TargetName] = field(default_factory=set)
     guards: dict[TargetName, tuple[DaemonName, ...]] = field(
         default_factory=dict,
