--- a/tests/core/requests/test_ledger_states.py
+++ b/tests/core/requests/test_ledger_states.py
@@ -58,7 +58,7 @@
         draw = len(self.tickets)
         self.tickets.append(self.ledgers[daemon].issue(draw, self.now))
 
-    @precondition(lambda self: self.tickets)
+    @precondition(lambda machine: machine.tickets)
     @rule(pick=PICK, astray=st.booleans(), other=st.booleans())
     def submit(self, pick, astray, other):
         """Submit a ticket, perhaps to a wrong daemon or another request."""
@@ -78,18 +78,18 @@
             is_other = isinstance(decision, requests.Conflict)
             assert is_other or not self.run_log[ticket], 'it did run'
 
-    @precondition(lambda self: self.pending)
+    @precondition(lambda machine: machine.pending)
     @rule(pick=PICK)
     def reach_target(self, pick):
-        ticket = self.pick_pending(pick)
+        ticket = pick_pending(self.pending, pick)
         if not self.pending[ticket]:
             self.pending[ticket] = True
             self.run_log[ticket] += 1
 
-    @precondition(lambda self: self.pending)
+    @precondition(lambda machine: machine.pending)
     @rule(pick=PICK, is_known=st.booleans())
     def finish(self, pick, is_known):
-        ticket = self.pick_pending(pick)
+        ticket = pick_pending(self.pending, pick)
         did_run = self.pending.pop(ticket)
         ran = Ran.RAN if did_run else Ran.NOT_RUN
         ledger = self.ledgers[int(ticket.issuer[-1])]
@@ -116,9 +116,6 @@
         recent = self.tickets[-RECENT_TICKETS:]
         return recent[pick % len(recent)]
 
-    def pick_pending(self, pick):
-        return sorted(self.pending, key=repr)[pick % len(self.pending)]
-
     @rule(seconds=st.sampled_from((0.001, 0.5, 1.5, 9, 11)))
     def advance(self, seconds):
         self.now += seconds
@@ -150,10 +147,15 @@
         for ledger in self.ledgers:
             kept = sum(len(entry.answer) for entry in ledger.entries.values())
             assert len(ledger.entries) <= LIMITS.tickets
-            assert kept == ledger.answer_bytes <= LIMITS.ticket_answer_bytes
+            assert kept == ledger.answer_bytes
+            assert kept <= LIMITS.ticket_answer_bytes
             assert ledger.running <= len(ledger.entries)
 
 
+def pick_pending(pending, pick):
+    return sorted(pending, key=repr)[pick % len(pending)]
+
+
 def answer_to(ticket):
     return ticket.ticket_id.encode().ljust(600, b'.')
 
--- a/tests/core/requests/test_target_queue.py
+++ b/tests/core/requests/test_target_queue.py
@@ -1,10 +1,22 @@
+import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, GreaterThan, HasLength, Is
+from testtools.matchers import (
+    Contains,
+    Equals,
+    GreaterThan,
+    HasLength,
+    Is,
+    LessThan,
+)
 
 from laburnumyard.core import requests
 from laburnumyard.core.errors import ErrorKind
+from laburnumyard.core.requests._flows import Line
+from laburnumyard.core.requests._shares import ShareMeter
 from tests.core.requests.world import check, kinds, leave, settings
 
+MONTH_S = 30 * 24 * 3600
+
 
 def test_no_more_runs_than_slots(new_world):
     world = new_world(slots=3)
@@ -16,20 +28,6 @@
     check(world)
 
 
-def test_paid_request_is_next_after_a_month_of_silence(new_world):
-    world = new_world(slots=1)
-    for _ in range(20):
-        world.arrive('trujillo', length=1, repeatable=False, within=1000)
-    world.advance(30 * 24 * 3600)
-    for _ in range(20):
-        world.arrive('trujillo', length=1, repeatable=False, within=1000)
-    paid = world.arrive('clinic', within=5)
-    world.advance(1)
-    assert_that(world.run_log[-1], Equals(paid))
-    world.advance(40)
-    check(world)
-
-
 def test_lent_slot_is_taken_back_at_once(new_world):
     world = new_world(slots=1)
     lent = world.arrive('trujillo', length=1)
@@ -105,19 +103,6 @@
     assert_that(late.count('trujillo'), GreaterThan(15))
 
 
-def test_least_share_keeps_a_class_from_starving(new_world):
-    world = new_world(slots=1, shares={'clinic': 1.0}, least_share=0.1)
-    for _ in range(1000):
-        world.arrive('clinic', within=0.1)
-        world.arrive('trujillo', within=0.5)
-        world.advance(0.005)
-    served = [world.requests[each].customer for each in world.run_log]
-    share = served.count('trujillo') / len(served)
-    assert_that(share, GreaterThan(0.09))
-    world.advance(5)
-    check(world)
-
-
 def test_deferrable_work_waits_for_idle_slots(new_world):
     world = new_world(slots=1)
     first = world.arrive('trujillo')
@@ -290,3 +275,65 @@
     assert_that(sorted(set(world.run_log)), Equals(sorted([*held, paid])))
     assert_that(world.run_log[-1], Equals(paid))
     check(world)
+
+
+@pytest.mark.cell(step='drain', fault='target-freeze')
+def test_frozen_target_does_not_hold_up_a_leaving_daemon(new_world):
+    world = new_world(slots=2)
+    frozen = [world.arrive('trujillo', length=100) for _ in range(2)]
+    waiting = [world.arrive('arequipa') for _ in range(3)]
+    world.feed(requests.Drain(ErrorKind.SHUTTING_DOWN, serve_waiting=True))
+    world.advance(2.5)
+    check(world)
+    assert_that(world.queue.is_idle, Is(True))
+    for request_id in (*frozen, *waiting):
+        assert_that(world.answers[request_id], HasLength(1))
+
+
+def month_of_silence(world):
+    """Serve others for a month; give whether the paid request is next."""
+    for _ in range(20):
+        world.arrive('trujillo', length=1, repeatable=False, within=1000)
+    world.advance(MONTH_S)
+    for number in range(20):
+        # Nobody was served less than a customer that has never been here.
+        customer = f'newcomer-{number}'
+        world.arrive(customer, length=1, repeatable=False, within=1000)
+    paid = world.arrive('clinic', within=5)
+    world.advance(1)
+    return world.run_log[-1] == paid
+
+
+def test_priority_is_intact_after_a_month_of_silence(new_world):
+    assert_that(month_of_silence(new_world(slots=1)), Is(True))
+
+
+def test_check_catches_priority_that_decays(new_world, monkeypatch):
+    def decays(meter, now):
+        return meter.earned_at > now - MONTH_S / 2
+
+    monkeypatch.setattr(ShareMeter, 'is_within', decays)
+    assert_that(month_of_silence(new_world(slots=1)), Is(False))
+
+
+def part_of_the_common_class(world):
+    """Overload with paid work; give the part of the runs of the others."""
+    for _ in range(1000):
+        world.arrive('clinic', within=0.1)
+        world.arrive('trujillo', within=0.5)
+        world.advance(0.005)
+    served = [world.requests[each].customer for each in world.run_log]
+    return served.count('trujillo') / len(served)
+
+
+def test_least_share_keeps_a_class_from_starving(new_world):
+    world = new_world(slots=1, shares={'clinic': 1.0}, least_share=0.1)
+    assert_that(part_of_the_common_class(world), GreaterThan(0.09))
+    world.advance(5)
+    check(world)
+
+
+def test_check_catches_a_class_that_starves(new_world, monkeypatch):
+    monkeypatch.setattr(Line, 'is_owed', lambda line, now: False)
+    world = new_world(slots=1, shares={'clinic': 1.0}, least_share=0.1)
+    assert_that(part_of_the_common_class(world), LessThan(0.09))
--- a/tests/core/requests/test_target_queue_states.py
+++ b/tests/core/requests/test_target_queue_states.py
@@ -76,7 +76,7 @@
     def advance(self, seconds):
         self.world.advance(seconds)
 
-    @precondition(lambda self: self.world.requests)
+    @precondition(lambda machine: machine.world.requests)
     @rule(pick=st.integers(min_value=0, max_value=1000))
     def leave(self, pick):
         number = pick % len(self.world.requests)
@@ -99,7 +99,7 @@
         )
         self.world.feed(requests.SettingsChanged(changed))
 
-    @precondition(lambda self: len(self.world.requests) > MANY_REQUESTS)
+    @precondition(lambda machine: len(machine.world.requests) > MANY_REQUESTS)
     @rule(serve_waiting=st.booleans())
     def drain(self, serve_waiting):
         kind = ErrorKind.SHUTTING_DOWN
