--- a/bench/control/fleet.py
+++ b/bench/control/fleet.py
@@ -12,8 +12,15 @@
 from laburnumyard.core import dissemination, membership
 from laburnumyard.core.ids import DaemonName, DataCentre, Incarnation, Region
 from laburnumyard.schema._generated import messages
+from laburnumyard.wire import DEFAULT_LINK_SETTINGS
 
 TICK_S = 0.1
+# How long a link without requests stays silent before it is replaced.
+SILENT_S = (
+    DEFAULT_LINK_SETTINGS.idle_probe_after_s
+    + DEFAULT_LINK_SETTINGS.silent_after_s
+    + 2 * DEFAULT_LINK_SETTINGS.sweep_interval_s
+)
 # The least time between two words to the documents about live members.
 PEERS_INTERVAL_S = 0.5
 CONFIG = dissemination.DocumentName('config')
@@ -275,6 +282,14 @@
         self.documents_take(dissemination.PartHeard(sender, message))
 
 
+def _touches(
+    daemon: DaemonName,
+    source: membership.Identity,
+    destination: membership.Identity,
+) -> bool:
+    return daemon in {source.daemon, destination.daemon}
+
+
 class Fleet:
     """Many daemons, the network between them, the store and the VM list.
 
@@ -378,6 +393,21 @@
         for work in inbox:
             node.wake_or_wait(work)
 
+    def lose_track(self, daemon: DaemonName) -> None:
+        """Let all connections of a daemon go silent until they are replaced.
+
+        The links replace them after `SILENT_S`; one with a request on it far
+        sooner.
+        """
+
+        def cut(
+            source: membership.Identity, there: membership.Identity
+        ) -> bool:
+            return daemon in {source.daemon, there.daemon}
+
+        self.network.cuts.append(cut)
+        self.clock.call_in(SILENT_S, partial(self.network.cuts.remove, cut))
+
     def running(self) -> Iterable[Node]:
         """Return the daemons that run."""
         return [node for node in self.nodes.values() if node.is_running]
--- a/src/laburnumyard/wire/__init__.py
+++ b/src/laburnumyard/wire/__init__.py
@@ -14,9 +14,10 @@
 from laburnumyard.wire._framing import FrameError, FrameReader, encode_frame
 from laburnumyard.wire._pool import LinkPool, Peer
 from laburnumyard.wire._server import IncomingLink, LinkServer
-from laburnumyard.wire._settings import LinkSettings
+from laburnumyard.wire._settings import DEFAULT_LINK_SETTINGS, LinkSettings
 
 __all__ = (
+    'DEFAULT_LINK_SETTINGS',
     'Connection',
     'FrameError',
     'FrameReader',
--- a/tests/core/dissemination/test_in_force.py
+++ b/tests/core/dissemination/test_in_force.py
@@ -99,6 +99,25 @@
     check_never_falls(fleet)
 
 
+@pytest.mark.cell(step='join', fault='store-slow')
+def test_fresh_daemons_get_the_configuration_from_a_slow_store(wide):
+    wide.store.answer_s = 0.9 * TIMEOUT_S
+    for daemon in sorted(wide.nodes):
+        wide.restart(daemon)
+    reach(wide, 1)
+    check_never_falls(wide)
+
+
+@pytest.mark.cell(step='disseminate', fault='silent-connection')
+def test_daemons_whose_connections_go_silent_get_the_version_in_time(wide):
+    for daemon in sorted(wide.nodes)[::5]:
+        wide.lose_track(daemon)
+        wide.cut_from_store.add(daemon)
+    publish(wide, 2)
+    reach(wide, 2)
+    check_never_falls(wide)
+
+
 def test_data_centre_without_the_store_learns_from_the_others(wide):
     wide.cut_from_store.update(in_centre(wide, 'centre-1-0'))
     wide.clock.run(12)
--- a/tests/core/membership/test_failures.py
+++ b/tests/core/membership/test_failures.py
@@ -4,6 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
+from bench.control.fleet import SILENT_S
 from laburnumyard.core.membership import (
     GossipHeard,
     Identity,
@@ -160,6 +161,28 @@
     check_all_live(medium)
 
 
+@pytest.mark.cell(step='join', fault='silent-connection')
+def test_newcomer_whose_connections_go_silent_joins_in_the_end(medium):
+    daemon = first_of(medium)
+    medium.restart(daemon)
+    medium.lose_track(daemon)
+    medium.clock.run(SILENT_S + HEALED_S)
+    check_all_live(medium)
+
+
+@pytest.mark.cell(step='leave', fault='silent-connection')
+def test_leaving_daemon_whose_connections_go_silent_is_soon_without_roles(
+    medium,
+):
+    leaver = first_of(medium)
+    medium.lose_track(leaver)
+    medium.nodes[leaver].table_take(Leave())
+    medium.clock.run(ALL_NOTICE_S)
+    assert_that(believers(medium, leaver), Equals(set()))
+    medium.clock.run(SILENT_S)
+    assert_that(believers(medium, leaver), Equals(set()))
+
+
 def test_regions_that_lost_each_other_find_each_other_again(wide):
     def cut(source, destination):
         return 'region-0' in {source.region, destination.region} and (
