--- a/bench/control/calm.py
+++ b/bench/control/calm.py
@@ -3,7 +3,8 @@
 import tracemalloc
 
 from bench.control import settings
-from bench.control.fleet import CONFIG, Fleet, Layout
+from bench.control.fleet import CONFIG, Fleet
+from bench.control.layout import Layout
 from bench.control.network import Traffic
 from bench.control.store import make_document
 from laburnumyard.core.dissemination import DocumentName
--- a/tests/core/dissemination/conftest.py
+++ b/tests/core/dissemination/conftest.py
@@ -1,6 +1,7 @@
 import pytest
 
-from bench.control.fleet import CONFIG, Fleet, Layout
+from bench.control.fleet import CONFIG, Fleet
+from bench.control.layout import Layout
 from bench.control.store import make_document
 
 LETTER = Layout(regions=(4, 4, 3), daemons=690)
--- a/tests/core/membership/conftest.py
+++ b/tests/core/membership/conftest.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from bench.control.fleet import Fleet, Layout
+from bench.control.fleet import Fleet
+from bench.control.layout import Layout
 
 LETTER = Layout(regions=(4, 4, 3), daemons=690)
 TODAY = Layout(regions=(3,), daemons=9)
