Suspected members are probed more seldom; links bench shows both ends

A lost VM got 1873 messages in 10 s from 690 daemons, as each probed it anew after 1 s; the first pause is 5 s now. Recovery does not wait for it: a member that returns says so itself.

--- a/bench/control/calm.py
+++ b/bench/control/calm.py
@@ -93,18 +93,20 @@
 
 
 def show_traffic(fleet: Fleet, name: str, seconds: float) -> None:
-    """Print the mean and the largest traffic of a daemon, both ways."""
-    traffic = fleet.network.traffic.values()
-    daemons = len(fleet.identities)
+    """Print the mean and the largest traffic of running daemons, both ways."""
+    running = [node.identity.daemon for node in fleet.running()]
+    traffic = [fleet.network.traffic[daemon] for daemon in running]
+    daemons = len(running)
     sent = sum(sum(one.sent.values()) for one in traffic)
     frames = sum(map(bytes_of, traffic))
     packets = sum(map(packet_bytes_of, traffic))
     largest = max(bytes_of(one) + packet_bytes_of(one) for one in traffic)
     scale = daemons * seconds
-    show(f'{name}.sent_messages_per_s', daemons, sent / scale)
-    show(f'{name}.frame_bytes_per_s', daemons, frames / scale)
-    show(f'{name}.estimated_tcp_ip_bytes_per_s', daemons, packets / scale)
-    show(f'{name}.bytes_per_s_of_largest', daemons, largest / seconds)
+    size = len(fleet.identities)
+    show(f'{name}.sent_messages_per_s', size, sent / scale)
+    show(f'{name}.frame_bytes_per_s', size, frames / scale)
+    show(f'{name}.estimated_tcp_ip_bytes_per_s', size, packets / scale)
+    show(f'{name}.bytes_per_s_of_largest', size, largest / seconds)
 
 
 def show_kinds(fleet: Fleet) -> None:
--- a/bench/control/links.py
+++ b/bench/control/links.py
@@ -10,7 +10,7 @@
 
 from laburnumyard.core.ids import DaemonName
 from laburnumyard.schema._generated import messages
-from laburnumyard.wire import LinkPool, LinkServer, Peer
+from laburnumyard.wire import IncomingLink, LinkPool, LinkServer, Peer
 
 REQUESTS = 40000
 CALLERS = 64
@@ -43,24 +43,40 @@
     )
 
 
-def answer_to(link, message) -> None:
-    """Answer a request with a body of 1 KiB."""
-    link.send(
-        messages.SubmitAnswer(
-            number=message.number,
-            kind='',
-            detail='',
-            status=200,
-            headers=HEADERS,
-            body=BODY,
-        ),
-    )
+class Answerer:
+    """Answers each request with a body of 1 KiB, until its asker is gone."""
+
+    def __init__(self) -> None:
+        """Start without a link."""
+        self.answered = 0
+        self.is_over = asyncio.Event()
+
+    def take(self, link: IncomingLink, message: messages.Submit) -> None:
+        """Answer a request."""
+        if not self.answered:
+            link.on_closed.append(lambda _: self.is_over.set())
+        self.answered += 1
+        link.send(
+            messages.SubmitAnswer(
+                number=message.number,
+                kind='',
+                detail='',
+                status=200,
+                headers=HEADERS,
+                body=BODY,
+            ),
+        )
 
 
 async def serve(address: str) -> None:
-    """Answer until the process is ended."""
-    async with LinkServer(address, SERVER, answer_to):
-        await asyncio.sleep(60)
+    """Answer one asker and print what it cost."""
+    answerer = Answerer()
+    async with LinkServer(address, SERVER, answerer.take):
+        busy = time.process_time()
+        await answerer.is_over.wait()
+        busy = time.process_time() - busy
+    answerer_us = busy * 1e6 / answerer.answered
+    print(f'link_request_answerer_us={answerer_us:.1f}')
 
 
 async def ask(address: str) -> None:
--- a/src/laburnumyard/core/membership/_settings.py
+++ b/src/laburnumyard/core/membership/_settings.py
@@ -86,7 +86,7 @@
     rumour_pause_max_s: float = 960.0
     hearsay_probe_s: float = 5.0
     probe_backoff_s: float = 60.0
-    probe_first_s: float = 1.0
+    probe_first_s: float = 5.0
     probe_interval_s: float = 0.5
     scan_interval_s: float = 2.0
     sync_interval_s: float = 2.0
