A version that nobody has blocks no other; strangers are bounded

Cause: a download aimed at a version dropped parts of any lower one, so a false announcement kept a daemon from every real version. Now any version above the own one is taken, and a download ends after 8 vain starts. Gossip adds at most 4096 members; a heartbeat's promised interval has a floor.

--- a/src/laburnumyard/core/dissemination/_fetching.py
+++ b/src/laburnumyard/core/dissemination/_fetching.py
@@ -20,6 +20,9 @@
 
 # How many peers are remembered for one download.
 SOURCES = 4
+# How often a download starts again before it is given up. Comparisons with
+# peers start it anew if there is such a version at all.
+MAX_TRIES = 8
 
 
 def take_version(
@@ -37,16 +40,19 @@
         if told.version == entry.version:
             _confirm(entry, confirmed_at)
         return
-    download = entry.download
-    if download and download.version >= told.version:
-        if download.version == told.version:
-            download.confirmed_at = download.confirmed_at or confirmed_at
-            _add_source(download, sender)
+    if entry.download is None:
+        sources = deque([sender])
+        version = Version(told.version)
+        entry.download = Download(version, sources, confirmed_at)
+        ask_part(state, name, entry.download)
         return
-    sources = deque([sender], maxlen=SOURCES)
-    version = Version(told.version)
-    entry.download = Download(version, sources, confirmed_at)
-    ask_part(state, name, entry.download)
+    _add_source(entry.download, sender)
+    if told.version > entry.download.version:
+        entry.download.version = Version(told.version)
+        entry.download.confirmed_at = confirmed_at
+    elif told.version == entry.download.version:
+        earlier = entry.download.confirmed_at
+        entry.download.confirmed_at = earlier or confirmed_at
 
 
 def _confirmation(
@@ -69,8 +75,12 @@
 
 
 def _add_source(download: Download, sender: DaemonName) -> None:
-    if sender not in download.sources:
-        download.sources.append(sender)
+    """Remember who has a newer version; the first one is being asked."""
+    if sender in download.sources:
+        return
+    if len(download.sources) == SOURCES:
+        download.sources.pop()
+    download.sources.append(sender)
 
 
 def ask_part(
@@ -98,8 +108,12 @@
         download = entry.download
         if download is None:
             continue
-        if state.now - download.asked_at >= state.settings.fetch_timeout_s:
+        if state.now - download.asked_at < state.settings.fetch_timeout_s:
+            continue
+        if download.tries < MAX_TRIES:
             _start_again(state, name, download)
+        else:
+            entry.download = None
 
 
 def _start_again(
@@ -114,6 +128,7 @@
     """
     download.collected.clear()
     download.part_version = NO_VERSION
+    download.tries += 1
     download.sources.rotate(-1)
     ask_part(state, name, download)
 
@@ -160,7 +175,7 @@
     if entry is None or entry.download is None:
         return
     download = entry.download
-    if sender != download.sources[0] or part.version < download.version:
+    if sender != download.sources[0] or part.version <= entry.version:
         return
     if part.offset == 0:
         download.collected.clear()
@@ -200,7 +215,9 @@
         download.takes_whole = True
         _start_again(state, name, download)
         return
-    entry.download = None
-    confirmed_at = download.confirmed_at
+    is_newest = document.version == download.version
+    confirmed_at = download.confirmed_at if is_newest else None
     source = Source.PEER if confirmed_at is None else Source.READER
     adopt(state, document, source, confirmed_at)
+    if entry.download is download:
+        _start_again(state, name, download)
--- a/src/laburnumyard/core/dissemination/_state.py
+++ b/src/laburnumyard/core/dissemination/_state.py
@@ -29,7 +29,7 @@
     Parameters
     ----------
     version
-        The version that the peer announced.
+        The newest version that a peer announced.
     sources
         Who has it, the next to be asked first.
     confirmed_at
@@ -42,6 +42,8 @@
         The parts that have come.
     asked_at
         When the last part was asked for, in seconds.
+    tries
+        How often it has started again.
     takes_whole
         Whether a patch has failed, so that the whole version is asked for.
     """
@@ -53,6 +55,7 @@
     part_version: Version = NO_VERSION
     collected: bytearray = field(default_factory=bytearray)
     asked_at: float = 0
+    tries: int = 0
     takes_whole: bool = False
 
 
--- a/src/laburnumyard/core/membership/_reacting.py
+++ b/src/laburnumyard/core/membership/_reacting.py
@@ -10,7 +10,6 @@
     add_member,
     hear,
     log_own,
-    refute,
     settle,
     suspect,
 )
@@ -19,10 +18,8 @@
     UNHEARD,
     Member,
     MemberState,
-    identity_in,
-    merge,
-    take_beliefs,
 )
+from laburnumyard.core.membership._news import take_news
 from laburnumyard.core.membership._state import TableState
 from laburnumyard.core.membership._syncing import (
     answer_digests,
@@ -30,7 +27,6 @@
     own_digest,
 )
 from laburnumyard.core.membership._ticking import MS_PER_S, tick
-from laburnumyard.schema._generated import messages
 
 
 @singledispatch
@@ -95,7 +91,8 @@
         state.rumours.add(daemon)
         settle(state, member)
     elif heartbeat.interval_ms and not heartbeat.leaving:
-        interval = heartbeat.interval_ms / MS_PER_S
+        promised = heartbeat.interval_ms / MS_PER_S
+        interval = max(promised, state.settings.deputy_interval_s)
         state.watches.hear(daemon, interval, state.now)
     if heartbeat.digest != own_digest(state):
         compare_with(state, daemon)
@@ -134,66 +131,6 @@
         state.schedule.sync_pause_s = 0
 
 
-def take_news(state: TableState, news: messages.Member) -> bool:
-    """Take news of one member and tell whether it was new."""
-    if news.daemon == state.myself.daemon:
-        _take_own_news(state, news)
-        return False
-    member = state.members.get(DaemonName(news.daemon))
-    if member is None:
-        member = add_member(state, identity_in(news))
-        take_beliefs(member, news)
-        settle(state, member)
-        return True
-    if _is_doubtful(state, member, news):
-        _doubt(state, member)
-        return False
-    if not merge(member, news):
-        return False
-    settle(state, member)
-    return True
-
-
-def _is_doubtful(
-    state: TableState,
-    member: Member,
-    news: messages.Member,
-) -> bool:
-    """Tell whether a suspicion contradicts what was heard directly."""
-    is_mere_suspicion = (
-        news.suspected
-        and not news.leaving
-        and news.incarnation == member.identity.incarnation
-    )
-    if not is_mere_suspicion or member.heard_at is None:
-        return False
-    if member.silent_since is not None:
-        return False
-    settings = state.settings
-    window = settings.misses_to_suspect * settings.watcher_interval_s
-    return state.now - member.heard_at < window
-
-
-def _doubt(state: TableState, member: Member) -> None:
-    """Probe a member instead of believing others, once for each interval."""
-    if state.now >= member.probe_at:
-        member.probe_at = state.now + state.settings.watcher_interval_s
-        state.effects.append(Probe(member.identity.daemon))
-
-
-def _take_own_news(state: TableState, news: messages.Member) -> None:
-    own = state.myself.incarnation
-    if news.incarnation > own:
-        if not state.is_superseded:
-            state.is_superseded = True
-            state.directory.is_leaving = True
-            state.directory.note_change()
-            log_own(state, Decision.SUPERSEDED)
-    elif news.incarnation == own and news.suspected:
-        if news.refutation >= state.refutation:
-            refute(state, news.refutation)
-
-
 @react.register
 def _(event: events.DigestsHeard, state: TableState) -> None:
     state.heard_anyone_at = state.now
--- a/src/laburnumyard/core/membership/_settings.py
+++ b/src/laburnumyard/core/membership/_settings.py
@@ -14,6 +14,8 @@
         lease managers, in seconds.
     watcher_interval_s
         The interval between heartbeats to the watchers, in seconds.
+    members_limit
+        How many members gossip can add.
     watchers_near
         How many watchers a daemon has in its own region. In every other
         region it has one.
@@ -74,6 +76,7 @@
 
     deputy_interval_s: float = 0.2
     watcher_interval_s: float = 1.0
+    members_limit: int = 4096
     watchers_near: int = 2
     misses_to_probe: float = 2.0
     misses_to_suspect: float = 3.0
--- a/tests/core/dissemination/test_fetching.py
+++ b/tests/core/dissemination/test_fetching.py
@@ -165,3 +165,30 @@
     asked = fresh.handle(dissemination.VersionsHeard('holder', told(2)), 0)
     exchange(fresh, holder, asked, spoil)
     assert_that(fresh.find(NAME), Equals(document_of(3)))
+
+
+def test_version_that_nobody_has_blocks_no_other(fresh, holder):
+    fresh.handle(dissemination.VersionsHeard('liar', told(2**64 - 1)), 0)
+    fresh.handle(dissemination.VersionsHeard('holder', told(2)), 0)
+    asked = fresh.handle(dissemination.Tick(), 1)
+    exchange(fresh, holder, asked)
+    assert_that(fresh.find(NAME), Equals(document_of(2)))
+
+
+def test_download_of_a_version_that_nobody_has_ends(fresh):
+    fresh.handle(dissemination.VersionsHeard('liar', told(2**64 - 1)), 0)
+    for second in range(1, 20):
+        fresh.handle(dissemination.Tick(), second)
+    assert_that(fresh.state.entries[NAME].download, Is(None))
+
+
+def test_newer_version_follows_at_once(fresh, holder):
+    asked = fresh.handle(dissemination.VersionsHeard('holder', told(2)), 0)
+    fresh.handle(dissemination.VersionsHeard('newer', told(3)), 0)
+    effects = exchange(fresh, holder, asked)
+    assert_that(fresh.find(NAME), Equals(document_of(2)))
+    fetches = [one for one in effects if isinstance(one, dissemination.Send)]
+    assert_that(fetches, Equals([]))
+    download = fresh.state.entries[NAME].download
+    assert_that(download.version, Equals(3))
+    assert_that(download.sources[0], Equals('newer'))
