--- a/src/laburnumyard/core/ownership/_sending.py
+++ b/src/laburnumyard/core/ownership/_sending.py
@@ -1,17 +1,21 @@
-"""Which message each target of a scope is due, and what its answer means."""
+"""Which message each target of a scope is due."""
 
 from laburnumyard.core.ids import Seconds, Sequence
 from laburnumyard.core.keys import HashRange
 from laburnumyard.core.ownership._effects import Effect
-from laburnumyard.core.ownership._events import TargetAnswer
-from laburnumyard.core.ownership._lease import Holding, TargetLease
+from laburnumyard.core.ownership._lease import (
+    GrantBasis,
+    Holding,
+    TargetLease,
+)
 from laburnumyard.core.ownership._messages import (
     SendGrant,
     SendRenew,
     SendSeal,
 )
+from laburnumyard.core.ownership._plan import needs_guard
 from laburnumyard.core.ownership._ranges import joined, subtract, within
-from laburnumyard.core.ownership._state import ManagerState
+from laburnumyard.core.ownership._state import ManagerState, Phase
 
 MS_PER_SECOND = 1000
 
@@ -22,7 +26,7 @@
         return []
     effects: list[Effect] = []
     for lease in state.leases.values():
-        if lease.name not in state.plan.targets:
+        if not _has_address(state, lease):
             continue
         is_frozen = state.change and lease.name in state.change.frozen
         if lease.sealed and not is_frozen:
@@ -35,57 +39,26 @@
     return effects
 
 
-def take_answer(
-    state: ManagerState,
-    lease: TargetLease,
-    answer: TargetAnswer,
-    now: Seconds,
-) -> None:
-    """Note what a target has answered under this manager's term or a lower.
-
-    Parameters
-    ----------
-    state
-        The manager.
-    lease
-        What it knows about the target.
-    answer
-        The answer; its term is at most the manager's.
-    now
-        When it arrived.
-    """
-    term = state.authority.term
-    holding = lease.holding
-    lease.answered = answer.call
-    was_lost = lease.is_lost(now)
-    has_restarted = lease.sealed and answer.term < term
-    if has_restarted or answer.sequence < holding.acknowledged:
-        lease.forget()
-    if lease.met_at is None:
-        lease.met_at = now
-        lease.answering_since = now
-    if was_lost:
-        lease.answering_since = now
-    lease.clock_ms = answer.clock_ms
-    lease.expires_by = Seconds(
-        max(lease.expires_by, now + state.settings.longest_grant),
-    )
-    lease.holding.reported = answer.ranges
-    lease.holding.busy = answer.busy
-    if answer.term == term:
-        _take_token(lease, answer)
-    else:
-        # It has not been sealed: do so at once.
-        lease.send_at = now
+def _has_address(state: ManagerState, lease: TargetLease) -> bool:
+    is_configured = lease.name in state.plan.targets
+    is_guarded = bool(lease.guard) or not needs_guard(lease.kind)
+    return is_configured and is_guarded
 
 
-def _take_token(lease: TargetLease, answer: TargetAnswer) -> None:
-    holding = lease.holding
-    if not lease.sealed:
-        lease.sealed = True
-        lease.inherited = ()
-    holding.sequence = max(holding.sequence, answer.sequence)
-    holding.acknowledged = answer.sequence
+def last_renewals(state: ManagerState, now: Seconds) -> list[Effect]:
+    """Return the due renewals of a manager that has a successor."""
+    for lease in tuple(state.leases.values()):
+        is_held = lease.sealed and lease.holding.is_acknowledged
+        if lease.is_lost(now) or not is_held:
+            state.leases.pop(lease.name)
+    if not state.leases:
+        state.authority.phase = Phase.IDLE
+    due = [one for one in state.leases.values() if now >= one.send_at]
+    if not state.is_confirmed(now):
+        return []
+    for lease in due:
+        lease.send_at = Seconds(now + state.settings.timing.renew_interval_s)
+    return [_message(state, one, now) for one in due]
 
 
 def _refresh_grant(
@@ -93,6 +66,12 @@
     lease: TargetLease,
     now: Seconds,
 ) -> None:
+    is_met = is_met_before_contact(state, lease)
+    reported = () if is_met else lease.holding.reported
+    basis = GrantBasis(state.version, lease.release, is_met, reported)
+    if basis == lease.basis:
+        return
+    lease.basis = basis
     wanted = _grantable(state, lease)
     holding = lease.holding
     if holding.ranges is None or set(holding.ranges) != set(wanted):
@@ -123,7 +102,7 @@
 def _message(state: ManagerState, lease: TargetLease, now: Seconds) -> Effect:
     is_frozen = state.change and lease.name in state.change.frozen
     holding = lease.holding
-    lease.calls += 1
+    state.call_count += 1
     if not lease.sealed or lease.is_lost(now) or is_frozen:
         return _seal(state, lease, now)
     if holding.is_acknowledged:
@@ -135,7 +114,7 @@
     return SendSeal(
         lease.name,
         lease.guard,
-        lease.calls,
+        state.call_count,
         state.authority.term,
         _not_after(state, now),
     )
@@ -150,7 +129,7 @@
     return SendGrant(
         lease.name,
         lease.guard,
-        lease.calls,
+        state.call_count,
         state.authority.term,
         holding.sequence,
         lease.clock_ms,
@@ -164,7 +143,7 @@
     return SendRenew(
         lease.name,
         lease.guard,
-        lease.calls,
+        state.call_count,
         state.authority.term,
         lease.holding.sequence,
         lease.clock_ms,
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -472,12 +472,16 @@
     daemon: str
     incarnation: int
     data_centre: str
+    region: str
+    peer_address: str
 
 
 def _write_hello(message: Hello, builder: Any) -> None:
     builder.daemon = message.daemon
     builder.incarnation = message.incarnation
     builder.dataCentre = message.data_centre
+    builder.region = message.region
+    builder.peerAddress = message.peer_address
 
 
 def _read_hello(reader: Any) -> Hello:
@@ -486,6 +490,8 @@
         daemon=get('daemon'),
         incarnation=get('incarnation'),
         data_centre=get('dataCentre'),
+        region=get('region'),
+        peer_address=get('peerAddress'),
     )
 
 
