Death of a target is probed three times

Cause: after a connection broke off, one connection to the target counted as proof of life. The kernel closes a dead process's sockets one by one, so the probe often met a listener that was about to close, and the poison request was not held to account. Ruled out: the passing on of suspects (deaths that were noted did arrive). Change: probes after 0, 10 and 40 ms; any that fails is a death.

--- a/src/laburnumyard/daemon/_deaths.py
+++ b/src/laburnumyard/daemon/_deaths.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import anyio
 from anyio.abc import TaskGroup
 
 from laburnumyard.core.ids import TargetName
@@ -22,6 +23,9 @@
 # Connections that end within this time of a death belong to the same death.
 SAME_DEATH_S = 1.0
 PROBE_BYTES = 1024
+# The pauses before each probe. The kernel of a dead process closes its
+# connections and its listener one by one, so that one probe proves no life.
+PROBE_PAUSES_S = (0, 0.01, 0.03)
 
 
 class DeathWatch:
@@ -57,11 +61,7 @@
         self.tasks.start_soon(self._probe, target, suspect)
 
     async def _probe(self, target: Target, suspect: Fingerprint) -> None:
-        opened = await TargetConnection.open(
-            target.address, PROBE_BYTES, CONNECT_TIMEOUT_S
-        )
-        if opened.is_ok():
-            opened.ok.close()
+        if not await _has_died(target):
             return
         now = boot_time()
         name = TargetName(target.name)
@@ -83,3 +83,15 @@
             known = (DeathId(f'{target}/{draw_token()}'), now)
             self.deaths[target] = known
         return known[0]
+
+
+async def _has_died(target: Target) -> bool:
+    for pause in PROBE_PAUSES_S:
+        await anyio.sleep(pause)
+        opened = await TargetConnection.open(
+            target.address, PROBE_BYTES, CONNECT_TIMEOUT_S
+        )
+        if opened.is_error():
+            return True
+        opened.ok.close()
+    return False
