No not-run after a try that may have run

Cause: the router told its caller the last try's failure. A repeatable request whose first try broke off at a target and whose next ones found no target was answered not-run although it had started. Ruled out: tickets (they are retried only after a not-run) and the table of errors. Change: an attempt keeps a failure that may have run over later not-run ones.

--- a/src/laburnumyard/daemon/_router.py
+++ b/src/laburnumyard/daemon/_router.py
@@ -7,7 +7,7 @@
 import anyio
 from expression import Error, Result
 
-from laburnumyard.core.errors import ErrorKind, Failure
+from laburnumyard.core.errors import ErrorKind, Failure, Ran
 from laburnumyard.core.ids import DaemonName, Seconds, ServiceName, TargetName
 from laburnumyard.core.requests import (
     Fingerprint,
@@ -69,11 +69,24 @@
         Which try this is, from 1.
     avoided
         Daemons that were not reached.
+    failure
+        What the caller is told if no try succeeds.
     """
 
     job: Job
     tries: int = 1
     avoided: frozenset[DaemonName] = NOBODY
+    failure: Failure | None = None
+
+    def note(self, failure: Failure) -> None:
+        """Keep the last failure, but no ``not-run`` after a possible run."""
+        is_not_run = failure.answer.ran is Ran.NOT_RUN
+        may_have_run = (
+            self.failure is not None
+            and self.failure.answer.ran is not Ran.NOT_RUN
+        )
+        if not (is_not_run and may_have_run):
+            self.failure = failure
 
 
 class Router:
@@ -137,13 +150,15 @@
         attempt = Attempt(job)
         while True:
             outcome = await self._try(attempt)
-            if outcome.is_ok() or not self._is_retried(
-                attempt, outcome.error.kind, suspected
-            ):
+            if outcome.is_ok():
                 return outcome
-            if costs_budget(outcome.error.kind):
+            kind = outcome.error.kind
+            attempt.note(outcome.error)
+            if not self._is_retried(attempt, kind, suspected):
+                return Error(attempt.failure)
+            if costs_budget(kind):
                 budget.spend()
-            await self._pause(attempt, outcome.error.kind)
+            await self._pause(attempt, kind)
 
     def _is_retried(
         self,
