A suspect that becomes known during a retry's pause is not tried again

Cause: the router asked the quarantine right after the connection broke, when the death of the target was not yet known (the probe takes some ms, the news from another daemon one hop more), then retried after its pause. Change: the quarantine is asked again after the pause. Price: a repeatable request that ran at a target when it died is told unknown (502) where it used to be retried, as the quarantine has always stated.

--- a/src/laburnumyard/daemon/_router.py
+++ b/src/laburnumyard/daemon/_router.py
@@ -159,6 +159,9 @@
             if costs_budget(kind):
                 budget.spend()
             await self._pause(attempt, kind)
+            # A death shows a moment after the connection that it broke.
+            if self.quarantine.is_suspect(suspected, boot_time()):
+                return Error(attempt.failure)
 
     def _is_retried(
         self,
--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -101,3 +101,29 @@
 async def test_later_answer_makes_up_for_a_broken_try(build_router, job):
     router = build_router(fail(ErrorKind.TARGET_BROKE_OFF), Ok(WHOLE))
     assert_that((await router.route(job)).ok, Equals(WHOLE))
+
+
+@pytest.mark.cell(step='retry', fault='poison-request')
+async def test_suspect_that_is_found_during_the_pause_is_not_tried_again(
+    build_router,
+    quarantine,
+    job,
+):
+    suspect = fingerprint_of(
+        job.service, job.method, job.path, job.key, job.body
+    )
+    tries = []
+
+    class LateNews(OneOwnerView):
+        async def wait_snapshot(self, service):
+            quarantine.note_death(DeathId('1'), (suspect,), boot_time())
+
+    router = build_router(
+        fail(ErrorKind.TARGET_BROKE_OFF),
+        Ok(WHOLE),
+        on_try=lambda: tries.append(1),
+    )
+    router.view = LateNews()
+    outcome = await router.route(job)
+    assert_that(tries, HasLength(1))
+    assert_that(outcome.error.kind, Is(ErrorKind.TARGET_BROKE_OFF))
