Entry: bound heads in size and time, refuse ambiguous requests

Cause: uvicorn's protocol bounds no head; its own 400 has no kind and is written in place of the answer of an earlier request on the connection; trailers were added to the head, so that a trailer could replace the key; a '..' segment could lead a target to its control calls; limits.callers was not enforced; a request counted as ended before its answer was sent. CallerProtocol counts bytes since the last complete part, times heads like bodies, answers typed or closes, and never says not-run where the head may have named a ticket. Duplicate laburnumyard-* headers, dot segments and control characters in paths get 400; headers named in Connection stay here. _run.py (lead's): passes limits, and the drain waits for sent answers.

--- a/bench/entry.py
+++ b/bench/entry.py
@@ -24,9 +24,7 @@
 
 def plan_cluster(decisions: bool) -> ClusterPlan:
     """Return one target that takes every connection at once."""
-    shape = ServiceShape(
-        'catalogue', targets=1, slots=CONNECTIONS, work_ms=0
-    )
+    shape = ServiceShape('catalogue', targets=1, slots=CONNECTIONS, work_ms=0)
     log = () if decisions else ('[log]', 'decisions = false')
     return ClusterPlan(
         (shape,),
--- a/src/laburnumyard/core/callers.py
+++ b/src/laburnumyard/core/callers.py
@@ -1,7 +1,9 @@
 """What a caller asks for, read from the head of its HTTP request."""
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from urllib.parse import unquote
 
 from expression import Error, Ok, Result
 
@@ -23,7 +25,15 @@
 SHOWN = 20
 SAFE_METHODS = frozenset(('GET', 'HEAD'))
 METHODS = SAFE_METHODS | {'POST', 'PUT', 'PATCH', 'DELETE'}
+Headers = tuple[tuple[str, str], ...]
 PREFIX = 'laburnumyard-'
+PATH = re.compile('/[!-~]*')
+# A path without these needs no closer look.
+SUSPECT_IN_PATH = re.compile(r'%|[/\\]\.')
+SEPARATORS = re.compile(r'[/\\]')
+CONTROL = re.compile('[\x00-\x1f\x7f]')
+DOT_SEGMENTS = frozenset(('.', '..'))
+MAX_LENGTH_DIGITS = 18
 # Headers of one connection, which a router must not pass on.
 HOP_HEADERS = frozenset(
     (
@@ -99,7 +109,7 @@
     ticket: TicketId
     method: str
     path: str
-    headers: tuple[tuple[str, str], ...]
+    headers: Headers
     body: bytes = b''
 
     def with_body(self, body: bytes) -> 'CallerRequest':
@@ -152,8 +162,7 @@
     _check_size(head, limits)
     if head.method not in METHODS:
         raise _bad(f'method {head.method!r}: use one of {sorted(METHODS)}')
-    headers = _decode_headers(head.headers)
-    own = {name: text for name, text in headers if name.startswith(PREFIX)}
+    own, forwarded = _sort_headers(head.headers)
     service, operation = _split_path(head.path)
     key = _read_key(own)
     return CallerRequest(
@@ -161,7 +170,7 @@
         service=service,
         operation=operation,
         customer=CustomerName(own.get('laburnumyard-customer', '')),
-        token=_read_token(headers),
+        token=_read_token(own),
         key=key,
         key_hash=hash_key(key),
         timeout=_read_timeout(own, limits),
@@ -169,7 +178,7 @@
         ticket=TicketId(own.get('laburnumyard-ticket', '')),
         method=head.method,
         path=head.path,
-        headers=_forwarded(headers),
+        headers=forwarded,
     )
 
 
@@ -192,24 +201,51 @@
 
 def _check_length(text: bytes, limits: LimitSettings) -> None:
     if not text.isdigit():
-        raise _bad(f'content-length {text!r}: send a number of bytes')
-    if int(text) > limits.body_bytes:
+        shown = text[:SHOWN]
+        raise _bad(f'content-length {shown!r}: send a number of bytes')
+    length = int(text[:MAX_LENGTH_DIGITS])
+    if length > limits.body_bytes:
         raise _RefusedError(
             ErrorKind.BODY_TOO_LARGE,
-            f'the body has {int(text)} bytes; send at most {limits.body_bytes}',
+            f'the body has {length} bytes; send at most {limits.body_bytes}',
         )
 
 
-def _decode_headers(
+def _sort_headers(
     headers: Iterable[tuple[bytes, bytes]],
-) -> tuple[tuple[str, str], ...]:
-    return tuple(
-        (name.decode('latin-1'), text.decode('latin-1'))
-        for name, text in headers
-    )
+) -> tuple[dict[str, str], Headers]:
+    """Return the headers for the daemon and those for the target."""
+    own: dict[str, str] = {}
+    forwarded: list[tuple[str, str]] = []
+    dropped = HOP_HEADERS
+    for raw_name, raw_text in headers:
+        name, text = raw_name.decode('latin-1'), raw_text.decode('latin-1')
+        if name.startswith(PREFIX) or name == 'authorization':
+            if name in own:
+                raise _bad(f'{name[:SHOWN]!r} came twice: send it once')
+            own[name] = text
+        elif name == 'connection':
+            dropped |= set(text.lower().replace(' ', '').split(','))
+        else:
+            forwarded.append((name, text))
+    return own, tuple(pair for pair in forwarded if pair[0] not in dropped)
+
+
+def _check_path(path: str) -> None:
+    """Refuse paths that a target could take for another one."""
+    if not PATH.fullmatch(path):
+        raise _bad(f'path {path[:SHOWN]!r}: send printable ASCII from / on')
+    if not SUSPECT_IN_PATH.search(path):
+        return
+    decoded = unquote(path.partition('?')[0])
+    if DOT_SEGMENTS.intersection(SEPARATORS.split(decoded)):
+        raise _bad(f'path {path[:SHOWN]!r}: send no . or .. segment')
+    if CONTROL.search(decoded):
+        raise _bad(f'path {path[:SHOWN]!r}: send no control character')
 
 
 def _split_path(path: str) -> tuple[ServiceName, str]:
+    _check_path(path)
     service, _, rest = path.partition('?')[0].lstrip('/').partition('/')
     if not service:
         raise _bad(f'path {path!r}: send /SERVICE/OPERATION')
@@ -226,11 +262,9 @@
     return key
 
 
-def _read_token(headers: Iterable[tuple[str, str]]) -> str:
-    for name, text in headers:
-        if name == 'authorization' and text[:7].lower() == 'bearer ':
-            return text[7:].strip()
-    return ''
+def _read_token(own: dict[str, str]) -> str:
+    text = own.get('authorization', '')
+    return text[7:].strip() if text[:7].lower() == 'bearer ' else ''
 
 
 def _read_timeout(own: dict[str, str], limits: LimitSettings) -> Seconds:
@@ -255,13 +289,3 @@
             f"laburnumyard-repeatable {text[:SHOWN]!r}: send 'yes' or 'no'"
         )
     return text == 'yes'
-
-
-def _forwarded(
-    headers: Iterable[tuple[str, str]],
-) -> tuple[tuple[str, str], ...]:
-    return tuple(
-        (name, text)
-        for name, text in headers
-        if name not in HOP_HEADERS and not name.startswith(PREFIX)
-    )
--- a/src/laburnumyard/daemon/_answers.py
+++ b/src/laburnumyard/daemon/_answers.py
@@ -27,6 +27,16 @@
     body: bytes
 
 
+def encode_headers(response: Response) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an answer as they are sent, with its length."""
+    headers = [
+        (name.encode('latin-1'), text.encode('latin-1', 'replace'))
+        for name, text in response.headers
+    ]
+    headers.append((b'content-length', b'%d' % len(response.body)))
+    return headers
+
+
 def completed(response: Response, request_id: RequestId) -> Response:
     """Return a target's answer as its caller gets it."""
     headers = (
--- a/src/laburnumyard/daemon/_asgi.py
+++ b/src/laburnumyard/daemon/_asgi.py
@@ -1,6 +1,7 @@
 """Reading requests and sending whole answers over ASGI."""
 
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Any
 
 import anyio
@@ -8,12 +9,21 @@
 
 from laburnumyard.core.callers import RequestHead
 from laburnumyard.core.errors import ErrorKind, Failure
-from laburnumyard.daemon._answers import Response
+from laburnumyard.daemon._answers import Response, encode_headers
 from laburnumyard.schema._generated.settings import LimitSettings
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 BODY_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+# What follows on the connection may be the rest of what was refused.
+CLOSING = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    )
+)
 CALLER_GONE = Failure(ErrorKind.BAD_REQUEST, 'the caller closed the connection')
 
 
@@ -67,13 +77,28 @@
             return Ok(b''.join(parts))
 
 
-async def send_response(send: Send, response: Response) -> None:
-    """Send a whole answer with its length."""
-    headers = [
-        (name.encode('latin-1'), text.encode('latin-1', 'replace'))
-        for name, text in response.headers
-    ]
-    headers.append((b'content-length', b'%d' % len(response.body)))
+async def send_response(
+    send: Send,
+    response: Response,
+    method: str,
+) -> None:
+    """Send a whole answer.
+
+    Parameters
+    ----------
+    send
+        The sending side of ASGI.
+    response
+        The answer.
+    method
+        The method of the request; an answer to HEAD ends with its head.
+    """
+    headers = encode_headers(response)
+    if method == 'HEAD' or response.status in BODILESS:
+        # The length would be that of the body that is not sent.
+        headers.pop()
+    if response.status in CLOSING:
+        headers.append((b'connection', b'close'))
     await send(
         {
             'type': 'http.response.start',
--- a/src/laburnumyard/daemon/_entry.py
+++ b/src/laburnumyard/daemon/_entry.py
@@ -6,7 +6,11 @@
 
 from expression import Error, Result
 
-from laburnumyard.core.callers import CallerRequest, parse_head
+from laburnumyard.core.callers import (
+    CallerRequest,
+    RequestHead,
+    parse_head,
+)
 from laburnumyard.core.errors import ErrorKind, Failure, Ran
 from laburnumyard.core.ids import RequestId
 from laburnumyard.daemon._answers import Response, completed, refused
@@ -73,10 +77,10 @@
         self.in_flight += 1
         try:
             response = await self._respond(scope, receive, request_id)
+            if response is not None:
+                await send_response(send, response, scope['method'])
         finally:
             self.in_flight -= 1
-        if response is not None:
-            await send_response(send, response)
         self.metrics.record('request', boot_time() - started)
 
     async def _respond(
@@ -86,7 +90,7 @@
         request_id: RequestId,
     ) -> Response | None:
         head = read_head(scope)
-        parsed = parse_head(head, request_id, self.limits)
+        parsed = self._admit(head, request_id)
         if parsed.is_ok():
             body = await read_body(head, receive, self.limits)
             parsed = body.map(parsed.ok.with_body)
@@ -105,6 +109,17 @@
             return completed(outcome.ok, request_id)
         return self._refuse(outcome.error, request_id, carries_ticket=False)
 
+    def _admit(
+        self,
+        head: RequestHead,
+        request_id: RequestId,
+    ) -> Result[CallerRequest, Failure]:
+        limit = self.limits.callers
+        if self.in_flight > limit:
+            detail = f'this daemon holds {limit} requests already'
+            return Error(Failure(ErrorKind.OVERLOADED, detail))
+        return parse_head(head, request_id, self.limits)
+
     async def _serve(
         self,
         request: CallerRequest,
--- a/src/laburnumyard/daemon/_http_server.py
+++ b/src/laburnumyard/daemon/_http_server.py
@@ -2,10 +2,14 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import partial
 from typing import Any
 
 import uvicorn
 
+from laburnumyard.daemon._http_protocol import CallerProtocol
+from laburnumyard.schema._generated.settings import LimitSettings
+
 BACKLOG = 2048
 KEEP_ALIVE_S = 75
 
@@ -18,8 +22,20 @@
         """Install no signal handlers; the daemon has its own."""
         yield
 
+    @property
+    def is_flushed(self) -> bool:
+        """Whether every answer has left this process."""
+        return not any(
+            connection.transport.get_write_buffer_size()
+            for connection in self.server_state.connections
+        )
+
 
-def make_server(app: Any, address: str, header_bytes: int) -> HttpServer:
+def make_server(
+    app: Any,
+    address: str,
+    limits: LimitSettings,
+) -> HttpServer:
     """Return a server of an ASGI application, not yet started.
 
     Parameters
@@ -28,8 +44,8 @@
         The ASGI application.
     address
         IP number and port.
-    header_bytes
-        The largest head of a request, in bytes.
+    limits
+        Bounds on the head of a request.
     """
     host, _, port = address.rpartition(':')
     return HttpServer(
@@ -37,7 +53,7 @@
             app,
             host=host,
             port=int(port),
-            http='httptools',
+            http=partial(CallerProtocol, limits),
             ws='none',
             lifespan='off',
             interface='asgi3',
@@ -49,6 +65,5 @@
             server_header=False,
             date_header=False,
             proxy_headers=False,
-            h11_max_incomplete_event_size=header_bytes,
         ),
     )
--- a/src/laburnumyard/daemon/_run.py
+++ b/src/laburnumyard/daemon/_run.py
@@ -53,9 +53,9 @@
 
 def _start(node: Node, tasks: TaskGroup, admin: AdminApp) -> HttpServer:
     listen = node.settings.listen
-    header_bytes = node.settings.limits.header_bytes
-    entry_server = make_server(node.entry, listen.callers, header_bytes)
-    admin_server = make_server(admin, listen.admin, header_bytes)
+    limits = node.settings.limits
+    entry_server = make_server(node.entry, listen.callers, limits)
+    admin_server = make_server(admin, listen.admin, limits)
     for start in (
         entry_server.serve,
         admin_server.serve,
@@ -85,14 +85,14 @@
     node.ownership.leave()
     timeout = node.settings.timing.drain_timeout_s
     with anyio.move_on_after(timeout):
-        await _wait_idle(node)
+        await _wait_idle(node, entry_server)
     entry_server.should_exit = True
     await anyio.sleep(PARTING_S)
 
 
-async def _wait_idle(node: Node) -> None:
+async def _wait_idle(node: Node, entry_server: HttpServer) -> None:
     # The state machines have no common event of rest.
-    while not _is_idle(node):  # noqa: ASYNC110
+    while not (_is_idle(node) and entry_server.is_flushed):  # noqa: ASYNC110
         await anyio.sleep(POLL_INTERVAL_S)
 
 
--- a/tests/core/test_callers.py
+++ b/tests/core/test_callers.py
@@ -26,6 +26,14 @@
     assert_that(request.timeout, Equals(LIMITS.deadline_default_s))
 
 
+@pytest.mark.parametrize(
+    'path',
+    ['/catalogue/a.b/..c/.d', '/catalogue/%C3%81rea?a=../b', '/catalogue/%2f'],
+)
+def test_paths_that_only_look_odd_are_taken(path):
+    assert_that(parse(KEY, path=path).ok.path, Equals(path))
+
+
 def test_post_is_not_repeatable_unless_it_says_so():
     assert_that(parse(KEY, method='POST').ok.repeatable, Is(False))
     stated = parse(KEY, (b'laburnumyard-repeatable', b'yes'), method='POST')
@@ -61,6 +69,18 @@
             ErrorKind.BODY_TOO_LARGE,
             '99999999',
         ),
+        (
+            (KEY, (b'content-length', b'9' * 5000)),
+            'POST',
+            ErrorKind.BODY_TOO_LARGE,
+            'bytes',
+        ),
+        (
+            (KEY, KEY),
+            'GET',
+            ErrorKind.BAD_REQUEST,
+            'laburnumyard-key',
+        ),
         (
             (KEY, (b'x-filler', b'x' * 20000)),
             'GET',
--- /dev/null
+++ b/tests/daemon/world.py
@@ -0,0 +1,208 @@
+"""Daemons of real parts on loopback, without membership and ownership."""
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from hashlib import sha256
+from types import MappingProxyType
+
+import anyio
+
+from laburnumyard.core.configuration import parse_objects
+from laburnumyard.core.ids import Incarnation, Version
+from laburnumyard.core.keys import HASH_SPACE
+from laburnumyard.core.routing import RoutingTable
+from laburnumyard.daemon._http_server import make_server
+from laburnumyard.daemon._metrics import Metrics
+from laburnumyard.daemon._node import Node
+from laburnumyard.daemon._submits import SubmitReceiver
+from laburnumyard.daemon._view import View
+from laburnumyard.schema._generated.messages import (
+    Assignment,
+    Cancel,
+    OwnedRange,
+    Submit,
+)
+from laburnumyard.schema._generated.settings import Settings
+from laburnumyard.wire import Peer
+from standins._serve import bind, stop
+from tests.daemon.http import Address
+
+OBJECTS = """
+[[priority_class]]
+name = 'paid'
+rank = 1
+[[priority_class]]
+name = 'common'
+rank = 5
+least_share = 0.1
+[[customer]]
+name = 'clinic'
+token_sha256 = '{token}'
+[[customer.shares]]
+service = 'catalogue'
+priority_class = 'paid'
+share = 0.4
+[[service]]
+name = 'catalogue'
+region = 'lima'
+common_class = 'common'
+queue_limit = {queue_limit}
+[[service]]
+name = 'orders'
+region = 'lima'
+common_class = 'common'
+[[key_range]]
+name = 'all'
+service = 'catalogue'
+targets = ['c1']
+[[key_range]]
+name = 'orders'
+service = 'orders'
+targets = ['o1']
+[[target]]
+name = 'c1'
+service = 'catalogue'
+data_centre = 'lima-a'
+address = '{address}'
+slots = {slots}
+connections = 110
+fencing = '{fencing}'
+[[target]]
+name = 'o1'
+service = 'orders'
+data_centre = 'lima-a'
+address = '{address}'
+"""
+TOKEN = 'clinic-token'
+POLL_S = 0.001
+LAST_HASH = HASH_SPACE - 1
+NOBODY = frozenset()
+NO_LIMITS = MappingProxyType({})
+
+
+def configuration(address, fencing='token', slots=3, queue_limit=64):
+    text = OBJECTS.format(
+        token=sha256(TOKEN.encode()).hexdigest(),
+        address=address,
+        fencing=fencing,
+        slots=slots,
+        queue_limit=queue_limit,
+    )
+    return parse_objects({'objects.toml': text}).ok
+
+
+def table(service, target, first=0, last=LAST_HASH):
+    owned = OwnedRange(start=first, last=last, target=target)
+    return RoutingTable(Assignment(service, (owned,)), Version(1))
+
+
+@dataclass
+class FixedView(View):
+    """A view whose dispatchers and peers are given."""
+
+    dispatchers: dict = field(default_factory=dict)
+    peers: dict = field(default_factory=dict)
+
+    def dispatcher_of(self, name, avoided=NOBODY):
+        chosen = self.dispatchers.get(name, self.name)
+        return None if chosen in avoided else chosen
+
+    def peer(self, daemon):
+        return self.peers.get(daemon)
+
+
+class Members:
+    """Takes what the parts tell of others."""
+
+    def __init__(self):
+        self.events = []
+
+    def feed(self, event):
+        self.events.append(event)
+
+
+class Daemon(Node):
+    """The parts of a daemon that serve requests."""
+
+    def __init__(self, settings, tasks, incarnation=1):
+        self.settings = settings
+        self.tasks = tasks
+        self.metrics = Metrics()
+        self.view = FixedView(settings, Incarnation(incarnation), None)
+        self.members = Members()
+        self.build_links()
+        self.build_requests()
+        self.receiver = SubmitReceiver(
+            self.targets.run_here, self.office.submit_here
+        )
+        self.inbox = self
+
+    def take(self, link, message):
+        if isinstance(message, Submit):
+            return self.receiver.take(link, message)
+        if isinstance(message, Cancel):
+            self.receiver.cancel(link, message)
+
+    def configure(self, target, **options):
+        self.view.configuration = configuration(target, **options)
+        self.view.tables['catalogue'] = table('catalogue', 'c1')
+        self.view.tables['orders'] = table('orders', 'o1')
+        self.targets.reconfigure(self.view.configuration)
+
+    def know(self, other):
+        """Learn where another daemon listens."""
+        name = other.view.name
+        self.view.peers[name] = Peer(
+            name, other.server.address, other.view.incarnation
+        )
+
+
+def make_settings(name='vm-1', limits=None, **tables):
+    return Settings.model_validate(
+        {
+            'daemon': {
+                'name': name,
+                'data_centre': 'lima-a',
+                'region': 'lima',
+            },
+            'listen': {
+                'callers': '127.0.0.1:0',
+                'peers': '127.0.0.1:0',
+                'admin': '127.0.0.1:0',
+            },
+            'admin': {'token_sha256': '0' * 64},
+            'store': {'address': '127.0.0.1:1'},
+            'limits': limits or {},
+        }
+        | tables
+    )
+
+
+@asynccontextmanager
+async def listening(application, settings):
+    """Serve an ASGI application as the daemon serves its callers."""
+    server = make_server(application, '127.0.0.1:0', settings.limits)
+    listener = bind('127.0.0.1:0')
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, [listener])
+        while not server.started:  # noqa: ASYNC110
+            await anyio.sleep(POLL_S)
+        try:
+            yield Address(*listener.getsockname(), server)
+        finally:
+            stop(server)
+            tasks.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def running(name='vm-1', incarnation=1, **options):
+    """Run a daemon; yields it with the address for callers."""
+    settings = make_settings(name, **options)
+    async with anyio.create_task_group() as tasks:
+        daemon = Daemon(settings, tasks, incarnation)
+        async with daemon.server, daemon.pool:
+            tasks.start_soon(daemon.entry.watch.run)
+            async with listening(daemon.entry, settings) as address:
+                daemon.callers = address
+                yield daemon
+        tasks.cancel_scope.cancel()
