Dispatcher: preempted jobs leak no slot and are not told not-run

Cause: a job that was preempted and then released because its key moved was forgotten by the dispatcher while the queue had it wait again, so that its slot was lost for ever; a preempted job that waited was told not-owner (not-run) though it had been sent; a job cancelled between its turn and its send was sent all the same. The dispatcher asks the queue what it still holds, and notes whether a job was sent.

--- a/src/laburnumyard/daemon/_dispatcher.py
+++ b/src/laburnumyard/daemon/_dispatcher.py
@@ -40,8 +40,8 @@
         The job.
     turn
         Set once the queue has decided.
-    queued
-        Whether the queue still counts the job.
+    has_begun
+        Whether it was sent, so that it may have run.
     failure
         What the caller is told, where the job was refused or cancelled.
     scope
@@ -50,7 +50,7 @@
 
     job: Job
     turn: anyio.Event = field(default_factory=anyio.Event)
-    queued: bool = True
+    has_begun: bool = False
     failure: Failure | None = None
     scope: anyio.CancelScope | None = None
 
@@ -110,14 +110,12 @@
 
     def _release_waiting(self, waiting: _Waiting) -> None:
         self.feed(requests.CallerGone(waiting.job.request_id))
-        waiting.queued = False
-        waiting.failure = Failure(ErrorKind.NOT_OWNER, 'the key moved')
+        waiting.failure = _moved(waiting)
         waiting.turn.set()
 
     def _release_running(self, waiting: _Waiting) -> None:
-        if waiting.job.repeatable:
-            detail = 'the key moved while it ran'
-            waiting.failure = Failure(ErrorKind.TARGET_BROKE_OFF, detail)
+        if waiting.job.repeatable or not waiting.has_begun:
+            waiting.failure = _moved(waiting)
             waiting.scope.cancel()
 
     async def _take_turns(
@@ -132,7 +130,6 @@
             waiting.turn = anyio.Event()
             answer = await self._send(waiting)
             if answer is not None:
-                waiting.queued = False
                 return answer
 
     async def _send(
@@ -141,8 +138,11 @@
     ) -> Result[Response, Failure] | None:
         """Send a job; return None where it was preempted and waits again."""
         answer = None
-        with waiting.scope:
-            answer = await self.run_at_target(waiting.job)
+        # What was cancelled between its turn and now need not be sent.
+        if not waiting.scope.cancel_called:
+            waiting.has_begun = True
+            with waiting.scope:
+                answer = await self.run_at_target(waiting.job)
         waiting.scope = None
         self.feed(requests.Finished(waiting.job.request_id, _outcome(answer)))
         if answer is None and waiting.failure is not None:
@@ -150,13 +150,12 @@
         return answer
 
     def _forget(self, waiting: _Waiting) -> None:
-        """Tell the queue of a caller that left before its answer."""
+        """Tell the queue that nobody waits for a job that it still holds."""
         request_id = waiting.job.request_id
         self.waiting.pop(request_id, None)
-        if not waiting.queued:
-            return
-        self.feed(requests.CallerGone(request_id))
-        if waiting.scope is not None:
+        if request_id in self.queue.entries:
+            self.feed(requests.CallerGone(request_id))
+        if request_id in self.queue.running:
             outcome = requests.Outcome.CANCELLED
             self.feed(requests.Finished(request_id, outcome))
 
@@ -177,7 +176,6 @@
         waiting = self.waiting.get(effect.request_id)
         if waiting is None:
             return
-        waiting.queued = False
         waiting.failure = effect.failure
         waiting.turn.set()
 
@@ -203,6 +201,12 @@
         self.timer = loop.call_later(delay, self.feed, requests.Tick())
 
 
+def _moved(waiting: _Waiting) -> Failure:
+    if waiting.has_begun:
+        return Failure(ErrorKind.TARGET_BROKE_OFF, 'the key moved meanwhile')
+    return Failure(ErrorKind.NOT_OWNER, 'the key moved')
+
+
 def _queue_request(job: Job) -> requests.Request:
     return requests.Request(
         job.request_id,
--- a/src/laburnumyard/daemon/_http_protocol.py
+++ b/src/laburnumyard/daemon/_http_protocol.py
@@ -94,7 +94,7 @@
         self.is_reading_head = True
         super().on_message_complete()
 
-    def send_400_response(self, msg: str) -> None:  # noqa: WPS114
+    def send_400_response(self, msg: str) -> None:
         """Refuse bytes that are no request."""
         self._refuse(ErrorKind.BAD_REQUEST, 'send HTTP/1.1')
 
--- a/tests/daemon/world.py
+++ b/tests/daemon/world.py
@@ -71,7 +71,7 @@
 name = 'o1'
 service = 'orders'
 data_centre = 'lima-a'
-address = '{address}'
+address = '127.0.0.1:9'
 """
 TOKEN = 'clinic-token'
 POLL_S = 0.001
