Tickets are their customer's; targets cannot forge the daemon's headers

Cause: a ticket's digest left the customer out, so that another customer who knew the ticket got the answer; a target's laburnumyard-ran or -ticket and the headers it named in Connection were passed on; a status over 599 ended in a broken connection.

--- a/src/laburnumyard/daemon/_target_link.py
+++ b/src/laburnumyard/daemon/_target_link.py
@@ -26,14 +26,12 @@
 
 Outcome = Result[Response, Failure]
 CONNECT_TIMEOUT_S = 0.25
-TARGET_HEADERS = frozenset(
-    (
-        'laburnumyard-clock-ms',
-        'laburnumyard-not-run',
-        'server',
-        'date',
-    )
-)
+# Headers that the daemon answers for itself.
+OWN_HEADERS = frozenset(('server', 'date'))
+OWN_PREFIX = 'laburnumyard-'
+FIRST_UNKNOWN_STATUS = 600
+# Statuses that end a request; the rest cannot be told to a caller.
+STATUSES = range(HTTPStatus.OK, FIRST_UNKNOWN_STATUS)
 # What a failure means once a byte of the request may have left.
 _LEFT_KINDS = MappingProxyType(
     {
@@ -196,12 +194,10 @@
             self.clock = TargetClock(answer.clock_ms, now)
         if answer.is_not_run:
             return Error(_not_run(answer))
-        headers = tuple(
-            pair
-            for pair in drop_hop_by_hop(answer.headers)
-            if pair[0] not in TARGET_HEADERS
-        )
-        return Ok(Response(answer.status, headers, answer.body))
+        if answer.status not in STATUSES:
+            detail = f'the target answered {answer.status}'
+            return Error(Failure(ErrorKind.TARGET_BROKE_OFF, detail))
+        return Ok(Response(answer.status, _passed_on(answer), answer.body))
 
     def _take_failure(
         self,
@@ -226,6 +222,19 @@
         self.idle[kept.note.connection_id] = kept
 
 
+def _passed_on(answer: TargetResponse) -> tuple[tuple[str, str], ...]:
+    """Return the headers that a target may send to a caller."""
+    dropped = OWN_HEADERS
+    connection = answer.header('connection').lower()
+    if connection:
+        dropped |= set(connection.replace(' ', '').split(','))
+    return tuple(
+        pair
+        for pair in drop_hop_by_hop(answer.headers)
+        if pair[0] not in dropped and not pair[0].startswith(OWN_PREFIX)
+    )
+
+
 def _not_run(answer: TargetResponse) -> Failure:
     is_misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
     kind = ErrorKind.NOT_OWNER if is_misdirected else ErrorKind.TARGET_SHED
--- a/src/laburnumyard/daemon/_tickets.py
+++ b/src/laburnumyard/daemon/_tickets.py
@@ -11,6 +11,7 @@
 from laburnumyard.core import requests
 from laburnumyard.core.callers import SHOWN
 from laburnumyard.core.errors import ErrorKind, Failure, Ran
+from laburnumyard.core.ids import ServiceName
 from laburnumyard.daemon._answers import Response
 from laburnumyard.daemon._clock import boot_time, draw_number
 from laburnumyard.daemon._jobs import Job
@@ -85,10 +86,7 @@
             The first answer for every submission of the ticket.
         """
         ticket = requests.parse_ticket(job.ticket)
-        fingerprint = requests.fingerprint_of(
-            job.service, job.method, job.path, job.key, job.body
-        )
-        decision = self.ledger.submit(ticket, fingerprint, boot_time())
+        decision = self.ledger.submit(ticket, _digest(job), boot_time())
         match decision:
             case requests.Run():
                 return await self._run(job, ticket)
@@ -125,6 +123,14 @@
             return Error(Failure(ErrorKind.INTERNAL, repr(fault)))
 
 
+def _digest(job: Job) -> bytes:
+    """Tell a request from others; an answer is its customer's alone."""
+    owner = ServiceName(f'{job.service}/{job.customer}')
+    return requests.fingerprint_of(
+        owner, job.method, job.path, job.key, job.body
+    )
+
+
 def _ran(outcome: Outcome) -> Ran:
     return Ran.RAN if outcome.is_ok() else outcome.error.answer.ran
 
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -1,3 +1,6 @@
+import asyncio
+from contextlib import asynccontextmanager
+
 import anyio
 import pytest
 
@@ -45,3 +48,48 @@
     async with running() as one:
         one.configure(target)
         yield one
+
+
+class ScriptedTarget:
+    """Answers each request by its bytes; the last answer goes to the rest.
+
+    An answer of None closes the connection; the bytes ``HOLD`` leave it open.
+    """
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.received = []
+        self.connections = 0
+        self.ended = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            await self.answer_all(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.ended += 1
+        writer.close()
+
+    async def answer_all(self, reader, writer):
+        answer = b''
+        while answer is not None:
+            writer.write(answer)
+            self.received.append(await reader.readuntil(b'\r\n\r\n'))
+            left = self.answers
+            answer = left.pop(0) if len(left) > 1 else left[0]
+
+
+@pytest.fixture
+def scripted():
+    @asynccontextmanager
+    async def serve(*answers):
+        target = ScriptedTarget(answers)
+        server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        target.address = f'{host}:{port}'
+        try:
+            yield target
+        finally:
+            server.close()
+
+    return serve
