Router: what may have run in an earlier try is never told not-run

Cause: route() answered with the last try's failure alone, so that a read that broke off at its target and then found no owner was told not-run; a suspect was looked for before the pause, when the death was not yet known, so that the router sent a poison request again; an unknown service and an absent configuration raised. The fingerprint is now worked out only while there is a suspect.

--- a/src/laburnumyard/daemon/_router.py
+++ b/src/laburnumyard/daemon/_router.py
@@ -7,7 +7,8 @@
 import anyio
 from expression import Error, Result
 
-from laburnumyard.core.errors import ErrorKind, Failure
+from laburnumyard.core.callers import SHOWN
+from laburnumyard.core.errors import ErrorKind, Failure, Ran
 from laburnumyard.core.ids import DaemonName, Seconds, ServiceName, TargetName
 from laburnumyard.core.requests import (
     Fingerprint,
@@ -69,11 +70,31 @@
         Which try this is, from 1.
     avoided
         Daemons that were not reached.
+    doubt
+        The last failure of a try that may have run.
     """
 
     job: Job
     tries: int = 1
     avoided: frozenset[DaemonName] = NOBODY
+    doubt: Failure | None = None
+
+    def note(self, failure: Failure) -> None:
+        """Remember a failure after which the job may have run."""
+        if failure.answer.ran is Ran.UNKNOWN:
+            self.doubt = failure
+
+    def told(self, failure: Failure) -> Failure:
+        """Return what the caller is told after the last failure.
+
+        A ``not-run`` of the last try says nothing about the tries before it.
+        """
+        if self.doubt is None or failure.answer.ran is not Ran.NOT_RUN:
+            return failure
+        detail = f'{self.doubt.detail}; then {failure.kind.value}'
+        if failure.kind is ErrorKind.DEADLINE_BEFORE_START:
+            return Failure(ErrorKind.DEADLINE_AFTER_START, detail)
+        return Failure(self.doubt.kind, detail)
 
 
 class Router:
@@ -126,38 +147,47 @@
         Result
             The target's whole answer, or the last failure.
         """
-        suspected = fingerprint_of(
-            job.service, job.method, job.path, job.key, job.body
-        )
-        refusal = self.quarantine.refusal(suspected, boot_time())
+        refusal = self._refusal(job)
         if refusal is not None:
             return Error(refusal)
-        budget = self._budget(job.service)
-        budget.note_request()
+        self._budget(job.service).note_request()
         attempt = Attempt(job)
         while True:
             outcome = await self._try(attempt)
-            if outcome.is_ok() or not self._is_retried(
-                attempt, outcome.error.kind, suspected
-            ):
+            if outcome.is_ok():
                 return outcome
-            if costs_budget(outcome.error.kind):
-                budget.spend()
-            await self._pause(attempt, outcome.error.kind)
+            failure = outcome.error
+            attempt.note(failure)
+            if not await self._is_retried(attempt, failure.kind):
+                return Error(attempt.told(failure))
 
-    def _is_retried(
-        self,
-        attempt: Attempt,
-        kind: ErrorKind,
-        suspected: Fingerprint,
-    ) -> bool:
+    def _refusal(self, job: Job) -> Failure | None:
+        configuration = self.view.configuration
+        if configuration is None:
+            return Failure(ErrorKind.NO_CONFIGURATION)
+        if job.service not in configuration.services:
+            return Failure(ErrorKind.UNKNOWN_SERVICE, repr(job.service[:SHOWN]))
+        if not self.quarantine.records:
+            return None
+        return self.quarantine.refusal(_fingerprint(job), boot_time())
+
+    async def _is_retried(self, attempt: Attempt, kind: ErrorKind) -> bool:
+        """Pause before another try; False where there must be none."""
         job = attempt.job
-        now = boot_time()
-        if self.quarantine.is_suspect(suspected, now):
-            return False
         budget = self._budget(job.service)
-        remaining = Seconds(job.deadline - now)
-        return may_retry(kind, job.repeatable, remaining, job.hops, budget)
+        remaining = Seconds(job.deadline - boot_time())
+        if not may_retry(kind, job.repeatable, remaining, job.hops, budget):
+            return False
+        if costs_budget(kind):
+            budget.spend()
+        await self._pause(attempt, kind)
+        # Asked last: it takes a moment to find out that a target died.
+        return not self._is_suspect(job)
+
+    def _is_suspect(self, job: Job) -> bool:
+        if not self.quarantine.records:
+            return False
+        return self.quarantine.is_suspect(_fingerprint(job), boot_time())
 
     async def _try(self, attempt: Attempt) -> Outcome:
         started = boot_time()
@@ -227,6 +257,10 @@
         return budget
 
 
+def _fingerprint(job: Job) -> Fingerprint:
+    return fingerprint_of(job.service, job.method, job.path, job.key, job.body)
+
+
 def _log_route(
     attempt: Attempt,
     route: Route,
