--- /dev/null
+++ b/tests/daemon/conftest.py
@@ -0,0 +1,120 @@
+import asyncio
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from laburnumyard.core.keys import hash_key
+from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._jobs import Job
+from standins._serve import serving
+from standins.target import Fencing, TargetApp, TargetSettings
+from tests.daemon.world import running
+
+GENEROUS_S = 20
+POLL_S = 0.002
+POLLS = 10_000
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+@pytest.fixture
+def wait_until():
+    """Wait for a condition, with a generous limit."""
+
+    async def poll(condition):
+        for _ in range(POLLS):
+            if condition():
+                return
+            await anyio.sleep(POLL_S)
+        pytest.fail('the condition never came true')
+
+    return poll
+
+
+@pytest.fixture
+def target_app():
+    settings = TargetSettings('c1', 'catalogue', fencing=Fencing.NONE)
+    return TargetApp(settings)
+
+
+@pytest.fixture
+async def target(target_app):
+    async with serving(target_app) as address:
+        yield address
+
+
+@pytest.fixture
+async def daemon(target):
+    async with running() as one:
+        one.configure(target)
+        yield one
+
+
+class ScriptedTarget:
+    """Answers each request by its bytes; the last answer goes to the rest.
+
+    An answer of None closes the connection; the bytes ``HOLD`` leave it open.
+    """
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.received = []
+        self.connections = 0
+        self.ended = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            await self.answer_all(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.ended += 1
+        writer.close()
+
+    async def answer_all(self, reader, writer):
+        answer = b''
+        while answer is not None:
+            writer.write(answer)
+            self.received.append(await reader.readuntil(b'\r\n\r\n'))
+            left = self.answers
+            answer = left.pop(0) if len(left) > 1 else left[0]
+
+
+@pytest.fixture
+def scripted():
+    @asynccontextmanager
+    async def serve(*answers):
+        target = ScriptedTarget(answers)
+        server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        target.address = f'{host}:{port}'
+        try:
+            yield target
+        finally:
+            server.close()
+
+    return serve
+
+
+@pytest.fixture
+def job():
+    """Return a repeatable job of the catalogue."""
+    return Job(
+        request_id='vm-1-1',
+        service='catalogue',
+        customer='',
+        key='bench',
+        key_hash=hash_key('bench'),
+        operation='GET read',
+        method='GET',
+        path='/catalogue/read',
+        headers=(),
+        body=b'',
+        deadline=boot_time() + GENEROUS_S,
+        repeatable=True,
+        ticket='',
+        hops=0,
+    )
