Daemon compares incarnations before it leaves a scope to its manager

The daemon's rule went by the name of the manager: after a restart quicker than the suspicion nobody managed its scopes. A manager that still renews for its successor may now also take over again.

--- a/src/laburnumyard/core/ownership/_head.py
+++ b/src/laburnumyard/core/ownership/_head.py
@@ -126,15 +126,18 @@
     scope
         The scope's entry in the head; ``None`` if it has none.
     live
-        The incarnation of each daemon that is thought to run. A daemon that
-        has been restarted manages nothing of what its earlier process did.
+        The newest known incarnation of each daemon that is thought to run. A
+        daemon that has been restarted manages nothing of what its earlier
+        process did; an older incarnation than the manager's says nothing.
 
     Returns
     -------
     bool
         Whether the daemon that comes first in order should take over.
     """
-    return scope is None or live.get(scope.manager) != scope.incarnation
+    if scope is None or scope.manager not in live:
+        return True
+    return live[scope.manager] > scope.incarnation
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/laburnumyard/core/ownership/_manager.py
+++ b/src/laburnumyard/core/ownership/_manager.py
@@ -76,6 +76,11 @@
         """Whether the manager manages nothing; its daemon may stop."""
         return self.state.authority.phase is Phase.IDLE
 
+    @property
+    def may_take_over(self) -> bool:
+        """Whether ``TakeOver`` would do anything now."""
+        return self.state.authority.phase in {Phase.IDLE, Phase.RETIRING}
+
     def wake_at(self, now: Seconds) -> Seconds:
         """Return when the next ``Tick`` is due, in seconds."""
         state = self.state
--- a/src/laburnumyard/daemon/_ownership.py
+++ b/src/laburnumyard/daemon/_ownership.py
@@ -92,7 +92,7 @@
             return
         for scope, runner in self.runners.items():
             self._tell_guards(scope, runner)
-            if runner.manager.is_idle and self._is_due(scope):
+            if runner.manager.may_take_over and self._is_due(scope):
                 runner.feed(ownership.TakeOver())
 
     def held(self) -> tuple[membership.Scope, ...]:
@@ -203,12 +203,10 @@
             return False
         snapshot = self.view.snapshots.get(scope.service)
         held = snapshot and snapshot.head.scopes.get(scope.data_centre)
-        if not held:
+        if held and held.manager == self.view.name:
             return True
-        if held.manager == self.view.name:
-            return True
-        live = {each.daemon for each in members.live()}
-        return held.manager not in live
+        live = {each.daemon: each.incarnation for each in members.live()}
+        return ownership.needs_manager(held or None, live)
 
     def _offer(self, scope: ScopeId) -> None:
         successor = self._successor(scope)
--- a/tests/core/ownership/test_head.py
+++ b/tests/core/ownership/test_head.py
@@ -12,6 +12,7 @@
     assemble,
     decode_head,
     encode_head,
+    needs_manager,
     split_assignment,
 )
 from laburnumyard.core.ownership._chunks import MAX_CHUNK_BYTES, new_chunks
@@ -80,6 +81,22 @@
     assert_that(largest, LessThan(MAX_CHUNK_BYTES))
 
 
+@pytest.mark.parametrize(
+    ('live', 'is_needed'),
+    [
+        ({}, True),
+        ({'daemon-1': 3}, False),
+        ({'daemon-1': 4}, True),
+        ({'daemon-1': 0}, False),
+        ({'daemon-2': 3}, True),
+    ],
+)
+def test_a_scope_needs_a_manager_that_runs(live, is_needed):
+    scope = Scope(7, 'daemon-1', 3, 'daemon-1/3/lima-1/4')
+    assert_that(needs_manager(scope, live), Equals(is_needed))
+    assert_that(needs_manager(None, live), Equals(True))
+
+
 def test_a_move_rewrites_one_chunk(assignment):
     chunks = split_assignment(assignment)
     moved = reassigned(assignment, {PARTS[1700]: 'target-1'})
