--- a/src/laburnumyard/core/ownership/_reading.py
+++ b/src/laburnumyard/core/ownership/_reading.py
@@ -13,13 +13,18 @@
     review_authority,
     settle,
 )
-from laburnumyard.core.ownership._state import ManagerState, Phase
+from laburnumyard.core.ownership._state import (
+    FIRST_RETRY_INTERVAL,
+    ManagerState,
+    Phase,
+)
 from laburnumyard.core.ownership._store_events import HeadRead
 
 REGULAR_INTERVAL = 10.0
 # Regular reads in the time that a manager may act without one.
 READS_PER_HOLD = 4
-RETRY_INTERVAL = 0.2
+# In an outage each failure doubles the interval, up to this.
+LONGEST_RETRY_INTERVAL = 2.0
 # Between two urgent reads, so that a crowd of targets shares one.
 URGENT_INTERVAL = 0.02
 
@@ -40,8 +45,12 @@
     """Note that the store did not answer a read."""
     reading = state.reading
     reading.asked = False
-    reading.retry_at = Seconds(now + RETRY_INTERVAL)
+    reading.retry_at = Seconds(now + reading.retry_interval)
     reading.regular_at = reading.retry_at
+    reading.retry_interval = min(
+        2 * reading.retry_interval,
+        LONGEST_RETRY_INTERVAL,
+    )
     # An outage does not end the authority to renew.
     reading.awake_at = None
 
@@ -89,6 +98,7 @@
     reading = state.reading
     reading.asked = False
     reading.is_stale = False
+    reading.retry_interval = FIRST_RETRY_INTERVAL
     hold = state.settings.timing.outage_hold_s
     interval = min(REGULAR_INTERVAL, hold / READS_PER_HOLD)
     reading.regular_at = Seconds(now + interval)
--- a/src/laburnumyard/core/ownership/_state.py
+++ b/src/laburnumyard/core/ownership/_state.py
@@ -23,6 +23,7 @@
 from laburnumyard.schema._generated.settings import TimingSettings
 
 NO_TERM = Term(0)
+FIRST_RETRY_INTERVAL = 0.2
 
 
 class Phase(Enum):
@@ -181,6 +182,8 @@
         When the next regular one is due.
     retry_at
         When an urgent one may be made.
+    retry_interval
+        How long the next failure delays the next read, in seconds.
     is_stale
         Whether the store has a newer head than the known one, or may have.
     is_absent
@@ -193,6 +196,7 @@
     asked: bool = False
     regular_at: Seconds = NEVER
     retry_at: Seconds = NEVER
+    retry_interval: float = FIRST_RETRY_INTERVAL
     is_stale: bool = False
     is_absent: bool = False
     awake_at: Seconds | None = None
