--- a/src/laburnumyard/daemon/_admin.py
+++ b/src/laburnumyard/daemon/_admin.py
@@ -87,7 +87,7 @@
         else:
             body = json.dumps(message, default=str).encode()
             response = Response(answer.status, JSON, body)
-        await send_response(send, response)
+        await send_response(send, response, scope['method'])
 
     async def _answer(
         self,
