--- a/bench/requests/__main__.py
+++ b/bench/requests/__main__.py
@@ -8,6 +8,7 @@
 from bench.requests.figures import show
 from bench.requests.flow_control import fixed_concurrency
 from bench.requests.scenarios import (
+    OTHER_PAID,
     SERVICES,
     SHARES,
     head_of_line,
@@ -44,6 +45,7 @@
         head_of_line(name, variant, seed)
         paid_ratio(name, variant, seed)
         overload(name, variant, seed)
+    paid_ratio('paying_flooder', Dispatchers, seed, OTHER_PAID)
     swing('unbounded', UnboundedDispatchers, seed)
     overload('unbounded', UnboundedDispatchers, seed)
     fixed_concurrency(SERVICES[0], SHARES, seed)
--- a/bench/requests/scenarios.py
+++ b/bench/requests/scenarios.py
@@ -1,5 +1,6 @@
 """The demands that each variant is put under, and the figures of each."""
 
+from statistics import mean
 from types import MappingProxyType
 
 from bench.requests.figures import (
@@ -30,6 +31,7 @@
 )
 OTHER_PAID = 'hospital'
 PAID_SHARE = 0.2
+COMMON = 'trujillo'
 # Class and share of those who paid.
 SHARES = MappingProxyType(
     {
@@ -44,7 +46,7 @@
         PAID: 0.1,
         OTHER_PAID: 0.05,
         DEFERRED: 0.05,
-        'trujillo': 0.4,
+        COMMON: 0.4,
         'arequipa': 0.2,
         'cusco': 0.1,
         'piura': 0.1,
@@ -111,7 +113,9 @@
     """Print how long short work waits at a demand that can be met."""
     run = simulate(variant, _everyone(Demand(BUSY)), STEADY_DURATION, seed)
     waits = run.waits_of_short_work()
+    show(f'busy_short_wait_mean_ms.{name}', mean(waits))
     show(f'busy_short_wait_p50_ms.{name}', percentile(waits, 50))
+    show(f'busy_short_wait_p90_ms.{name}', percentile(waits, 90))
     show(f'busy_short_wait_p99_ms.{name}', percentile(waits, 99))
     for group in ('paid', 'common'):
         times = latencies(_of_customers(run.endings, GROUPS[group]))
@@ -119,11 +123,16 @@
         show(f'busy_p99_ms.{group}.{name}', percentile(times, 99))
 
 
-def paid_ratio(name: str, variant: type, seed: int) -> None:
-    """Print what others' overload does to a paying customer."""
+def paid_ratio(
+    name: str,
+    variant: type,
+    seed: int,
+    flooder: str = COMMON,
+) -> None:
+    """Print what another customer's overload does to a paying one."""
     service = SERVICES[0]
     paid = Source(service, PAID, PAID_SHARE, Demand(1))
-    others = Source(service, 'trujillo', OVERLOAD, Demand(1))
+    others = Source(service, flooder, OVERLOAD, Demand(1))
     alone = simulate(variant, [paid], PAID_DURATION, seed)
     among = simulate(variant, [paid, others], PAID_DURATION, seed)
     for work in WORKS:
--- a/tests/core/requests/test_ledger.py
+++ b/tests/core/requests/test_ledger.py
@@ -3,7 +3,7 @@
 from testtools.matchers import Equals, HasLength, Is, IsInstance
 
 from laburnumyard.core import requests
-from laburnumyard.core.errors import ErrorKind, Ran
+from laburnumyard.core.errors import ErrorKind, Failure, Ran
 from laburnumyard.schema._generated.settings import LimitSettings
 
 ORDER = b'order'
@@ -166,3 +166,9 @@
 )
 def test_text_that_is_no_ticket_is_refused(text):
     assert_that(requests.parse_ticket(text), Is(None))
+
+
+@pytest.mark.parametrize('kind', ErrorKind)
+def test_without_the_ledger_nothing_invites_a_new_order(kind):
+    told = requests.failure_before_ledger(Failure(kind)).answer
+    assert_that(told.ran is Ran.NOT_RUN and told.may_retry, Is(False))
