--- a/src/laburnumyard/core/requests/_handlers.py
+++ b/src/laburnumyard/core/requests/_handlers.py
@@ -118,7 +118,7 @@
     queue.flows.settle(entry, now)
     _learn(entry, event.outcome, queue, now)
     if entry.state is State.PREEMPTING and event.outcome is Outcome.CANCELLED:
-        queue.flows.restore(entry)
+        queue.restore(entry)
         return
     entry.state = State.DONE
     queue.entries.pop(event.request_id)
--- a/src/laburnumyard/core/requests/_target_queue.py
+++ b/src/laburnumyard/core/requests/_target_queue.py
@@ -110,6 +110,12 @@
         self.drop(entry)
         self.effects.append(Refuse(entry.request.request_id, failure))
 
+    def restore(self, entry: Entry) -> None:
+        """Let a preempted request wait again, unless the target leaves."""
+        self.flows.restore(entry)
+        if self.draining is not None and not self.draining.serve_waiting:
+            self.refuse(entry, Failure(self.draining.kind))
+
     def drop(self, entry: Entry) -> None:
         """Forget a waiting request."""
         self.flows.remove(entry, State.DONE)
--- a/tests/core/requests/conftest.py
+++ b/tests/core/requests/conftest.py
@@ -8,12 +8,12 @@
 def new_world():
     """Build a queue under given settings, in a world of its own."""
 
-    def build(*, is_cold=False, slots=3, queue_class=None, **options):
-        queue = (queue_class or requests.TargetQueue)(
+    def build(*, is_cold=False, slots=3, cancel_time=0, **options):
+        queue = requests.TargetQueue(
             settings(slots=slots, **options),
             requests.OperationTimes(),
             is_cold=is_cold,
         )
-        return World(queue, slots)
+        return World(queue, slots, cancel_time)
 
     return build
--- a/tests/core/requests/test_target_queue.py
+++ b/tests/core/requests/test_target_queue.py
@@ -166,10 +166,11 @@
     world = new_world(slots=1)
     world.arrive('trujillo', length=10, within=20, repeatable=False)
     waiting = world.arrive('arequipa', within=1)
-    world.advance(3)
+    world.advance(0.99)
+    assert_that(world.answers[waiting], HasLength(0))
+    world.advance(0.01)
     expected = [ErrorKind.DEADLINE_BEFORE_START]
     assert_that(kinds(world, waiting), Equals(expected))
-    assert_that(world.answered_at[waiting], Equals(1))
 
 
 def test_straggler_is_cancelled_at_its_deadline(new_world):
@@ -233,6 +234,17 @@
     assert_that(world.queue.is_idle, Is(True))
 
 
+def test_preempted_request_is_not_sent_to_a_leaving_target(new_world):
+    world = new_world(slots=1, cancel_time=0.1)
+    lent = world.arrive('trujillo', length=1)
+    world.arrive('clinic')
+    world.is_closed = True
+    world.feed(requests.Drain(ErrorKind.NOT_OWNER, serve_waiting=False))
+    world.advance(2)
+    assert_that(kinds(world, lent), Equals([ErrorKind.TARGET_BROKE_OFF]))
+    check(world)
+
+
 def test_leaving_daemon_cuts_off_no_request(new_world):
     world = new_world(slots=1)
     held = [world.arrive('trujillo') for _ in range(5)]
--- a/tests/core/requests/test_target_queue_states.py
+++ b/tests/core/requests/test_target_queue_states.py
@@ -36,7 +36,7 @@
 LENGTHS = (0.001, 0.01, 0.5, 5)
 LONGEST_DEADLINE = 20
 # A queue that drains takes nothing more, so that it drains late.
-MANY_REQUESTS = 40
+MANY_REQUESTS = 15
 
 
 class QueueMachine(RuleBasedStateMachine):
@@ -46,7 +46,7 @@
         super().__init__()
         settings_now = worlds.settings(queue_limit=6, least_share=0.1)
         queue = self.queue_class(settings_now, requests.OperationTimes())
-        self.world = worlds.World(queue, slots=3)
+        self.world = worlds.World(queue, slots=3, cancel_time=0.05)
 
     @rule(
         customer=st.sampled_from(CUSTOMERS),
@@ -103,6 +103,7 @@
     @rule(serve_waiting=st.booleans())
     def drain(self, serve_waiting):
         kind = ErrorKind.SHUTTING_DOWN
+        self.world.is_closed = self.world.is_closed or not serve_waiting
         self.world.feed(requests.Drain(kind, serve_waiting=serve_waiting))
 
     @invariant()
--- a/tests/core/requests/world.py
+++ b/tests/core/requests/world.py
@@ -85,13 +85,12 @@
     `run_log` is the target's own; `answers` is what callers were told.
     """
 
-    def __init__(self, queue, slots):
+    def __init__(self, queue, slots, cancel_time=0):
         self.queue = queue
         self.now = Seconds(0)
         self.run_log = []
         self.runs = {}
         self.answers = defaultdict(list)
-        self.answered_at = {}
         self.sent_at = defaultdict(list)
         self.plans = {}
         self.requests = {}
@@ -99,6 +98,9 @@
         self.wake = None
         self.inbox = deque()
         self.slots = slots
+        self.cancel_time = cancel_time
+        # Whether the target must not get anything new.
+        self.is_closed = False
 
     def arrive(self, customer, **options):
         """Let a request arrive; gives its id."""
@@ -152,13 +154,13 @@
         self.runs.pop(run.request_id)
         if run.outcome is requests.Outcome.ANSWERED:
             self.tell(run.request_id, f'answer to {run.request_id}')
-        else:
-            self.tell(run.request_id, Failure(KINDS[run.outcome]))
+        elif run.outcome is not requests.Outcome.CANCELLED:
+            kind = KINDS[run.outcome]
+            self.tell(run.request_id, Failure(kind))
         self.feed(requests.Finished(run.request_id, run.outcome))
 
     def tell(self, request_id, answer):
         self.answers[request_id].append(answer)
-        self.answered_at[request_id] = self.now
 
     @singledispatchmethod
     def carry_out(self, effect):
@@ -171,6 +173,7 @@
         self.sent_at[request_id].append(self.now)
         if outcome in (requests.Outcome.ANSWERED, requests.Outcome.BROKEN_OFF):
             self.run_log.append(request_id)
+        assert not self.is_closed, f'{request_id} sent to a leaving target'
         run = Running(request_id, self.now + length, outcome)
         self.runs[request_id] = run
         assert len(self.runs) <= self.slots, 'more runs than slots'
@@ -194,9 +197,14 @@
         self.wake = effect.time
 
     def stop(self, request_id):
-        if self.runs.pop(request_id, None) is not None:
-            outcome = requests.Outcome.CANCELLED
-            self.feed(requests.Finished(request_id, outcome))
+        """Close the connection; the slot is free when the target stops."""
+        cancelled = requests.Outcome.CANCELLED
+        if self.cancel_time:
+            ends = self.now + self.cancel_time
+            self.runs[request_id] = Running(request_id, ends, cancelled)
+        else:
+            self.runs.pop(request_id)
+            self.feed(requests.Finished(request_id, cancelled))
 
 
 def leave(world, request_id):
