Requests: a target that leaves stays closed when its daemon leaves too

Found by 6,000 random examples of the state machine: the daemon's drain, which serves what waits, replaced the target's, which serves nothing more.

--- a/src/laburnumyard/core/requests/_handlers.py
+++ b/src/laburnumyard/core/requests/_handlers.py
@@ -181,7 +181,8 @@
 
 @apply.register(Drain)
 def _drain(event: Drain, queue: 'TargetQueue', now: Seconds) -> None:
-    queue.draining = event
+    if queue.draining is None or queue.draining.serve_waiting:
+        queue.draining = event
     if event.serve_waiting:
         return
     for entry in tuple(queue.entries.values()):
--- a/tests/core/requests/test_target_queue.py
+++ b/tests/core/requests/test_target_queue.py
@@ -349,3 +349,14 @@
     monkeypatch.setattr(Line, 'is_owed', lambda line, now: False)
     world = new_world(slots=1, shares={'clinic': 1.0}, least_share=0.1)
     assert_that(part_of_the_common_class(world), LessThan(0.09))
+
+
+def test_target_that_leaves_stays_closed_when_the_daemon_leaves(new_world):
+    world = new_world(slots=1, cancel_time=0.1)
+    lent = world.arrive('trujillo', length=1)
+    world.arrive('clinic')
+    world.is_closed = True
+    world.feed(requests.Drain(ErrorKind.NOT_OWNER, serve_waiting=False))
+    world.feed(requests.Drain(ErrorKind.SHUTTING_DOWN, serve_waiting=True))
+    world.advance(2)
+    assert_that(kinds(world, lent), Equals([ErrorKind.TARGET_BROKE_OFF]))
