--- a/src/laburnumyard/core/membership/_believing.py
+++ b/src/laburnumyard/core/membership/_believing.py
@@ -65,8 +65,19 @@
         _start_rumour(state, member)
     settle(state, member)
     member.probe_at = state.now + member.probe_pause_s
-    pause = 2 * member.probe_pause_s
-    member.probe_pause_s = min(pause, state.settings.probe_backoff_s)
+    member.probe_pause_s = _next_probe_pause(state, member)
+
+
+def _next_probe_pause(state: TableState, member: Member) -> float:
+    """Return the next pause between probes, in seconds.
+
+    A member that only this daemon suspects is most likely alive, so the pause
+    does not grow.
+    """
+    settings = state.settings
+    if not member.is_rumoured:
+        return settings.probe_first_s
+    return min(2 * member.probe_pause_s, settings.probe_backoff_s)
 
 
 def _start_rumour(state: TableState, member: Member) -> None:
