--- a/tests/daemon/test_deaths.py
+++ b/tests/daemon/test_deaths.py
@@ -1,58 +1,59 @@
 import asyncio
 
-import anyio
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import Equals
 
-from laburnumyard.core.requests import Quarantine
-from laburnumyard.daemon._deaths import DeathWatch
-from laburnumyard.schema._generated.objects import Target
-from tests.daemon.conftest import GENEROUS_S
+from tests.daemon.http import ask
 
-pytestmark = pytest.mark.anyio
+READ = ('GET', '/catalogue/poison')
 
 
-async def listen(connections):
-    """Accept so many connections, then close the listener; None: all."""
-    accepted = []
+class DyingTarget:
+    """Stops to listen once a request has come, then breaks off."""
 
-    def accept(reader, writer):
-        accepted.append(writer)
-        if len(accepted) == connections:
-            server.close()
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+        self.requests = 0
 
-    server = await asyncio.start_server(accept, '127.0.0.1', 0)
-    host, port = server.sockets[0].getsockname()
-    target = Target(
-        name='catalogue-1',
-        service='catalogue',
-        data_centre='lima-a',
-        address=f'{host}:{port}',
-        slots=3,
-        connections=110,
-    )
-    return server, target
+    async def serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        self.requests += 1
+        self.server.close()
+        writer.close()
 
 
-async def note_broken_off(target, job):
-    """Have a watch look after a connection that broke; return what it told."""
-    told = []
-    async with anyio.create_task_group() as tasks:
-        watch = DeathWatch(Quarantine(), told.extend, tasks)
-        with anyio.fail_after(GENEROUS_S):
-            watch.note_broken_off(target, job)
-    return told
+async def kill_one(daemon, wait_until):
+    """Let a target die of a request, and the daemon notice its death."""
+    target = DyingTarget()
+    await target.start()
+    daemon.configure(target.address)
+    noted = daemon.targets.deaths.deaths
+    answer = await ask(daemon.callers, *READ)
+    assert_that(target.requests, Equals(1))
+    await wait_until(lambda: noted)
+    # A death long after the last one is another death.
+    noted.clear()
+    return answer
 
 
+@pytest.mark.anyio
 @pytest.mark.cell(step='send', fault='poison-request')
-async def test_target_whose_listener_closes_last_has_died(job):
-    _, target = await listen(connections=1)
-    assert_that(await note_broken_off(target, job), HasLength(1))
-
-
-async def test_target_that_goes_on_accepting_has_not_died(job):
-    server, target = await listen(connections=None)
-    told = await note_broken_off(target, job)
-    server.close()
-    assert_that(told, Equals([]))
+async def test_the_second_death_quarantines_the_request(daemon, wait_until):
+    for _ in range(2):
+        answer = await kill_one(daemon, wait_until)
+        assert_that(answer.ran, Equals('unknown'))
+    refused = await ask(daemon.callers, *READ)
+    assert_that(refused.kind, Equals('quarantined'))
+    assert_that(refused.ran, Equals('not-run'))
+
+
+@pytest.mark.anyio
+async def test_a_broken_connection_alone_is_no_death(daemon, scripted):
+    async with scripted(None) as target:
+        daemon.configure(target.address)
+        for _ in range(3):
+            answer = await ask(daemon.callers, *READ)
+            assert_that(answer.kind, Equals('target-broke-off'))
