Deployments on loopback pick ports below the ephemeral range

Cause: a port found free by binding to 0 lay in the range from which the kernel takes ports of outgoing connections; on a busy machine one was taken before its target listened, so the target exited (address in use) and its keys were not served: 1 of about 20 starts. Change: ports are drawn from 12000 to 32000 and probed.

--- a/src/standins/_cluster_files.py
+++ b/src/standins/_cluster_files.py
@@ -6,9 +6,11 @@
 from dataclasses import dataclass, field
 from hashlib import sha256
 from itertools import cycle
+from random import SystemRandom
 
 LOOPBACK = '127.0.0.1'
 OPERATOR_TOKEN = 'operator-token'
+PORTS = (12_000, 32_000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,17 +122,29 @@
 
 
 def _free_ports() -> Iterator[str]:
-    """Yield addresses whose ports were free a moment ago."""
+    """Yield addresses whose ports were free a moment ago.
+
+    They lie below the ports that the kernel gives to outgoing connections,
+    which could take one before its process listens.
+    """
+    draw = SystemRandom()
     seen: set[int] = set()
     while True:
-        with socket.socket() as probe:
-            probe.bind((LOOPBACK, 0))
-            port = probe.getsockname()[1]
-        if port not in seen:
+        port = draw.randrange(*PORTS)
+        if port not in seen and _is_free(port):
             seen.add(port)
             yield f'{LOOPBACK}:{port}'
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
+
+
 def daemon_settings(
     plan: ClusterPlan,
     places: Places,
