Submits: what a peer sends is checked and always answered

Cause: a Submit without a readable ticket, for an unknown service or after a fault of the receiver was never answered, so that its sender waited for its whole deadline; one for a target of another service was run there; hops were not bounded; an answer with a status or header that cannot stand in HTTP broke the caller's connection.

--- a/src/laburnumyard/core/requests/__init__.py
+++ b/src/laburnumyard/core/requests/__init__.py
@@ -107,6 +107,7 @@
     Request,
 )
 from laburnumyard.core.requests._retries import (
+    HOPS_LIMIT,
     RetryBudget,
     costs_budget,
     may_retry,
@@ -117,6 +118,7 @@
 from laburnumyard.core.requests._tickets import Ticket, parse_ticket
 
 __all__ = (
+    'HOPS_LIMIT',
     'Arrive',
     'CallerGone',
     'CancelRunning',
--- a/src/laburnumyard/daemon/_answers.py
+++ b/src/laburnumyard/daemon/_answers.py
@@ -1,11 +1,18 @@
 """The HTTP answers of the daemon, from responses and from failures."""
 
+import re
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from laburnumyard.core.errors import Failure, Ran
 from laburnumyard.core.ids import RequestId, TicketId
 
 MAX_DETAIL = 400
+FIRST_UNKNOWN_STATUS = 600
+# Statuses that end a request; the rest cannot be told to a caller.
+STATUSES = range(HTTPStatus.OK, FIRST_UNKNOWN_STATUS)
+HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+HEADER_TEXT = re.compile('[\t -~\x80-\xff]*')
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +34,14 @@
     body: bytes
 
 
+def is_tellable(response: Response) -> bool:
+    """Tell whether an answer can stand in HTTP; it may come from a peer."""
+    return response.status in STATUSES and all(
+        HEADER_NAME.fullmatch(name) and HEADER_TEXT.fullmatch(text)
+        for name, text in response.headers
+    )
+
+
 def encode_headers(response: Response) -> list[tuple[bytes, bytes]]:
     """Return the headers of an answer as they are sent, with its length."""
     headers = [
--- a/src/laburnumyard/daemon/_submits.py
+++ b/src/laburnumyard/daemon/_submits.py
@@ -16,10 +16,11 @@
     TicketId,
 )
 from laburnumyard.core.keys import hash_key
-from laburnumyard.core.requests import Ticket
-from laburnumyard.daemon._answers import Response
+from laburnumyard.core.requests import HOPS_LIMIT, Ticket
+from laburnumyard.daemon._answers import Response, is_tellable
 from laburnumyard.daemon._clock import MILLISECONDS_PER_SECOND, boot_time
 from laburnumyard.daemon._jobs import Job
+from laburnumyard.daemon._log import Event, log_event
 from laburnumyard.daemon._router import Route
 from laburnumyard.daemon._view import View
 from laburnumyard.schema._generated.messages import (
@@ -137,10 +138,10 @@
         scopes[submit.number] = scope
         outcome: Outcome | None = None
         with scope:
-            outcome = await self._run(_job(submit), TargetName(submit.target))
+            outcome = await self._run(submit)
         scopes.pop(submit.number, None)
         if outcome is not None:
-            link.send(_answer(submit.number, outcome))
+            _send_answer(link, submit.number, outcome)
 
     def cancel(self, link: IncomingLink, cancel: Cancel) -> None:
         """Stop a job that nobody waits for any more."""
@@ -158,10 +159,45 @@
         for scope in self.scopes.pop(link, {}).values():
             scope.cancel()
 
-    async def _run(self, job: Job, target: TargetName) -> Outcome:
-        if target:
-            return await self.run_here(job, target)
-        return await self.submit_here(job)
+    async def _run(self, submit: Submit) -> Outcome:
+        refusal = _refusal(submit)
+        if refusal is not None:
+            return Error(refusal)
+        try:
+            return await self._dispatch(submit)
+        except Exception as fault:
+            # One request's fault must not leave its sender waiting.
+            log_event(
+                Event.FAULT,
+                'ERROR',
+                request=submit.request_id,
+                error=repr(fault),
+            )
+            return Error(Failure(ErrorKind.INTERNAL, type(fault).__name__))
+
+    async def _dispatch(self, submit: Submit) -> Outcome:
+        if submit.target:
+            return await self.run_here(_job(submit), TargetName(submit.target))
+        return await self.submit_here(_job(submit))
+
+
+def _refusal(submit: Submit) -> Failure | None:
+    """Return why a message of a peer is not run, None if it is."""
+    if submit.hops > HOPS_LIMIT + 1:
+        detail = f'passed on {submit.hops} times'
+        return Failure(ErrorKind.NO_OWNER, detail)
+    if not submit.repeatable and not submit.ticket:
+        detail = 'a request that must not be repeated needs a ticket'
+        return Failure(ErrorKind.BAD_REQUEST, detail)
+    return None
+
+
+def _send_answer(link: IncomingLink, number: int, outcome: Outcome) -> None:
+    sent = link.send(_answer(number, outcome))
+    if sent.is_error():
+        # Nothing else tells the other daemon before its time is over.
+        failure = Failure(ErrorKind.TARGET_BROKE_OFF, sent.error.detail)
+        link.send(_answer(number, Error(failure)))
 
 
 def _link_failure(peer: DaemonName, error: LinkError) -> Failure:
@@ -225,7 +261,11 @@
 def _outcome(answer: SubmitAnswer) -> Outcome:
     if not answer.kind:
         headers = _pairs(answer.headers)
-        return Ok(Response(answer.status, headers, answer.body))
+        response = Response(answer.status, headers, answer.body)
+        if is_tellable(response):
+            return Ok(response)
+        detail = 'a daemon passed on a malformed answer'
+        return Error(Failure(ErrorKind.PEER_BROKE_OFF, detail))
     try:
         kind = ErrorKind(answer.kind)
     except ValueError:
--- a/src/laburnumyard/daemon/_target_link.py
+++ b/src/laburnumyard/daemon/_target_link.py
@@ -11,7 +11,7 @@
 from laburnumyard.core import requests
 from laburnumyard.core.errors import ErrorKind, Failure
 from laburnumyard.core.ids import KeyHash, Seconds
-from laburnumyard.daemon._answers import Response
+from laburnumyard.daemon._answers import STATUSES, Response
 from laburnumyard.daemon._clock import MILLISECONDS_PER_SECOND, boot_time
 from laburnumyard.daemon._jobs import Job
 from laburnumyard.platform import (
@@ -29,9 +29,6 @@
 # Headers that the daemon answers for itself.
 OWN_HEADERS = frozenset(('server', 'date'))
 OWN_PREFIX = 'laburnumyard-'
-FIRST_UNKNOWN_STATUS = 600
-# Statuses that end a request; the rest cannot be told to a caller.
-STATUSES = range(HTTPStatus.OK, FIRST_UNKNOWN_STATUS)
 # What a failure means once a byte of the request may have left.
 _LEFT_KINDS = MappingProxyType(
     {
--- a/src/laburnumyard/daemon/_targets.py
+++ b/src/laburnumyard/daemon/_targets.py
@@ -50,6 +50,10 @@
         if dispatcher is None:
             detail = f'target {target_name!r} is not configured here yet'
             return Error(Failure(ErrorKind.NO_OWNER, detail))
+        service = self.links[target_name].target.service
+        if service != job.service:
+            detail = f'target {target_name!r} serves {service}'
+            return Error(Failure(ErrorKind.NO_OWNER, detail))
         return await dispatcher.run(job)
 
     def reconfigure(self, configuration: Configuration) -> None:
--- a/src/laburnumyard/daemon/_tickets.py
+++ b/src/laburnumyard/daemon/_tickets.py
@@ -68,12 +68,7 @@
     async def submit(self, job: Job) -> Outcome:
         """Submit a job at whichever daemon issued its ticket."""
         ticket = requests.parse_ticket(job.ticket)
-        if ticket is None:
-            detail = (
-                f'ticket {job.ticket[:SHOWN]!r}: ask for one without a ticket'
-            )
-            return Error(Failure(ErrorKind.BAD_REQUEST, detail))
-        if ticket.issuer == self.ledger.issuer:
+        if ticket is None or ticket.issuer == self.ledger.issuer:
             return await self.submit_here(job)
         return await self.submit_at(job, ticket)
 
@@ -86,6 +81,11 @@
             The first answer for every submission of the ticket.
         """
         ticket = requests.parse_ticket(job.ticket)
+        if ticket is None:
+            detail = (
+                f'ticket {job.ticket[:SHOWN]!r}: ask for one without a ticket'
+            )
+            return Error(Failure(ErrorKind.BAD_REQUEST, detail))
         decision = self.ledger.submit(ticket, _digest(job), boot_time())
         match decision:
             case requests.Run():
--- /dev/null
+++ b/tests/daemon/test_submits.py
@@ -0,0 +1,177 @@
+import asyncio
+from dataclasses import replace
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength, Is
+
+from laburnumyard.core.errors import ErrorKind
+from laburnumyard.core.requests import HOPS_LIMIT
+from laburnumyard.daemon._submits import _outcome
+from laburnumyard.schema._generated.messages import (
+    Header,
+    Submit,
+    SubmitAnswer,
+)
+from laburnumyard.wire import Peer
+from tests.daemon.http import ask, connected, encode
+from tests.daemon.world import running
+
+SUBMIT = Submit(
+    number=0,
+    request_id='vm-2-1',
+    service='catalogue',
+    target='c1',
+    customer='',
+    key='bench-17',
+    method='GET',
+    path='/catalogue/read',
+    headers=(),
+    body=b'',
+    deadline_ms=5000,
+    repeatable=True,
+    ticket='',
+    hops=1,
+)
+GENEROUS_S = 20
+
+
+@pytest.fixture
+async def hop(daemon, target):
+    """A daemon that passes everything on to the first one."""
+    async with running('vm-2') as far:
+        far.configure(target)
+        far.know(daemon)
+        far.view.dispatchers['c1'] = daemon.view.name
+        yield far
+
+
+async def submit(hop, daemon, **fields):
+    peer = hop.view.peers[daemon.view.name]
+    answer = await hop.pool.request(peer, replace(SUBMIT, **fields), GENEROUS_S)
+    return answer.ok
+
+
+@pytest.mark.anyio
+async def test_a_request_takes_a_hop(hop, target_app):
+    answer = await ask(hop.callers, 'GET', '/catalogue/read?echo=e1')
+    assert_that(answer.status, Equals(200))
+    assert_that(target_app.state.log.runs[0].echo, Equals('e1'))
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ('fields', 'kind'),
+    [
+        ({'target': 'nothing'}, ErrorKind.NO_OWNER),
+        ({'target': 'o1'}, ErrorKind.NO_OWNER),
+        ({'service': 'orders'}, ErrorKind.NO_OWNER),
+        ({'service': 'nothing'}, ErrorKind.NO_OWNER),
+        ({'target': '', 'ticket': ''}, ErrorKind.BAD_REQUEST),
+        ({'target': '', 'ticket': 'no ticket'}, ErrorKind.BAD_REQUEST),
+        ({'target': '', 'ticket': 'vm-9.1.1.1'}, ErrorKind.TICKET_VOID),
+        ({'repeatable': False}, ErrorKind.BAD_REQUEST),
+        ({'hops': HOPS_LIMIT + 2}, ErrorKind.NO_OWNER),
+        ({'hops': 255}, ErrorKind.NO_OWNER),
+        ({'path': '/catalogue/a\r\nx: 1'}, ErrorKind.BAD_REQUEST),
+        ({'path': ''}, ErrorKind.BAD_REQUEST),
+        ({'method': 'GET /'}, ErrorKind.BAD_REQUEST),
+        ({'headers': (Header('x', '\u0416'),)}, ErrorKind.BAD_REQUEST),
+        ({'headers': (Header('\u0416', 'x'),)}, ErrorKind.BAD_REQUEST),
+        ({'key': '\x00'}, ErrorKind.BAD_REQUEST),
+    ],
+)
+async def test_a_bad_submit_is_a_typed_failure(
+    hop, daemon, target_app, fields, kind
+):
+    answer = await submit(hop, daemon, **fields)
+    assert_that(ErrorKind(answer.kind), Is(kind))
+    assert_that(target_app.state.log.runs, HasLength(0))
+    assert_that((await submit(hop, daemon)).status, Equals(200))
+
+
+@pytest.mark.anyio
+async def test_a_submit_before_the_configuration_is_typed(hop, daemon):
+    daemon.view.configuration = None
+    answer = await submit(hop, daemon, target='', ticket='vm-1.1.1.1')
+    assert_that(answer.kind, Equals('ticket-void'))
+    answer = await submit(hop, daemon)
+    assert_that(answer.kind, Equals('no-owner'))
+
+
+@pytest.mark.anyio
+async def test_a_fault_of_the_receiver_is_answered(hop, daemon):
+    async def fail(job, target):
+        raise ValueError('a fault')
+
+    daemon.receiver.run_here = fail
+    answer = await submit(hop, daemon)
+    assert_that(answer.kind, Equals('internal'))
+
+
+@pytest.mark.anyio
+async def test_an_answer_that_fits_no_frame_is_typed(hop, daemon, scripted):
+    """An answer's head may be larger than what a link carries."""
+    filler = b'x-filler: %b\r\n' % (b'x' * 8000)
+    huge = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n%b\r\n' % (filler * 7)
+    async with scripted(huge) as target:
+        daemon.configure(target.address)
+        answer = await submit(hop, daemon)
+    assert_that(answer.status in {0, 200}, Is(True))
+
+
+ANSWER = SubmitAnswer(1, '', '', 200, (), b'')
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'kind': 'nothing-known'},
+        {'status': 0},
+        {'status': 101},
+        {'status': 999},
+        {'headers': (Header('x y', ''),)},
+        {'headers': (Header('', ''),)},
+        {'headers': (Header('x', 'a\r\nb: c'),)},
+        {'headers': (Header('x', '\u0416'),)},
+        {'headers': (Header('\u0416', 'x'),)},
+    ],
+)
+def test_an_answer_that_cannot_be_told_is_a_typed_failure(fields):
+    outcome = _outcome(replace(ANSWER, **fields))
+    assert_that(outcome.error.kind, Is(ErrorKind.PEER_BROKE_OFF))
+
+
+@pytest.mark.anyio
+@pytest.mark.cell(step='send', fault='kill')
+async def test_a_peer_that_is_gone_did_not_run_it(hop, daemon, target_app):
+    hop.view.peers['vm-1'] = Peer('vm-1', '127.0.0.1:1', 1)
+    answer = await ask(hop.callers, laburnumyard_deadline_ms=200)
+    assert_that(answer.ran, Equals('not-run'))
+    assert_that(target_app.state.log.runs, HasLength(0))
+
+
+@pytest.mark.anyio
+@pytest.mark.cell(step='answer', fault='kill')
+async def test_a_peer_that_dies_meanwhile_leaves_it_unknown(
+    hop, daemon, target_app, wait_until
+):
+    asking = asyncio.create_task(ask(hop.callers, x_work_ms=5000))
+    await wait_until(lambda: target_app.state.log.runs)
+    hop.view.dispatchers['c1'] = None
+    for link in tuple(daemon.server.links):
+        link.transport.abort()
+    answer = await asking
+    assert_that(answer.ran, Equals('unknown'))
+    await wait_until(lambda: target_app.state.log.runs[0].cancelled)
+
+
+@pytest.mark.anyio
+@pytest.mark.cell(step='cancel', fault='cut')
+async def test_a_caller_that_leaves_cancels_its_read_over_a_hop(
+    hop, target_app, wait_until
+):
+    async with connected(hop.callers) as caller:
+        caller.send(encode(x_work_ms=5000))
+        await wait_until(lambda: target_app.state.log.runs)
+    await wait_until(lambda: target_app.state.log.runs[0].cancelled)
