Guards: busy counts what runs on lost keys, deadlines are capped

Cause: a guard always answered busy=0, so that its manager could move a key while the target still ran requests on it; a request to a target without fencing could run for the caller's whole deadline (30 s), all of which the manager has to wait after the loss of the guard. A cancelled request counts until its deadline: a target that checks nothing may not notice. limits.guarded_deadline_max_s = 2 s caps deadlines; the lease manager's plan does not use it yet (daemon/_ownership.py, lead).

--- a/src/laburnumyard/daemon/_guards.py
+++ b/src/laburnumyard/daemon/_guards.py
@@ -1,5 +1,7 @@
 """The grants of targets that do not check fencing tokens themselves."""
 
+from collections import defaultdict
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from laburnumyard.core.ids import KeyHash, Seconds, Sequence, TargetName, Term
@@ -14,6 +16,25 @@
 )
 from laburnumyard.schema._generated.objects import Fencing
 
+# How much later than here a deadline may pass at a target, in seconds.
+TRANSFER_S = 0.05
+
+
+@dataclass(slots=True, eq=False)
+class SentRequest:
+    """A request that a guarded target may be running.
+
+    Parameters
+    ----------
+    key_hash
+        Its key.
+    ends
+        When the target has stopped it at the latest, on the boot-time clock.
+    """
+
+    key_hash: KeyHash
+    ends: Seconds
+
 
 class Guards:
     """Holds grants in place of targets that check nothing.
@@ -28,6 +49,22 @@
         """Start without a grant."""
         self.view = view
         self.holders: dict[TargetName, GrantHolder] = {}
+        self.sent: dict[TargetName, set[SentRequest]] = defaultdict(set)
+
+    def note_sent(
+        self,
+        target: TargetName,
+        key_hash: KeyHash,
+        deadline: Seconds,
+    ) -> SentRequest:
+        """Remember a request that is about to be sent."""
+        request = SentRequest(key_hash, Seconds(deadline + TRANSFER_S))
+        self.sent[target].add(request)
+        return request
+
+    def note_ended(self, target: TargetName, request: SentRequest) -> None:
+        """Forget a request that the target has answered, or never got."""
+        self.sent[target].discard(request)
 
     def holds(
         self,
@@ -36,14 +73,20 @@
         now: Seconds,
     ) -> bool:
         """Tell whether a request for a key may be sent to a target now."""
-        configured = self.view.configuration.targets.get(target)
-        if configured is None:
-            return False
-        if configured.fencing is Fencing.token:
-            return True
         holder = self.holders.get(target)
         return holder is not None and holder.holds(key_hash, now)
 
+    def busy(self, target: TargetName, now: Seconds) -> int:
+        """Count the requests in flight on keys that are not held any more.
+
+        A request that was cancelled counts until its deadline: a target that
+        checks nothing may not have noticed.
+        """
+        sent = self.sent[target]
+        sent -= {request for request in sent if request.ends <= now}
+        holder = self._holder(target, now)
+        return sum(not holder.holds(each.key_hash, now) for each in sent)
+
     @singledispatchmethod
     def answer(self, message: GuardSeal | GuardGrant) -> GuardAnswer:
         """Take an order of a lease manager in place of a target."""
@@ -54,7 +97,8 @@
         now = boot_time()
         holder = self._holder(TargetName(message.target), now)
         answer = holder.seal(Term(message.term), now)
-        return _guard_answer(message.number, answer)
+        busy = self.busy(TargetName(message.target), now)
+        return _guard_answer(message.number, answer, busy)
 
     @answer.register
     def _grant(self, message: GuardGrant) -> GuardAnswer:
@@ -74,7 +118,8 @@
             answer = holder.renew(
                 term, sequence, message.clock_ms, message.lifetime_ms, now
             )
-        return _guard_answer(message.number, answer)
+        busy = self.busy(TargetName(message.target), now)
+        return _guard_answer(message.number, answer, busy)
 
     def _holder(self, target: TargetName, now: Seconds) -> GrantHolder:
         if target not in self.holders:
@@ -82,7 +127,11 @@
         return self.holders[target]
 
 
-def _guard_answer(number: int, answer: HolderAnswer) -> GuardAnswer:
+def _guard_answer(
+    number: int,
+    answer: HolderAnswer,
+    busy: int,
+) -> GuardAnswer:
     return GuardAnswer(
         number=number,
         accepted=answer.accepted,
@@ -92,5 +141,56 @@
         ranges=tuple(
             OwnedRange(part.start, part.stop - 1, '') for part in answer.ranges
         ),
-        busy=0,
+        busy=busy,
     )
+
+
+class TargetGuard:
+    """What a guard asks of the requests to one target.
+
+    Parameters
+    ----------
+    guards
+        The grants.
+    target
+        The target.
+    """
+
+    def __init__(self, guards: Guards, target: TargetName) -> None:
+        """Start without a request."""
+        self.guards = guards
+        self.target = target
+
+    @property
+    def is_needed(self) -> bool:
+        """Whether the target checks nothing itself."""
+        configured = self.guards.view.configuration.targets.get(self.target)
+        return configured is None or configured.fencing is Fencing.none
+
+    def is_granted(self, key_hash: KeyHash) -> bool:
+        """Tell whether a request for a key may be sent now."""
+        if not self.is_needed:
+            return True
+        return self.guards.holds(self.target, key_hash, boot_time())
+
+    def cap(self, deadline: Seconds, now: Seconds) -> Seconds:
+        """Return the deadline that the target is given."""
+        if not self.is_needed:
+            return deadline
+        longest = self.guards.view.settings.limits.guarded_deadline_max_s
+        return min(deadline, Seconds(now + longest))
+
+    def note_sent(
+        self,
+        key_hash: KeyHash,
+        deadline: Seconds,
+    ) -> SentRequest | None:
+        """Remember a request that is about to be sent; None if needless."""
+        if not self.is_needed:
+            return None
+        return self.guards.note_sent(self.target, key_hash, deadline)
+
+    def note_ended(self, request: SentRequest | None) -> None:
+        """Forget a request that the target has answered, or never got."""
+        if request is not None:
+            self.guards.note_ended(self.target, request)
--- a/src/laburnumyard/daemon/_target_link.py
+++ b/src/laburnumyard/daemon/_target_link.py
@@ -10,9 +10,10 @@
 
 from laburnumyard.core import requests
 from laburnumyard.core.errors import ErrorKind, Failure
-from laburnumyard.core.ids import KeyHash, Seconds
+from laburnumyard.core.ids import Seconds
 from laburnumyard.daemon._answers import STATUSES, Response
 from laburnumyard.daemon._clock import MILLISECONDS_PER_SECOND, boot_time
+from laburnumyard.daemon._guards import TargetGuard
 from laburnumyard.daemon._jobs import Job
 from laburnumyard.platform import (
     FailureKind,
@@ -78,8 +79,8 @@
         Where it is.
     body_bytes
         The largest body of an answer.
-    is_granted
-        Tells for a guarded target whether its grant covers a key now.
+    guard
+        Holds the grants of a target that checks nothing itself.
     on_broken_off
         Called after a connection ended before its answer.
     """
@@ -88,13 +89,13 @@
         self,
         target: Target,
         body_bytes: int,
-        is_granted: Callable[[KeyHash], bool],
+        guard: TargetGuard,
         on_broken_off: Callable[[Job], None],
     ) -> None:
         """Start without a connection."""
         self.target = target
         self.body_bytes = body_bytes
-        self.is_granted = is_granted
+        self.guard = guard
         self.on_broken_off = on_broken_off
         self.policy = requests.ConnectionPolicy()
         self.idle: dict[requests.ConnectionId, _Kept] = {}
@@ -112,11 +113,16 @@
         if refusal is not None:
             self._keep(kept.ok)
             return Error(refusal)
-        request = self._request(job, sent)
-        timeout = job.deadline - sent
-        answer = await kept.ok.connection.send(request, timeout)
+        deadline = self.guard.cap(job.deadline, sent)
+        request = self._request(job, deadline, sent)
+        # Stays noted where the run is cancelled: it may go on for a while.
+        noted = self.guard.note_sent(job.key_hash, deadline)
+        answer = await kept.ok.connection.send(request, deadline - sent)
         if answer.is_ok():
+            self.guard.note_ended(noted)
             return self._take_answer(kept.ok, answer.ok)
+        if not answer.error.has_left:
+            self.guard.note_ended(noted)
         return Error(self._take_failure(job, kept.ok, answer.error, sent))
 
     def close(self) -> None:
@@ -128,7 +134,7 @@
     def _refusal(self, job: Job, now: Seconds) -> Failure | None:
         if now >= job.deadline:
             return Failure(ErrorKind.DEADLINE_BEFORE_START)
-        if not self.is_granted(job.key_hash):
+        if not self.guard.is_granted(job.key_hash):
             detail = f'{self.target.name} holds no grant of the key here'
             return Failure(ErrorKind.NO_OWNER, detail)
         return None
@@ -164,8 +170,13 @@
         note = requests.Connection(connection_id, now, now)
         return Ok(_Kept(opened.ok, note))
 
-    def _request(self, job: Job, now: Seconds) -> TargetRequest:
-        left_ms = int((job.deadline - now) * MILLISECONDS_PER_SECOND)
+    def _request(
+        self,
+        job: Job,
+        deadline: Seconds,
+        now: Seconds,
+    ) -> TargetRequest:
+        left_ms = int((deadline - now) * MILLISECONDS_PER_SECOND)
         headers = [
             *job.headers,
             ('laburnumyard-request-id', job.request_id),
@@ -174,7 +185,7 @@
             ('laburnumyard-deadline-ms', str(left_ms)),
         ]
         if self.clock is not None:
-            expiry = str(self.clock.expiry_ms(job.deadline))
+            expiry = str(self.clock.expiry_ms(deadline))
             headers.append(('laburnumyard-expires-ms', expiry))
         if job.ticket:
             headers.append(('laburnumyard-ticket', job.ticket))
--- a/src/laburnumyard/daemon/_targets.py
+++ b/src/laburnumyard/daemon/_targets.py
@@ -8,10 +8,9 @@
 from laburnumyard.core.ids import ServiceName, TargetName
 from laburnumyard.core.routing import RoutingTable
 from laburnumyard.daemon._answers import Response
-from laburnumyard.daemon._clock import boot_time
 from laburnumyard.daemon._deaths import DeathWatch
 from laburnumyard.daemon._dispatcher import Dispatcher
-from laburnumyard.daemon._guards import Guards
+from laburnumyard.daemon._guards import Guards, TargetGuard
 from laburnumyard.daemon._jobs import Job
 from laburnumyard.daemon._target_link import TargetLink
 from laburnumyard.daemon._view import View
@@ -113,6 +112,6 @@
         return TargetLink(
             target,
             self.view.settings.limits.body_bytes,
-            lambda key_hash: self.guards.holds(name, key_hash, boot_time()),
+            TargetGuard(self.guards, name),
             lambda job: self.deaths.note_broken_off(target, job),
         )
--- a/src/laburnumyard/schema/_generated/settings.py
+++ b/src/laburnumyard/schema/_generated/settings.py
@@ -142,6 +142,10 @@
     """
     The longest deadline that a caller may name, in seconds.
     """
+    guarded_deadline_max_s: Annotated[float, Field(gt=0.0, le=30.0)] = 2.0
+    """
+    The longest run at a target without fencing, in seconds; its keys stay unserved that long after the loss of its guard.
+    """
     tickets: Annotated[int, Field(ge=1)] = 50000
     """
     How many tickets the ledger holds.
