--- a/src/laburnumyard/daemon/_dispatcher.py
+++ b/src/laburnumyard/daemon/_dispatcher.py
@@ -23,8 +23,9 @@
 OUTCOMES = MappingProxyType(
     {
         ErrorKind.TARGET_SHED: requests.Outcome.SHED,
-        ErrorKind.NOT_OWNER: requests.Outcome.SHED,
-        ErrorKind.NO_OWNER: requests.Outcome.SHED,
+        # A key that moved says nothing of the target's load.
+        ErrorKind.NOT_OWNER: requests.Outcome.CANCELLED,
+        ErrorKind.NO_OWNER: requests.Outcome.CANCELLED,
         ErrorKind.TARGET_UNREACHABLE: requests.Outcome.UNREACHABLE,
     }
 )
--- a/tests/daemon/test_dispatcher.py
+++ b/tests/daemon/test_dispatcher.py
@@ -281,3 +281,18 @@
         assert_that(len(outcomes), Equals(6))
     await settle()
     assert_no_slot_is_lost(dispatcher)
+
+
+@pytest.mark.anyio
+@pytest.mark.cell(step='move', fault='pause')
+@pytest.mark.parametrize('kind', [ErrorKind.NOT_OWNER, ErrorKind.NO_OWNER])
+async def test_a_key_that_moved_says_nothing_of_the_load(
+    dispatcher, target, kind
+):
+    target.go.set()
+    target.outcome = Error(Failure(kind))
+    for number in range(5):
+        await dispatcher.run(job(f'moved-{number}'))
+    assert_that(dispatcher.queue.throttle.limit(boot_time()), Equals(1))
+    target.outcome = ANSWER
+    assert_that(await dispatcher.run(job('next')), Equals(ANSWER))
