--- a/bench/entry.py
+++ b/bench/entry.py
@@ -19,6 +19,10 @@
 CONNECTIONS = 20
 # Any place: the only target owns the whole hash space.
 KEY_HASH = 7
+US_PER_S = 1_000_000
+# Places in /proc/PID/stat after the name of the process.
+USER_TICKS = 11
+CHILD_TICKS = 13
 Figures = Mapping[str, float]
 
 
@@ -65,10 +69,27 @@
     print_figure(f'{name}.not_whole', lost)
 
 
-def compare(name: str, address: str, target: str, duration_s: float) -> None:
+def processor_s(cluster: Cluster) -> float:
+    """Return the processor time of all daemons so far, in seconds."""
+    ticks = 0
+    for daemon in cluster.places.daemons:
+        pid = cluster.processes[daemon.name].pid
+        fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2]
+        ticks += sum(map(int, fields.split()[USER_TICKS:CHILD_TICKS]))
+    return ticks / os.sysconf('SC_CLK_TCK')
+
+
+def compare(
+    name: str, cluster: Cluster, address: str, duration_s: float
+) -> None:
     """Measure one way to the target and the bare target beside it."""
+    target = cluster.places.targets[0].address
     bare = measure(target, duration_s, is_bare=True)
+    spent_s = processor_s(cluster)
     routed = measure(address, duration_s)
+    spent_s = processor_s(cluster) - spent_s
+    spent_us = spent_s * US_PER_S / routed['callers.sent']
+    print_figure(f'{name}.processor_us', spent_us)
     limit = routed['callers.whole_per_s']
     print_figure(f'{name}.bare_per_s', bare['callers.whole_per_s'])
     print_figure(f'{name}.per_s', limit)
@@ -104,11 +125,10 @@
     print_figure('load_average_start', os.getloadavg()[0])
     with tempfile.TemporaryDirectory() as folder:
         with running(Cluster(plan_cluster(decisions), Path(folder))) as cluster:
-            target = cluster.places.targets[0].address
             near, far = cluster.caller_addresses
-            compare('entry', near, target, duration_s)
+            compare('entry', cluster, near, duration_s)
             if hop:
-                compare('hop', far, target, duration_s)
+                compare('hop', cluster, far, duration_s)
     print_figure('load_average_end', os.getloadavg()[0])
 
 
--- a/src/laburnumyard/daemon/_asgi.py
+++ b/src/laburnumyard/daemon/_asgi.py
@@ -80,7 +80,7 @@
 async def send_response(
     send: Send,
     response: Response,
-    method: str,
+    method: str = 'GET',
 ) -> None:
     """Send a whole answer.
 
