--- a/src/laburnumyard/daemon/_dispatcher.py
+++ b/src/laburnumyard/daemon/_dispatcher.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from types import MappingProxyType
 
@@ -39,8 +39,10 @@
     ----------
     job
         The job.
+    is_due
+        Whether the queue has decided.
     turn
-        Set once the queue has decided.
+        Set once the queue has decided, where the job has to wait for it.
     has_begun
         Whether it was sent, so that it may have run.
     failure
@@ -50,11 +52,26 @@
     """
 
     job: Job
-    turn: anyio.Event = field(default_factory=anyio.Event)
+    is_due: bool = False
+    turn: anyio.Event | None = None
     has_begun: bool = False
     failure: Failure | None = None
     scope: anyio.CancelScope | None = None
 
+    def wake(self) -> None:
+        """Let the job take the turn that the queue has decided on."""
+        self.is_due = True
+        if self.turn is not None:
+            self.turn.set()
+
+    async def wait_due(self) -> None:
+        """Wait for the queue; most jobs are due at once."""
+        if not self.is_due:
+            self.turn = anyio.Event()
+            await self.turn.wait()
+        self.turn = None
+        self.is_due = False
+
 
 class Dispatcher:
     """Runs requests at one target as its queue decides.
@@ -106,13 +123,13 @@
                 continue
             if waiting.scope is not None:
                 self._release_running(waiting)
-            elif not waiting.turn.is_set():
+            elif not waiting.is_due:
                 self._release_waiting(waiting)
 
     def _release_waiting(self, waiting: _Waiting) -> None:
         self.feed(requests.CallerGone(waiting.job.request_id))
         waiting.failure = _moved(waiting)
-        waiting.turn.set()
+        waiting.wake()
 
     def _release_running(self, waiting: _Waiting) -> None:
         if waiting.job.repeatable or not waiting.has_begun:
@@ -125,10 +142,9 @@
     ) -> Result[Response, Failure]:
         self.feed(requests.Arrive(_queue_request(waiting.job)))
         while True:
-            await waiting.turn.wait()
+            await waiting.wait_due()
             if waiting.scope is None:
                 return Error(waiting.failure)
-            waiting.turn = anyio.Event()
             answer = await self._send(waiting)
             if answer is not None:
                 return answer
@@ -170,7 +186,7 @@
         waiting = self.waiting[effect.request_id]
         # Made here, so that a cancellation before the send is not lost.
         waiting.scope = anyio.CancelScope()
-        waiting.turn.set()
+        waiting.wake()
 
     @carry_out.register
     def _refuse(self, effect: requests.Refuse) -> None:
@@ -178,7 +194,7 @@
         if waiting is None:
             return
         waiting.failure = effect.failure
-        waiting.turn.set()
+        waiting.wake()
 
     @carry_out.register
     def _cancel(self, effect: requests.CancelRunning) -> None:
