Entry and target link: no copy of bodyless requests, fewer results

Cause: each expression Result costs about 2.5 us, dataclasses.replace 5 us; the way of a read made seven of the former and one of the latter.

--- a/src/laburnumyard/daemon/_asgi.py
+++ b/src/laburnumyard/daemon/_asgi.py
@@ -36,8 +36,12 @@
     return RequestHead(scope['method'], path, tuple(scope['headers']))
 
 
+def has_body(head: RequestHead) -> bool:
+    """Tell whether a body follows the head of a request."""
+    return any(name in BODY_HEADERS for name, _ in head.headers)
+
+
 async def read_body(
-    head: RequestHead,
     receive: Receive,
     limits: LimitSettings,
 ) -> Result[bytes, Failure]:
@@ -49,8 +53,6 @@
         The body, or a failure of kind ``body-too-large`` or
         ``sender-too-slow``.
     """
-    if not any(name in BODY_HEADERS for name, _ in head.headers):
-        return Ok(b'')
     with anyio.move_on_after(limits.body_timeout_s):
         return await _collect(receive, limits.body_bytes)
     return Error(
--- a/src/laburnumyard/daemon/_entry.py
+++ b/src/laburnumyard/daemon/_entry.py
@@ -17,6 +17,7 @@
 from laburnumyard.daemon._asgi import (
     Receive,
     Send,
+    has_body,
     read_body,
     read_head,
     send_response,
@@ -91,8 +92,8 @@
     ) -> Response | None:
         head = read_head(scope)
         parsed = self._admit(head, request_id)
-        if parsed.is_ok():
-            body = await read_body(head, receive, self.limits)
+        if parsed.is_ok() and has_body(head):
+            body = await read_body(receive, self.limits)
             parsed = body.map(parsed.ok.with_body)
         if parsed.is_error():
             carries_ticket = any(
--- a/src/laburnumyard/daemon/_target_link.py
+++ b/src/laburnumyard/daemon/_target_link.py
@@ -104,26 +104,32 @@
 
     async def run(self, job: Job) -> Outcome:
         """Send one job and return the target's whole answer."""
-        kept = await self._connect(job)
-        if kept.is_error():
-            return Error(kept.error)
+        kept = self._reuse(job)
+        if kept is None:
+            opened = await self._open(job)
+            if opened.is_error():
+                return Error(opened.error)
+            kept = opened.ok
+        return await self._send(job, kept)
+
+    async def _send(self, job: Job, kept: _Kept) -> Outcome:
         sent = boot_time()
         # Asked last, so that a pause before it cannot use a lapsed grant.
         refusal = self._refusal(job, sent)
         if refusal is not None:
-            self._keep(kept.ok)
+            self._keep(kept)
             return Error(refusal)
         deadline = self.guard.cap(job.deadline, sent)
         request = self._request(job, deadline, sent)
         # Stays noted where the run is cancelled: it may go on for a while.
         noted = self.guard.note_sent(job.key_hash, deadline)
-        answer = await kept.ok.connection.send(request, deadline - sent)
+        answer = await kept.connection.send(request, deadline - sent)
         if answer.is_ok():
             self.guard.note_ended(noted)
-            return self._take_answer(kept.ok, answer.ok)
+            return self._take_answer(kept, answer.ok)
         if not answer.error.has_left:
             self.guard.note_ended(noted)
-        return Error(self._take_failure(job, kept.ok, answer.error, sent))
+        return Error(self._take_failure(job, kept, answer.error, sent))
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -139,18 +145,18 @@
             return Failure(ErrorKind.NO_OWNER, detail)
         return None
 
-    async def _connect(self, job: Job) -> Result[_Kept, Failure]:
+    def _reuse(self, job: Job) -> _Kept | None:
         notes = [kept.note for kept in self.idle.values()]
         choice = self.policy.choose(notes, job.repeatable, boot_time())
         for connection_id in choice.close:
             self.idle.pop(connection_id).connection.close()
         if choice.reuse is None:
-            return await self._open(job)
+            return None
         kept = self.idle.pop(choice.reuse)
         if kept.connection.is_reusable:
-            return Ok(kept)
+            return kept
         kept.connection.close()
-        return await self._open(job)
+        return None
 
     async def _open(self, job: Job) -> Result[_Kept, Failure]:
         timeout = min(CONNECT_TIMEOUT_S, job.deadline - boot_time())
