--- a/src/laburnumyard/core/requests/__init__.py
+++ b/src/laburnumyard/core/requests/__init__.py
@@ -114,6 +114,7 @@
     Request,
 )
 from laburnumyard.core.requests._retries import (
+    HOPS_LIMIT,
     RetryBudget,
     costs_budget,
     may_retry,
@@ -128,6 +129,7 @@
 )
 
 __all__ = (
+    'HOPS_LIMIT',
     'Arrive',
     'CallerGone',
     'CancelRunning',
