--- a/src/laburnumyard/core/requests/_handlers.py
+++ b/src/laburnumyard/core/requests/_handlers.py
@@ -118,7 +118,7 @@
     queue.flows.settle(entry, now)
     _learn(entry, event.outcome, queue, now)
     if entry.state is State.PREEMPTING and event.outcome is Outcome.CANCELLED:
-        queue.flows.restore(entry)
+        queue.restore(entry)
         return
     entry.state = State.DONE
     queue.entries.pop(event.request_id)
@@ -181,7 +181,8 @@
 
 @apply.register(Drain)
 def _drain(event: Drain, queue: 'TargetQueue', now: Seconds) -> None:
-    queue.draining = event
+    if queue.draining is None or queue.draining.serve_waiting:
+        queue.draining = event
     if event.serve_waiting:
         return
     for entry in tuple(queue.entries.values()):
--- a/src/laburnumyard/daemon/_target_link.py
+++ b/src/laburnumyard/daemon/_target_link.py
@@ -10,9 +10,10 @@
 
 from laburnumyard.core import requests
 from laburnumyard.core.errors import ErrorKind, Failure
-from laburnumyard.core.ids import KeyHash, Seconds
-from laburnumyard.daemon._answers import Response
+from laburnumyard.core.ids import Seconds
+from laburnumyard.daemon._answers import STATUSES, Response
 from laburnumyard.daemon._clock import MILLISECONDS_PER_SECOND, boot_time
+from laburnumyard.daemon._guards import TargetGuard
 from laburnumyard.daemon._jobs import Job
 from laburnumyard.platform import (
     FailureKind,
@@ -29,9 +30,6 @@
 # Headers that the daemon answers for itself.
 OWN_HEADERS = frozenset(('server', 'date'))
 OWN_PREFIX = 'laburnumyard-'
-FIRST_UNKNOWN_STATUS = 600
-# Statuses that end a request; the rest cannot be told to a caller.
-STATUSES = range(HTTPStatus.OK, FIRST_UNKNOWN_STATUS)
 # What a failure means once a byte of the request may have left.
 _LEFT_KINDS = MappingProxyType(
     {
@@ -81,8 +79,8 @@
         Where it is.
     body_bytes
         The largest body of an answer.
-    is_granted
-        Tells for a guarded target whether its grant covers a key now.
+    guard
+        Holds the grants of a target that checks nothing itself.
     on_broken_off
         Called after a connection ended before its answer.
     """
@@ -91,13 +89,13 @@
         self,
         target: Target,
         body_bytes: int,
-        is_granted: Callable[[KeyHash], bool],
+        guard: TargetGuard,
         on_broken_off: Callable[[Job], None],
     ) -> None:
         """Start without a connection."""
         self.target = target
         self.body_bytes = body_bytes
-        self.is_granted = is_granted
+        self.guard = guard
         self.on_broken_off = on_broken_off
         self.policy = requests.ConnectionPolicy()
         self.idle: dict[requests.ConnectionId, _Kept] = {}
@@ -106,21 +104,32 @@
 
     async def run(self, job: Job) -> Outcome:
         """Send one job and return the target's whole answer."""
-        kept = await self._connect(job)
-        if kept.is_error():
-            return Error(kept.error)
+        kept = self._reuse(job)
+        if kept is None:
+            opened = await self._open(job)
+            if opened.is_error():
+                return Error(opened.error)
+            kept = opened.ok
+        return await self._send(job, kept)
+
+    async def _send(self, job: Job, kept: _Kept) -> Outcome:
         sent = boot_time()
         # Asked last, so that a pause before it cannot use a lapsed grant.
         refusal = self._refusal(job, sent)
         if refusal is not None:
-            self._keep(kept.ok)
+            self._keep(kept)
             return Error(refusal)
-        request = self._request(job, sent)
-        timeout = job.deadline - sent
-        answer = await kept.ok.connection.send(request, timeout)
+        deadline = self.guard.cap(job.deadline, sent)
+        request = self._request(job, deadline, sent)
+        # Stays noted where the run is cancelled: it may go on for a while.
+        noted = self.guard.note_sent(job.key_hash, deadline)
+        answer = await kept.connection.send(request, deadline - sent)
         if answer.is_ok():
-            return self._take_answer(kept.ok, answer.ok)
-        return Error(self._take_failure(job, kept.ok, answer.error, sent))
+            self.guard.note_ended(noted)
+            return self._take_answer(kept, answer.ok)
+        if not answer.error.has_left:
+            self.guard.note_ended(noted)
+        return Error(self._take_failure(job, kept, answer.error, sent))
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -131,23 +140,23 @@
     def _refusal(self, job: Job, now: Seconds) -> Failure | None:
         if now >= job.deadline:
             return Failure(ErrorKind.DEADLINE_BEFORE_START)
-        if not self.is_granted(job.key_hash):
+        if not self.guard.is_granted(job.key_hash):
             detail = f'{self.target.name} holds no grant of the key here'
             return Failure(ErrorKind.NO_OWNER, detail)
         return None
 
-    async def _connect(self, job: Job) -> Result[_Kept, Failure]:
+    def _reuse(self, job: Job) -> _Kept | None:
         notes = [kept.note for kept in self.idle.values()]
         choice = self.policy.choose(notes, job.repeatable, boot_time())
         for connection_id in choice.close:
             self.idle.pop(connection_id).connection.close()
         if choice.reuse is None:
-            return await self._open(job)
+            return None
         kept = self.idle.pop(choice.reuse)
         if kept.connection.is_reusable:
-            return Ok(kept)
+            return kept
         kept.connection.close()
-        return await self._open(job)
+        return None
 
     async def _open(self, job: Job) -> Result[_Kept, Failure]:
         timeout = min(CONNECT_TIMEOUT_S, job.deadline - boot_time())
@@ -167,8 +176,13 @@
         note = requests.Connection(connection_id, now, now)
         return Ok(_Kept(opened.ok, note))
 
-    def _request(self, job: Job, now: Seconds) -> TargetRequest:
-        left_ms = int((job.deadline - now) * MILLISECONDS_PER_SECOND)
+    def _request(
+        self,
+        job: Job,
+        deadline: Seconds,
+        now: Seconds,
+    ) -> TargetRequest:
+        left_ms = int((deadline - now) * MILLISECONDS_PER_SECOND)
         headers = [
             *job.headers,
             ('laburnumyard-request-id', job.request_id),
@@ -177,7 +191,7 @@
             ('laburnumyard-deadline-ms', str(left_ms)),
         ]
         if self.clock is not None:
-            expiry = str(self.clock.expiry_ms(job.deadline))
+            expiry = str(self.clock.expiry_ms(deadline))
             headers.append(('laburnumyard-expires-ms', expiry))
         if job.ticket:
             headers.append(('laburnumyard-ticket', job.ticket))
