Requests: lines of paid and unpaid requests within a class

Cause: a paid share in the common class had the weight of its share (0.2) beside 1 of those who paid nothing, so that it was served five times less; and a paid request of a class after the common one had lent slots taken back that went to the common class. Each class now has two lines, and slots are taken back only for those that stand before the common line. Two tests failed first.

--- a/src/laburnumyard/core/requests/__init__.py
+++ b/src/laburnumyard/core/requests/__init__.py
@@ -31,7 +31,8 @@
   give the target time to stop feeds it later.
 - ``Preempt``: close the connection, tell the caller nothing, then feed
   ``Finished`` with ``CANCELLED``; the request waits again. If its whole
-  answer was read before, feed ``ANSWERED`` and give it to the caller.
+  answer was read before, feed ``ANSWERED`` and give it to the caller. A
+  ``CancelRunning`` for the same request may follow before ``Finished`` does.
 - ``WakeAt``: feed ``Tick`` at that time; it replaces the earlier ``WakeAt``.
 
 ``CallerGone`` is fed when the caller closes its connection or sends
--- a/src/laburnumyard/core/requests/_fairness.py
+++ b/src/laburnumyard/core/requests/_fairness.py
@@ -4,13 +4,13 @@
 from math import inf
 from typing import NamedTuple
 
-from laburnumyard.core.ids import ClassName, CustomerName, Seconds
+from laburnumyard.core.ids import CustomerName, Seconds
 from laburnumyard.core.requests._entries import Entry, State
-from laburnumyard.core.requests._flows import Flow, Line
+from laburnumyard.core.requests._flows import Flow, Line, Rank, class_lines
 from laburnumyard.core.requests._settings import QueueSettings
 
 # Comes after the place of every waiting request.
-LAST_PLACE = ((True, inf), inf)
+LAST_PLACE = (Rank(True, inf, True), inf)
 
 
 class Turn(NamedTuple):
@@ -35,12 +35,14 @@
         """Start with nothing waiting."""
         self.settings = settings
         self.slots = slots
+        # By whether it is paid, and the class.
         self.lines = {
-            name: Line(priority_class, slots)
+            (line.is_paid, name): line
             for name, priority_class in settings.classes.items()
+            for line in class_lines(priority_class, slots)
         }
         self.all_lines = frozenset(self.lines.values())
-        self.common = self.lines[ClassName(settings.common_class.name)]
+        self.common = self.lines[False, settings.common_class.name]
         self.guaranteed = [
             line for line in self.lines.values() if line.least is not None
         ]
@@ -64,7 +66,8 @@
         """Give the line in which the customer's next request stands."""
         if flow.meter is None or flow.is_within_share(now):
             return flow.line
-        return max(flow.line, self.common, key=_rank)
+        own = self.lines[False, flow.line.priority_class.name]
+        return max(own, self.common, key=_rank)
 
     def add(self, entry: Entry) -> None:
         """Let a request wait behind the others of its customer."""
@@ -171,14 +174,16 @@
         return sum(
             min(flow.waiting, max(flow.paid_slots - flow.paid_running, 0))
             for flow in self.active.values()
-            if flow.is_within_share(now) and flow.head(is_long_allowed)
+            if flow.line.rank < self.common.rank
+            and flow.is_within_share(now)
+            and flow.head(is_long_allowed)
         )
 
     def _open(self, customer: CustomerName) -> Flow:
         share = self.settings.shares.get(customer)
         if share is None:
             return Flow(customer, self.common, 0, self.slots)
-        line = self.lines[ClassName(share.priority_class)]
+        line = self.lines[True, share.priority_class]
         return Flow(customer, line, share.share, self.slots)
 
     def _flows_beside(self, flow: Flow) -> dict[CustomerName, Flow]:
@@ -199,7 +204,7 @@
         lines: Collection[Line],
     ) -> Turn | None:
         best = None
-        best_place: tuple[tuple[bool, int], float] = LAST_PLACE
+        best_place: tuple[Rank, float] = LAST_PLACE
         for flow in flows:
             line = self.line_of(flow, now)
             if line not in lines:
@@ -214,9 +219,9 @@
         return best
 
 
-def _rank(line: Line) -> tuple[bool, int]:
+def _rank(line: Line) -> Rank:
     return line.rank
 
 
 def _weight(flow: Flow, line: Line) -> float:
-    return flow.weight if line is flow.line else 1
+    return flow.weight if line.is_paid else 1
--- a/src/laburnumyard/core/requests/_flows.py
+++ b/src/laburnumyard/core/requests/_flows.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from math import ceil
+from typing import NamedTuple
 
 from laburnumyard.core.ids import CustomerName, Seconds
 from laburnumyard.core.requests._entries import Entry, State
@@ -14,37 +15,71 @@
 LEAST_SHARE_BURST_S = 0
 
 
+class Rank(NamedTuple):
+    """The order of service; the lowest rank is served first."""
+
+    is_deferrable: bool
+    class_rank: float
+    is_unpaid: bool
+
+
 class Line:
-    """One priority class at one target.
+    """Those of one priority class at one target who stand equal.
 
     Parameters
     ----------
     priority_class
         The class.
-    slots
-        The slots of the target.
+    is_paid
+        Whether it is the line of those within their paid shares, who go
+        before the others of the class.
+    least
+        Meters the least share of the class, where it has one.
     """
 
-    def __init__(self, priority_class: PriorityClass, slots: int) -> None:
+    def __init__(
+        self,
+        priority_class: PriorityClass,
+        is_paid: bool,
+        least: ShareMeter | None,
+    ) -> None:
         """Start with nothing served."""
         self.priority_class = priority_class
+        self.is_paid = is_paid
+        self.least = least
         self.is_deferrable = priority_class.deferrable
-        # The lowest is served first.
-        self.rank = (priority_class.deferrable, priority_class.rank)
+        self.rank = Rank(
+            priority_class.deferrable,
+            priority_class.rank,
+            not is_paid,
+        )
         # The fair turn of the request that was started last.
         self.turn: float = 0
-        self.least: ShareMeter | None = None
-        if priority_class.least_share > 0:
-            self.least = ShareMeter(
-                priority_class.least_share * slots,
-                LEAST_SHARE_BURST_S,
-            )
 
     def is_owed(self, now: Seconds) -> bool:
         """Tell whether the class has had less than its least share."""
         return self.least is not None and self.least.is_within(now)
 
 
+def class_lines(priority_class: PriorityClass, slots: int) -> tuple[Line, Line]:
+    """Open the lines of a class: within paid shares, and the others.
+
+    Parameters
+    ----------
+    priority_class
+        The class.
+    slots
+        The slots of the target.
+    """
+    least = None
+    if priority_class.least_share > 0:
+        least = ShareMeter(
+            priority_class.least_share * slots,
+            LEAST_SHARE_BURST_S,
+        )
+    return Line(priority_class, True, least), Line(priority_class, False, least)
+
+
 class Flow:
     """The waiting requests of one customer.
 
@@ -53,7 +88,7 @@
     customer
         The customer.
     line
-        The line of its paid class; the common line without a share.
+        The paid line of its class; the common line without a share.
     share
         The fraction of the slots that it paid for, 0 without a share.
     slots
--- a/src/laburnumyard/core/requests/_handlers.py
+++ b/src/laburnumyard/core/requests/_handlers.py
@@ -105,7 +105,7 @@
     if last is not None:
         queue.refuse(last, Failure(ErrorKind.OVERLOADED, detail))
         return None
-    if flow.meter is None:
+    if flow.meter is None or flow.is_within_share(now):
         return Failure(ErrorKind.OVERLOADED, detail)
     return Failure(ErrorKind.OVER_SHARE, detail)
 
--- a/src/laburnumyard/core/requests/_rebuilding.py
+++ b/src/laburnumyard/core/requests/_rebuilding.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 
-from laburnumyard.core.ids import ClassName
 from laburnumyard.core.requests._entries import Entry, State
 from laburnumyard.core.requests._fairness import Flows
 from laburnumyard.core.requests._settings import QueueSettings
@@ -45,8 +44,8 @@
     if entry.state is State.WAITING:
         flows.add(entry)
         return
-    line_name = ClassName(entry.line.priority_class.name)
-    entry.line = flows.lines.get(line_name, flows.common)
+    place = (entry.line.is_paid, entry.line.priority_class.name)
+    entry.line = flows.lines.get(place, flows.common)
     entry.is_paid = entry.is_paid and entry.flow.meter is not None
     if entry.is_paid:
         entry.flow.paid_running += 1
--- a/tests/core/requests/test_target_queue.py
+++ b/tests/core/requests/test_target_queue.py
@@ -360,3 +360,24 @@
     world.feed(requests.Drain(ErrorKind.SHUTTING_DOWN, serve_waiting=True))
     world.advance(2)
     assert_that(kinds(world, lent), Equals([ErrorKind.TARGET_BROKE_OFF]))
+
+
+def test_share_in_the_common_class_goes_before_those_without(new_world):
+    world = new_world(slots=1, paid_class='common')
+    for _ in range(20):
+        world.arrive('clinic', length=0.1)
+        world.advance(0.2)
+    world.arrive('trujillo', repeatable=False)
+    other = world.arrive('arequipa')
+    paid = world.arrive('clinic')
+    world.advance(1)
+    assert_that(world.run_log[-2:], Equals([paid, other]))
+
+
+def test_share_in_a_last_class_stops_nobody_of_the_common_one(new_world):
+    world = new_world(slots=1, paid_class='last')
+    first = world.arrive('trujillo')
+    paid = world.arrive('clinic')
+    common = world.arrive('trujillo')
+    world.advance(1)
+    assert_that(world.run_log, Equals([first, common, paid]))
--- a/tests/core/requests/test_target_queue_states.py
+++ b/tests/core/requests/test_target_queue_states.py
@@ -91,11 +91,18 @@
         self.world.slots = slots
         self.world.feed(requests.CapacityChanged(slots, 110, cold))
 
-    @rule(share=st.sampled_from((0.1, 0.5)), limit=st.integers(1, 6))
-    def change_settings(self, share, limit):
+    @rule(
+        share=st.sampled_from((0.1, 0.5)),
+        limit=st.integers(min_value=1, max_value=6),
+        paid_class=st.sampled_from(('first', 'common', 'last')),
+    )
+    def change_settings(self, share, limit, paid_class):
         slots = self.world.slots
         changed = worlds.settings(
-            slots=slots, queue_limit=limit, shares={'arequipa': share}
+            slots=slots,
+            queue_limit=limit,
+            shares={'arequipa': share},
+            paid_class=paid_class,
         )
         self.world.feed(requests.SettingsChanged(changed))
 
--- a/tests/core/requests/world.py
+++ b/tests/core/requests/world.py
@@ -15,8 +15,15 @@
 TOKEN = '0' * 64
 
 
-def objects(*, slots=3, queue_limit=64, shares=None, least_share=0, common=()):
-    """Two classes, a deferrable one, and customers with paid shares."""
+def objects(
+    *,
+    slots=3,
+    queue_limit=64,
+    shares=None,
+    least_share=0,
+    paid_class='first',
+):
+    """Three classes, a deferrable one, and customers with paid shares."""
     shares = {'clinic': 0.2} if shares is None else shares
     return Objects.model_validate(
         {
@@ -40,17 +47,21 @@
             'priority_class': [
                 {'name': 'first', 'rank': 0},
                 {'name': 'common', 'rank': 10, 'least_share': least_share},
+                {'name': 'last', 'rank': 15},
                 {'name': 'later', 'rank': 20, 'deferrable': True},
             ],
             'customer': [
-                *(_customer(name, share) for name, share in shares.items()),
                 _customer('reports', 0.1, 'later'),
+                *(
+                    _customer(name, share, paid_class)
+                    for name, share in shares.items()
+                ),
             ],
         }
     )
 
 
-def _customer(name, share, priority_class='first'):
+def _customer(name, share, priority_class):
     paid = {
         'service': SERVICE,
         'priority_class': priority_class,
