--- a/tests/core/requests/test_target_queue_states.py
+++ b/tests/core/requests/test_target_queue_states.py
@@ -141,7 +141,6 @@
         assert_that(sum(paid), Equals(0))
 
 
-@pytest.mark.cell(step='queue', fault='pause')
 def test_promises_hold_in_any_order_of_events():
     run_state_machine_as_test(QueueMachine, settings=STEPS)
 
