Links: refusals back off, pings are no dropped answers, gone peers are forgotten

Cause: a peer that said hello and then refused counted as reached, so each send opened a new link at once; the link's own pongs counted as dropped answers; a peer that never returned kept its place for ever.

--- a/src/laburnumyard/wire/_outgoing.py
+++ b/src/laburnumyard/wire/_outgoing.py
@@ -14,6 +14,9 @@
 from laburnumyard.wire._queue import Outgoing
 from laburnumyard.wire._settings import LinkSettings
 
+# The number of the pings that the link sends for itself.
+PROBE_NUMBER = 0
+
 Answered = Result[messages.Message, LinkError]
 
 
@@ -81,6 +84,7 @@
         self.pending: dict[int, Pending] = {}
         self.last_number = 0
         self.dropped_answers = 0
+        self.has_heard = False
         self.used_at = self.received_at
         self.opened_at = self.received_at
         self.on_closed.append(OutgoingLink.fail_pending)
@@ -166,9 +170,11 @@
 
     def handle(self, message: messages.Message) -> None:
         """Give an answer to the request that waits for it, or drop it."""
-        pending = self.pending.pop(getattr(message, 'number', 0), None)
+        self.has_heard = True
+        number = getattr(message, 'number', PROBE_NUMBER)
+        pending = self.pending.pop(number, None)
         if pending is None:
-            self.dropped_answers += 1
+            self.dropped_answers += number != PROBE_NUMBER
         elif not pending.answer.done():
             pending.answer.set_result(Ok(message))
 
--- a/src/laburnumyard/wire/_pool.py
+++ b/src/laburnumyard/wire/_pool.py
@@ -177,13 +177,17 @@
         return link
 
     def note_closed(self, slot: _Slot, link: OutgoingLink) -> None:
-        """Wait longer after each failure in a row, with jitter."""
+        """Wait longer after each failure in a row, with jitter.
+
+        A peer that says hello and closes before any answer has refused.
+        """
         if slot.link is not link:
             return
         slot.link = None
         self.dropped_answers += link.dropped_answers
-        if link.remote:
+        if link.has_heard or link.closed_by.kind is LinkErrorKind.IDLE:
             slot.failures = 0
+            slot.retry_at = self.loop.time()
             return
         slot.failures += 1
         pause = self.settings.backoff_first_s * 2 ** min(
@@ -197,9 +201,11 @@
         while True:
             await asyncio.sleep(self.settings.sweep_interval_s)
             now = self.loop.time()
-            for slot in tuple(self.slots.values()):
+            for daemon, slot in tuple(self.slots.items()):
                 if slot.link:
                     slot.link.check(now)
+                elif now - slot.retry_at >= self.settings.forget_after_s:
+                    self.forget(daemon)
 
 
 def _serves(slot: _Slot, peer: Peer) -> bool:
--- a/src/laburnumyard/wire/_settings.py
+++ b/src/laburnumyard/wire/_settings.py
@@ -43,6 +43,8 @@
         The pause after the first failure to connect, in seconds.
     backoff_max_s
         The longest pause after failures to connect, in seconds.
+    forget_after_s
+        How long a peer without a link is remembered, in seconds.
     """
 
     body_bytes: int = DEFAULT_BODY_BYTES
@@ -58,6 +60,7 @@
     sweep_interval_s: float = 0.1
     backoff_first_s: float = 0.05
     backoff_max_s: float = 2.0
+    forget_after_s: float = 60.0
 
     @property
     def frame_bytes(self) -> int:
--- a/tests/core/dissemination/conftest.py
+++ b/tests/core/dissemination/conftest.py
@@ -16,8 +16,7 @@
     fleet = Fleet(layout, seed=seed)
     publish(fleet, version)
     fleet.start_warm()
-    fleet.clock.run(4)
-    check_in_force(fleet, version)
+    reach(fleet, version)
     return fleet
 
 
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -94,6 +94,25 @@
     answer = await ask(pool, peer, 'key')
     assert_that(answer.is_error(), Is(True))
     assert_that(daemon.came, Equals([]))
+    again = await ask(pool, peer, 'key')
+    assert_that(again.error.kind, Is(LinkErrorKind.BACKING_OFF))
+
+
+async def test_probe_of_a_link_is_no_dropped_answer(pool, peer, daemon):
+    daemon.holds = True
+    asked = asyncio.ensure_future(ask(pool, peer, 'slow'))
+    await until(lambda: daemon.came)
+    link = pool.slots['server'].link
+    await until(lambda: link.has_heard)
+    daemon.release()
+    assert_that((await asked).ok.detail, Equals('slow'))
+    assert_that(link.dropped_answers, Equals(0))
+
+
+async def test_peer_without_a_link_is_forgotten(pool, server):
+    pool.settings = replace(pool.settings, forget_after_s=0.02)
+    await ask(pool, Peer('server', '127.0.0.1:9', 1), 'key')
+    await until(lambda: not pool.slots)
 
 
 async def test_unreachable_peer_is_not_left_then_backed_off(pool, server):
