--- a/tests/core/membership/conftest.py
+++ b/tests/core/membership/conftest.py
@@ -1,5 +1,3 @@
-from collections import Counter
-
 import pytest
 
 from bench.control.fleet import Fleet
@@ -8,12 +6,15 @@
 LETTER = Layout(regions=(4, 4, 3), daemons=690)
 TODAY = Layout(regions=(3,), daemons=9)
 WIDE = Layout(regions=(4, 4, 3), daemons=66)
+# Within these times, in seconds, all know of a loss, and of a mended fault.
+ALL_NOTICE_S = 4
+HEALED_S = 15
 MEDIUM = Layout(regions=(3, 3, 3), daemons=27)
 
 
-def beliefs(fleet):
-    """Count how many members each running daemon believes live."""
-    return Counter(len(node.table.live()) for node in fleet.running())
+def first_of(fleet):
+    """Return the first of the running daemons."""
+    return min(node.identity.daemon for node in fleet.running())
 
 
 def check_all_live(fleet):
