--- a/src/laburnumyard/daemon/_targets.py
+++ b/src/laburnumyard/daemon/_targets.py
@@ -8,10 +8,9 @@
 from laburnumyard.core.ids import ServiceName, TargetName
 from laburnumyard.core.routing import RoutingTable
 from laburnumyard.daemon._answers import Response
-from laburnumyard.daemon._clock import boot_time
 from laburnumyard.daemon._deaths import DeathWatch
 from laburnumyard.daemon._dispatcher import Dispatcher
-from laburnumyard.daemon._guards import Guards
+from laburnumyard.daemon._guards import Guards, TargetGuard
 from laburnumyard.daemon._jobs import Job
 from laburnumyard.daemon._target_link import TargetLink
 from laburnumyard.daemon._view import View
@@ -50,6 +49,10 @@
         if dispatcher is None:
             detail = f'target {target_name!r} is not configured here yet'
             return Error(Failure(ErrorKind.NO_OWNER, detail))
+        service = self.links[target_name].target.service
+        if service != job.service:
+            detail = f'target {target_name!r} serves {service}'
+            return Error(Failure(ErrorKind.NO_OWNER, detail))
         return await dispatcher.run(job)
 
     def reconfigure(self, configuration: Configuration) -> None:
@@ -109,6 +112,6 @@
         return TargetLink(
             target,
             self.view.settings.limits.body_bytes,
-            lambda key_hash: self.guards.holds(name, key_hash, boot_time()),
+            TargetGuard(self.guards, name),
             lambda job: self.deaths.note_broken_off(target, job),
         )
--- a/tests/daemon/test_dispatcher.py
+++ b/tests/daemon/test_dispatcher.py
@@ -151,14 +151,19 @@
 
 @pytest.mark.anyio
 async def test_a_job_preempted_before_it_began_is_not_sent(dispatcher, target):
-    run = start(dispatcher, job('a'))
-    await asyncio.sleep(0)
-    assert_that(target.begun, Equals([]))
-    preempt(dispatcher)
+    ending = start(dispatcher, job('a'))
+    run = start(dispatcher, job('b'))
     await settle()
+    ending.cancel()
+    while 'b' not in dispatcher.queue.running:  # noqa: ASYNC110
+        await asyncio.sleep(0)
     assert_that(target.begun, Equals(['a']))
+    preempt(dispatcher, 'b')
+    await settle()
+    assert_that(target.begun, Equals(['a', 'b']))
     target.go.set()
     assert_that(await run, Equals(ANSWER))
+    assert_no_slot_is_lost(dispatcher)
 
 
 @pytest.mark.anyio
@@ -281,3 +286,18 @@
         assert_that(len(outcomes), Equals(6))
     await settle()
     assert_no_slot_is_lost(dispatcher)
+
+
+@pytest.mark.anyio
+@pytest.mark.cell(step='move', fault='pause')
+@pytest.mark.parametrize('kind', [ErrorKind.NOT_OWNER, ErrorKind.NO_OWNER])
+async def test_a_key_that_moved_says_nothing_of_the_load(
+    dispatcher, target, kind
+):
+    target.go.set()
+    target.outcome = Error(Failure(kind))
+    for number in range(5):
+        await dispatcher.run(job(f'moved-{number}'))
+    assert_that(dispatcher.queue.throttle.limit(boot_time()), Equals(1))
+    target.outcome = ANSWER
+    assert_that(await dispatcher.run(job('next')), Equals(ANSWER))
