--- a/src/laburnumyard/core/errors.py
+++ b/src/laburnumyard/core/errors.py
@@ -119,8 +119,8 @@
     {
         ErrorKind.BAD_REQUEST: _refused(
             HTTPStatus.BAD_REQUEST,
-            'A header is missing or malformed.',
-            'Mend the named header.',
+            'The request is malformed or ambiguous.',
+            'Mend what is named.',
         ),
         ErrorKind.UNAUTHENTICATED: _refused(
             HTTPStatus.UNAUTHORIZED,
@@ -144,8 +144,8 @@
         ),
         ErrorKind.SENDER_TOO_SLOW: _refused(
             HTTPStatus.REQUEST_TIMEOUT,
-            'The body did not arrive in time.',
-            'Send the body faster.',
+            'The head or the body did not arrive in time.',
+            'Send it faster.',
         ),
         ErrorKind.TICKET_REQUIRED: _refused(
             HTTPStatus.PRECONDITION_REQUIRED,
@@ -184,7 +184,7 @@
         ),
         ErrorKind.OVERLOADED: _retryable(
             HTTPStatus.SERVICE_UNAVAILABLE,
-            'The queue for the target is full.',
+            'The queue for the target or the daemon is full.',
             'Retry after a pause.',
         ),
         ErrorKind.DEADLINE_TOO_SHORT: _retryable(
--- a/tests/daemon/test_submits.py
+++ b/tests/daemon/test_submits.py
@@ -15,7 +15,7 @@
 )
 from laburnumyard.wire import Peer
 from tests.daemon.http import ask, connected, encode
-from tests.daemon.world import running
+from tests.daemon.world import TOKEN, running
 
 SUBMIT = Submit(
     number=0,
@@ -90,6 +90,29 @@
     assert_that((await submit(hop, daemon)).status, Equals(200))
 
 
+@pytest.mark.anyio
+async def test_a_hop_carries_the_customer_that_the_entry_has_checked(
+    hop, daemon
+):
+    customers = []
+    run = daemon.receiver.run_here
+
+    async def note(job, target):
+        customers.append(job.customer)
+        return await run(job, target)
+
+    daemon.receiver.run_here = note
+    claim = {
+        'laburnumyard_customer': 'clinic',
+        'authorization': f'Bearer {TOKEN}',
+    }
+    assert_that((await ask(hop.callers, **claim)).status, Equals(200))
+    assert_that((await ask(hop.callers)).status, Equals(200))
+    forged = claim | {'authorization': 'Bearer forged'}
+    assert_that((await ask(hop.callers, **forged)).status, Equals(401))
+    assert_that(customers, Equals(['clinic', '']))
+
+
 @pytest.mark.anyio
 async def test_a_submit_before_the_configuration_is_typed(hop, daemon):
     daemon.view.configuration = None
