Entry: bound connections, close them when the daemon leaves

Cause: idle connections were not bounded, and each takes a descriptor; a kept connection to a daemon that drains was closed on the caller's next request, which leaves that one unknown.

--- a/src/laburnumyard/daemon/_answers.py
+++ b/src/laburnumyard/daemon/_answers.py
@@ -4,10 +4,20 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from laburnumyard.core.errors import Failure, Ran
+from laburnumyard.core.errors import ErrorKind, Failure, Ran
 from laburnumyard.core.ids import RequestId, TicketId
 
 MAX_DETAIL = 400
+# Errors after which a caller's connection is closed: what follows may be the
+# rest of what was refused, or the daemon is about to leave.
+CLOSING_KINDS = frozenset(
+    (
+        ErrorKind.BODY_TOO_LARGE,
+        ErrorKind.HEADERS_TOO_LARGE,
+        ErrorKind.SENDER_TOO_SLOW,
+        ErrorKind.SHUTTING_DOWN,
+    )
+)
 FIRST_UNKNOWN_STATUS = 600
 # Statuses that end a request; the rest cannot be told to a caller.
 STATUSES = range(HTTPStatus.OK, FIRST_UNKNOWN_STATUS)
@@ -92,6 +102,8 @@
         ('laburnumyard-ran', promised.value),
         ('laburnumyard-may-retry', 'yes' if answer.may_retry else 'no'),
     ]
+    if failure.kind in CLOSING_KINDS:
+        headers.append(('connection', 'close'))
     if ticket is not None:
         headers.append(('laburnumyard-ticket', ticket))
     return Response(int(answer.status), tuple(headers), body.encode())
--- a/src/laburnumyard/daemon/_asgi.py
+++ b/src/laburnumyard/daemon/_asgi.py
@@ -16,14 +16,6 @@
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 BODY_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
-# What follows on the connection may be the rest of what was refused.
-CLOSING = frozenset(
-    (
-        HTTPStatus.REQUEST_TIMEOUT,
-        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-    )
-)
 CALLER_GONE = Failure(ErrorKind.BAD_REQUEST, 'the caller closed the connection')
 
 
@@ -99,8 +91,6 @@
     if method == 'HEAD' or response.status in BODILESS:
         # The length would be that of the body that is not sent.
         headers.pop()
-    if response.status in CLOSING:
-        headers.append((b'connection', b'close'))
     await send(
         {
             'type': 'http.response.start',
--- a/src/laburnumyard/daemon/_http_protocol.py
+++ b/src/laburnumyard/daemon/_http_protocol.py
@@ -1,6 +1,7 @@
 """The callers' side of HTTP/1.1: bounds, and a typed answer to bad bytes."""
 
 import asyncio
+from types import MappingProxyType
 from typing import Any
 
 from uvicorn.protocols.http.httptools_impl import (
@@ -17,6 +18,9 @@
 # How long a caller that was refused may take to read why, in seconds.
 LINGER_S = 1
 TICKET_HEADER = b'laburnumyard-ticket'
+CLOSE = MappingProxyType({b'connection': b'close'})
+# Idle connections are many more than requests.
+CONNECTIONS_PER_REQUEST = 2
 UNNAMED = RequestId('none')
 
 
@@ -46,8 +50,11 @@
         self.head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Close a connection on which nothing ever comes."""
+        """Close a connection on which nothing ever comes, or one too many."""
         super().connection_made(JoinedWrites(transport, self.loop))
+        limit = CONNECTIONS_PER_REQUEST * self.limits.callers
+        if len(self.connections) > limit:
+            self.transport.close()
         self.timeout_keep_alive_task = self.loop.call_later(
             self.timeout_keep_alive,
             self.timeout_keep_alive_handler,
@@ -160,9 +167,9 @@
     def _answer(self, failure: Failure) -> None:
         response = refused(failure, UNNAMED, self._ran())
         head = [STATUS_LINE[response.status]]
-        for name, text in encode_headers(response):
-            head.append(b'%b: %b\r\n' % (name, text))
-        head.append(b'connection: close\r\n\r\n')
+        headers = dict(encode_headers(response)) | CLOSE
+        head.extend(b'%b: %b\r\n' % pair for pair in headers.items())
+        head.append(b'\r\n')
         self.transport.write(b''.join((*head, response.body)))
         # Closing at once could lose the answer to bytes that still come.
         self.transport.write_eof()
--- a/tests/daemon/test_entry.py
+++ b/tests/daemon/test_entry.py
@@ -1,5 +1,5 @@
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import anyio
 import pytest
@@ -294,6 +294,32 @@
     assert_that(entry.app.in_flight, Equals(0))
 
 
+@pytest.mark.anyio
+async def test_connections_are_bounded(entry, wait_until):
+    """Idle ones too: each takes a descriptor that a target may need."""
+    async with AsyncExitStack() as stack:
+        for _ in range(8):
+            await stack.enter_async_context(connected(entry))
+        connections = entry.server.server_state.connections
+        await wait_until(lambda: len(connections) == 8)
+        async with connected(entry) as one_more:
+            assert_that(await one_more.read_end(), Equals(b''))
+    await wait_until(lambda: not connections)
+    assert_that((await ask(entry)).status, Equals(200))
+
+
+@pytest.mark.anyio
+@pytest.mark.cell(step='drain', fault='cut')
+async def test_a_daemon_that_leaves_sends_its_callers_away(entry, service):
+    """A kept connection would be closed on the caller's next request."""
+    service.outcome = Error(Failure(ErrorKind.SHUTTING_DOWN))
+    async with connected(entry) as caller:
+        caller.send(encode())
+        answer = await caller.read()
+        assert_that(answer.headers['connection'], Equals('close'))
+        assert_that(await caller.read_end(), Equals(b''))
+
+
 @pytest.mark.anyio
 @pytest.mark.cell(step='cancel', fault='cut')
 async def test_a_caller_that_leaves_cancels_its_work(
