Targets: a dispatcher refuses quarantined requests of other daemons

Cause: only the entry's router asked the quarantine, and no daemon is told of another's deaths yet, so that a resend through another daemon reached the target.

--- a/src/laburnumyard/daemon/_deaths.py
+++ b/src/laburnumyard/daemon/_deaths.py
@@ -4,6 +4,7 @@
 
 from anyio.abc import TaskGroup
 
+from laburnumyard.core.errors import Failure
 from laburnumyard.core.ids import TargetName
 from laburnumyard.core.requests import (
     DeathId,
@@ -24,6 +25,18 @@
 PROBE_BYTES = 1024
 
 
+def fingerprint(job: Job) -> Fingerprint:
+    """Return what a job has in common with its resends."""
+    return fingerprint_of(job.service, job.method, job.path, job.key, job.body)
+
+
+def quarantine_refusal(quarantine: Quarantine, job: Job) -> Failure | None:
+    """Refuse a job after whose run two targets died; mostly none has."""
+    if not quarantine.records:
+        return None
+    return quarantine.refusal(fingerprint(job), boot_time())
+
+
 class DeathWatch:
     """Holds the death of a target against the requests that it ran.
 
@@ -51,10 +64,7 @@
 
     def note_broken_off(self, target: Target, job: Job) -> None:
         """Find out whether a target died when a connection to it ended."""
-        suspect = fingerprint_of(
-            job.service, job.method, job.path, job.key, job.body
-        )
-        self.tasks.start_soon(self._probe, target, suspect)
+        self.tasks.start_soon(self._probe, target, fingerprint(job))
 
     async def _probe(self, target: Target, suspect: Fingerprint) -> None:
         opened = await TargetConnection.open(
--- a/src/laburnumyard/daemon/_router.py
+++ b/src/laburnumyard/daemon/_router.py
@@ -11,16 +11,15 @@
 from laburnumyard.core.errors import ErrorKind, Failure, Ran
 from laburnumyard.core.ids import DaemonName, Seconds, ServiceName, TargetName
 from laburnumyard.core.requests import (
-    Fingerprint,
     Quarantine,
     RetryBudget,
     costs_budget,
-    fingerprint_of,
     may_retry,
     retry_delay,
 )
 from laburnumyard.daemon._answers import Response
 from laburnumyard.daemon._clock import boot_time, draw_fraction
+from laburnumyard.daemon._deaths import fingerprint, quarantine_refusal
 from laburnumyard.daemon._jobs import Job
 from laburnumyard.daemon._log import Event, log_decision, log_event
 from laburnumyard.daemon._metrics import Metrics
@@ -167,9 +166,7 @@
             return Failure(ErrorKind.NO_CONFIGURATION)
         if job.service not in configuration.services:
             return Failure(ErrorKind.UNKNOWN_SERVICE, repr(job.service[:SHOWN]))
-        if not self.quarantine.records:
-            return None
-        return self.quarantine.refusal(_fingerprint(job), boot_time())
+        return quarantine_refusal(self.quarantine, job)
 
     async def _is_retried(self, attempt: Attempt, kind: ErrorKind) -> bool:
         """Pause before another try; False where there must be none."""
@@ -187,7 +184,7 @@
     def _is_suspect(self, job: Job) -> bool:
         if not self.quarantine.records:
             return False
-        return self.quarantine.is_suspect(_fingerprint(job), boot_time())
+        return self.quarantine.is_suspect(fingerprint(job), boot_time())
 
     async def _try(self, attempt: Attempt) -> Outcome:
         started = boot_time()
@@ -256,10 +253,6 @@
         return budget
 
 
-def _fingerprint(job: Job) -> Fingerprint:
-    return fingerprint_of(job.service, job.method, job.path, job.key, job.body)
-
-
 def _log_route(
     attempt: Attempt,
     route: Route,
--- a/src/laburnumyard/daemon/_targets.py
+++ b/src/laburnumyard/daemon/_targets.py
@@ -8,7 +8,7 @@
 from laburnumyard.core.ids import ServiceName, TargetName
 from laburnumyard.core.routing import RoutingTable
 from laburnumyard.daemon._answers import Response
-from laburnumyard.daemon._deaths import DeathWatch
+from laburnumyard.daemon._deaths import DeathWatch, quarantine_refusal
 from laburnumyard.daemon._dispatcher import Dispatcher
 from laburnumyard.daemon._guards import Guards, TargetGuard
 from laburnumyard.daemon._jobs import Job
@@ -53,6 +53,10 @@
         if service != job.service:
             detail = f'target {target_name!r} serves {service}'
             return Error(Failure(ErrorKind.NO_OWNER, detail))
+        # Another daemon that passes the job on may not know of the deaths.
+        refusal = quarantine_refusal(self.deaths.quarantine, job)
+        if refusal is not None:
+            return Error(refusal)
         return await dispatcher.run(job)
 
     def reconfigure(self, configuration: Configuration) -> None:
--- a/tests/daemon/test_deaths.py
+++ b/tests/daemon/test_deaths.py
@@ -5,6 +5,7 @@
 from testtools.matchers import Equals
 
 from tests.daemon.http import ask
+from tests.daemon.world import running
 
 READ = ('GET', '/catalogue/poison')
 
@@ -50,6 +51,23 @@
     assert_that(refused.ran, Equals('not-run'))
 
 
+@pytest.mark.anyio
+@pytest.mark.cell(step='retry', fault='poison-request')
+async def test_a_resend_through_another_daemon_is_refused(
+    daemon, wait_until, scripted
+):
+    for _ in range(2):
+        await kill_one(daemon, wait_until)
+    async with scripted(None) as target, running('vm-2') as other:
+        daemon.configure(target.address)
+        other.configure(target.address)
+        other.know(daemon)
+        other.view.dispatchers['c1'] = daemon.view.name
+        refused = await ask(other.callers, *READ)
+        assert_that(refused.kind, Equals('quarantined'))
+        assert_that(target.received, Equals([]))
+
+
 @pytest.mark.anyio
 async def test_a_broken_connection_alone_is_no_death(daemon, scripted):
     async with scripted(None) as target:
