--- a/src/laburnumyard/daemon/_router.py
+++ b/src/laburnumyard/daemon/_router.py
@@ -11,16 +11,15 @@
 from laburnumyard.core.errors import ErrorKind, Failure, Ran
 from laburnumyard.core.ids import DaemonName, Seconds, ServiceName, TargetName
 from laburnumyard.core.requests import (
-    Fingerprint,
     Quarantine,
     RetryBudget,
     costs_budget,
-    fingerprint_of,
     may_retry,
     retry_delay,
 )
 from laburnumyard.daemon._answers import Response
 from laburnumyard.daemon._clock import boot_time, draw_fraction
+from laburnumyard.daemon._deaths import fingerprint, quarantine_refusal
 from laburnumyard.daemon._jobs import Job
 from laburnumyard.daemon._log import Event, log_decision, log_event
 from laburnumyard.daemon._metrics import Metrics
@@ -167,9 +166,7 @@
             return Failure(ErrorKind.NO_CONFIGURATION)
         if job.service not in configuration.services:
             return Failure(ErrorKind.UNKNOWN_SERVICE, repr(job.service[:SHOWN]))
-        if not self.quarantine.records:
-            return None
-        return self.quarantine.refusal(_fingerprint(job), boot_time())
+        return quarantine_refusal(self.quarantine, job)
 
     async def _is_retried(self, attempt: Attempt, kind: ErrorKind) -> bool:
         """Pause before another try; False where there must be none."""
@@ -187,14 +184,13 @@
     def _is_suspect(self, job: Job) -> bool:
         if not self.quarantine.records:
             return False
-        return self.quarantine.is_suspect(_fingerprint(job), boot_time())
+        return self.quarantine.is_suspect(fingerprint(job), boot_time())
 
     async def _try(self, attempt: Attempt) -> Outcome:
         started = boot_time()
-        route = self.find(attempt.job, attempt.avoided)
-        if route.is_error():
-            return Error(route.error)
-        found = route.ok
+        found = self.find(attempt.job, attempt.avoided)
+        if isinstance(found, Failure):
+            return Error(found)
         if found.dispatcher == self.view.name:
             outcome = await self.run_here(attempt.job, found.target)
         else:
@@ -210,7 +206,7 @@
         self,
         job: Job,
         avoided: frozenset[DaemonName] = NOBODY,
-    ) -> Result[Route, Failure]:
+    ) -> Route | Failure:
         """Return the owner of a job's key and its dispatcher.
 
         Parameters
@@ -224,12 +220,12 @@
         target = table.owner(job.key_hash) if table else None
         if target is None:
             detail = f'no assignment of {job.service} holds the key yet'
-            return Error(Failure(ErrorKind.NO_OWNER, detail))
+            return Failure(ErrorKind.NO_OWNER, detail)
         dispatcher = self.view.dispatcher_of(target, avoided)
         if dispatcher is None:
             detail = f'no daemon is alive near {target}'
-            return Error(Failure(ErrorKind.NO_OWNER, detail))
-        return Result.Ok(Route(target, dispatcher))
+            return Failure(ErrorKind.NO_OWNER, detail)
+        return Route(target, dispatcher)
 
     async def _pause(self, attempt: Attempt, kind: ErrorKind) -> None:
         job = attempt.job
@@ -257,10 +253,6 @@
         return budget
 
 
-def _fingerprint(job: Job) -> Fingerprint:
-    return fingerprint_of(job.service, job.method, job.path, job.key, job.body)
-
-
 def _log_route(
     attempt: Attempt,
     route: Route,
