--- a/src/laburnumyard/daemon/_inbox.py
+++ b/src/laburnumyard/daemon/_inbox.py
@@ -1,10 +1,12 @@
 """Hands the messages of other daemons to whom they concern."""
 
 from collections.abc import Awaitable
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from laburnumyard.core import dissemination, membership
 from laburnumyard.core.ids import DaemonName
+from laburnumyard.daemon._balance import BalanceRunner
 from laburnumyard.daemon._documents import DocumentsRunner
 from laburnumyard.daemon._guards import Guards
 from laburnumyard.daemon._log import Event, log_event
@@ -16,6 +18,7 @@
 from laburnumyard.wire import IncomingLink
 
 
+@dataclass(slots=True)
 class Inbox:
     """Takes every message that comes on a link.
 
@@ -29,24 +32,17 @@
         Runs requests that other daemons pass on.
     wishes
         Heeds operators' orders and news of suspects.
+    balance
+        Plans for services by the load that dispatchers report.
     """
 
-    def __init__(
-        self,
-        members: MembersRunner,
-        documents: DocumentsRunner,
-        ownership: OwnershipRunner,
-        guards: Guards,
-        submits: SubmitReceiver,
-        wishes: Wishes,
-    ) -> None:
-        """Keep whom messages concern."""
-        self.members = members
-        self.documents = documents
-        self.ownership = ownership
-        self.guards = guards
-        self.submits = submits
-        self.wishes = wishes
+    members: MembersRunner
+    documents: DocumentsRunner
+    ownership: OwnershipRunner
+    guards: Guards
+    submits: SubmitReceiver
+    wishes: Wishes
+    balance: BalanceRunner
 
     def take(
         self,
@@ -145,9 +141,18 @@
     ) -> None:
         self.ownership.take_over(message)
 
+    @route.register(messages.MoveRange)
+    @route.register(messages.MergeRanges)
+    def _ranges(
+        self,
+        message: messages.MoveRange | messages.MergeRanges,
+        link: IncomingLink,
+    ) -> None:
+        self.wishes.take(message)
+
     @route.register
-    def _move(self, message: messages.MoveRange, link: IncomingLink) -> None:
-        self.wishes.take_move(message)
+    def _load(self, message: messages.LoadReport, link: IncomingLink) -> None:
+        self.balance.take_report(message)
 
     @route.register
     def _drain(
--- /dev/null
+++ b/src/laburnumyard/daemon/_load_meter.py
@@ -0,0 +1,100 @@
+"""Meters what targets were busy with, for the planner's load reports."""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from laburnumyard.core.ids import KeyHash, Seconds, ServiceName
+from laburnumyard.core.routing import RoutingTable
+from laburnumyard.daemon._clock import MILLISECONDS_PER_SECOND
+from laburnumyard.schema._generated.messages import (
+    LoadReport,
+    OwnedRange,
+    RangeLoad,
+)
+
+# Every so many requests one is counted by its key.
+SAMPLING = 4
+# The most keys that are counted in one range between two reports.
+KEYS_LIMIT = 512
+
+
+@dataclass(slots=True)
+class _RangeMeter:
+    """What one range was busy with since the last report."""
+
+    owned: OwnedRange
+    requests: int = 0
+    busy: float = 0
+    keys: Counter[KeyHash] = field(default_factory=Counter)
+
+    def note(self, key_hash: KeyHash, busy: Seconds) -> None:
+        """Add one run."""
+        self.requests += 1
+        self.busy += busy
+        is_sampled = self.requests % SAMPLING == 0
+        if is_sampled and (
+            key_hash in self.keys or len(self.keys) < KEYS_LIMIT
+        ):
+            self.keys[key_hash] += SAMPLING
+
+    def load(self) -> RangeLoad:
+        """Return the range's line of a report."""
+        hot_key, hot_requests = KeyHash(0), 0
+        if self.keys:
+            hot_key, hot_requests = self.keys.most_common(1)[0]
+        return RangeLoad(
+            start=self.owned.start,
+            last=self.owned.last,
+            requests=self.requests,
+            busy_ms=int(self.busy * MILLISECONDS_PER_SECOND),
+            hot_key=hot_key,
+            hot_requests=min(hot_requests, self.requests),
+        )
+
+
+class LoadMeter:
+    """Sums the runs of each range between two reports."""
+
+    def __init__(self) -> None:
+        """Start with no run."""
+        self.ranges: defaultdict[ServiceName, dict[int, _RangeMeter]] = (
+            defaultdict(dict)
+        )
+
+    def note(
+        self,
+        table: RoutingTable,
+        key_hash: KeyHash,
+        busy: Seconds,
+    ) -> None:
+        """Add one run.
+
+        Parameters
+        ----------
+        table
+            The assignment of the key's service.
+        key_hash
+            The place of the key.
+        busy
+            How long the run kept a slot, in seconds.
+        """
+        owned = table.range_of(key_hash)
+        if owned is None:
+            return
+        meters = self.ranges[table.service]
+        meter = meters.get(owned.start)
+        if meter is None:
+            meter = _RangeMeter(owned)
+            meters[owned.start] = meter
+        meter.note(key_hash, busy)
+
+    def take_reports(self) -> tuple[LoadReport, ...]:
+        """Return a report for each service that was busy, and start anew."""
+        reports = tuple(
+            LoadReport(
+                service, tuple(meter.load() for meter in meters.values())
+            )
+            for service, meters in self.ranges.items()
+        )
+        self.ranges.clear()
+        return reports
--- a/src/laburnumyard/daemon/_node.py
+++ b/src/laburnumyard/daemon/_node.py
@@ -3,18 +3,19 @@
 from anyio.abc import TaskGroup
 
 from laburnumyard.core import membership, requests
-from laburnumyard.core.ids import DaemonName, DataCentre, Region, ServiceName
+from laburnumyard.core.ids import ServiceName
 from laburnumyard.core.ownership import Snapshot
+from laburnumyard.daemon._balance import BalanceRunner
 from laburnumyard.daemon._clock import (
     boot_time,
     draw_fraction,
-    new_incarnation,
 )
 from laburnumyard.daemon._deaths import DeathWatch
 from laburnumyard.daemon._documents import DocumentsRunner
 from laburnumyard.daemon._entry import EntryApp
 from laburnumyard.daemon._guards import Guards
 from laburnumyard.daemon._inbox import Inbox
+from laburnumyard.daemon._load_meter import LoadMeter
 from laburnumyard.daemon._members import MembersRunner
 from laburnumyard.daemon._metrics import Metrics
 from laburnumyard.daemon._ownership import OwnershipRunner
@@ -23,7 +24,7 @@
 from laburnumyard.daemon._submits import SubmitReceiver, SubmitSender
 from laburnumyard.daemon._targets import Targets
 from laburnumyard.daemon._tickets import TicketOffice
-from laburnumyard.daemon._view import View
+from laburnumyard.daemon._view import make_view
 from laburnumyard.daemon._wishes import Wishes
 from laburnumyard.platform import StoreClient, VmList
 from laburnumyard.schema._generated.messages import Hello
@@ -54,6 +55,9 @@
         self.wishes = Wishes(
             self.view, self.ownership, self.quarantine, self.pool
         )
+        self.balance = BalanceRunner(
+            self.view, self.meter, self.ownership, self.wishes, self.pool
+        )
         self.inbox = Inbox(
             self.members,
             self.documents,
@@ -61,6 +65,7 @@
             self.guards,
             SubmitReceiver(self.targets.run_here, self.office.submit_here),
             self.wishes,
+            self.balance,
         )
 
     def build_links(self) -> None:
@@ -95,7 +100,8 @@
         self.quarantine = quarantine
         sender = SubmitSender(self.view, self.pool)
         self.guards = Guards(self.view)
-        self.targets = Targets(self.view, self.guards, deaths)
+        self.meter = LoadMeter()
+        self.targets = Targets(self.view, self.guards, deaths, self.meter)
         self.router = Router(
             self.view,
             self.targets.run_here,
@@ -172,19 +178,3 @@
         if configuration is None or self.view.is_draining:
             return False
         return set(configuration.services) <= set(self.view.tables)
-
-
-def make_view(settings: Settings) -> View:
-    """Return the view of a daemon that knows nothing yet."""
-    incarnation = new_incarnation()
-    place = settings.daemon
-    identity = membership.Identity(
-        DaemonName(place.name),
-        DataCentre(place.data_centre),
-        Region(place.region),
-        settings.listen.peers,
-        incarnation,
-    )
-    intervals = membership.MembershipSettings()
-    table = membership.MemberTable(identity, intervals, draw_fraction)
-    return View(settings, incarnation, table)
--- a/src/laburnumyard/daemon/_ownership.py
+++ b/src/laburnumyard/daemon/_ownership.py
@@ -69,7 +69,7 @@
 
     def reconfigure(self) -> None:
         """Take a new configuration: new scopes start, all learn the plan."""
-        plans = {name: self._plan(name) for name in self._services()}
+        plans = {name: self.plan(name) for name in self._services()}
         for service, plan in plans.items():
             for scope in _scopes(service, plan):
                 self._take_plan(scope, plan)
@@ -146,7 +146,8 @@
     def _services(self) -> tuple[ServiceName, ...]:
         return tuple(self.view.configuration.services)
 
-    def _plan(self, service: ServiceName) -> ownership.ServicePlan:
+    def plan(self, service: ServiceName) -> ownership.ServicePlan:
+        """Return what the configuration says about a service."""
         longest = Seconds(self.view.settings.limits.deadline_max_s)
         objects = self.view.configuration.objects
         return ownership.service_plan(objects, service, longest)
@@ -203,8 +204,6 @@
             return False
         snapshot = self.view.snapshots.get(scope.service)
         held = snapshot and snapshot.head.scopes.get(scope.data_centre)
-        if held and held.manager == self.view.name:
-            return True
         live = {each.daemon: each.incarnation for each in members.live()}
         return ownership.needs_manager(held or None, live)
 
--- a/src/laburnumyard/daemon/_run.py
+++ b/src/laburnumyard/daemon/_run.py
@@ -62,6 +62,7 @@
         node.entry.watch.run,
         node.members.run,
         node.documents.run,
+        node.balance.run,
     ):
         tasks.start_soon(start)
     return entry_server
--- a/src/laburnumyard/daemon/_targets.py
+++ b/src/laburnumyard/daemon/_targets.py
@@ -5,13 +5,15 @@
 from laburnumyard.core import requests
 from laburnumyard.core.configuration import Configuration
 from laburnumyard.core.errors import ErrorKind, Failure
-from laburnumyard.core.ids import ServiceName, TargetName
+from laburnumyard.core.ids import Seconds, ServiceName, TargetName
 from laburnumyard.core.routing import RoutingTable
 from laburnumyard.daemon._answers import Response
+from laburnumyard.daemon._clock import boot_time
 from laburnumyard.daemon._deaths import DeathWatch, quarantine_refusal
 from laburnumyard.daemon._dispatcher import Dispatcher
 from laburnumyard.daemon._guards import Guards, TargetGuard
 from laburnumyard.daemon._jobs import Job
+from laburnumyard.daemon._load_meter import LoadMeter
 from laburnumyard.daemon._target_link import TargetLink
 from laburnumyard.daemon._view import View
 from laburnumyard.schema._generated.objects import Target
@@ -19,6 +21,37 @@
 Outcome = Result[Response, Failure]
 
 
+class MeteredRun:
+    """Runs jobs at a target and meters how long they keep a slot.
+
+    Parameters
+    ----------
+    view
+        The assignment of the job's service.
+    meter
+        Where runs are summed.
+    link
+        Runs the jobs.
+    """
+
+    def __init__(self, view: View, meter: LoadMeter, link: TargetLink) -> None:
+        """Keep the link."""
+        self.view = view
+        self.meter = meter
+        self.link = link
+
+    async def __call__(self, job: Job) -> Outcome:
+        """Run a job."""
+        started = boot_time()
+        try:
+            return await self.link.run(job)
+        finally:
+            table = self.view.tables.get(job.service)
+            if table is not None:
+                busy = Seconds(boot_time() - started)
+                self.meter.note(table, job.key_hash, busy)
+
+
 class Targets:
     """Runs jobs at targets; a dispatcher starts with its first job.
 
@@ -30,13 +63,18 @@
         The grants of targets that do not check fencing tokens.
     deaths
         Notices targets that die.
+    meter
+        Meters what the targets are busy with.
     """
 
-    def __init__(self, view: View, guards: Guards, deaths: DeathWatch) -> None:
+    def __init__(
+        self, view: View, guards: Guards, deaths: DeathWatch, meter: LoadMeter
+    ) -> None:
         """Start without a dispatcher."""
         self.view = view
         self.guards = guards
         self.deaths = deaths
+        self.meter = meter
         self.dispatchers: dict[TargetName, Dispatcher] = {}
         self.links: dict[TargetName, TargetLink] = {}
         self.times: dict[ServiceName, requests.OperationTimes] = {}
@@ -109,7 +147,8 @@
         link = self._link(name, target)
         queue = requests.TargetQueue(settings, times)
         self.links[name] = link
-        self.dispatchers[name] = Dispatcher(queue, link.run)
+        run = MeteredRun(self.view, self.meter, link)
+        self.dispatchers[name] = Dispatcher(queue, run)
         return self.dispatchers[name]
 
     def _link(self, name: TargetName, target: Target) -> TargetLink:
--- a/src/laburnumyard/daemon/_view.py
+++ b/src/laburnumyard/daemon/_view.py
@@ -9,14 +9,21 @@
     DaemonName,
     DataCentre,
     Incarnation,
+    Region,
     ServiceName,
     TargetName,
     Version,
 )
-from laburnumyard.core.membership import MemberState, MemberTable
+from laburnumyard.core.membership import (
+    Identity,
+    MembershipSettings,
+    MemberState,
+    MemberTable,
+)
 from laburnumyard.core.ownership import Snapshot
 from laburnumyard.core.rendezvous import rank
 from laburnumyard.core.routing import RoutingTable
+from laburnumyard.daemon._clock import draw_fraction, new_incarnation
 from laburnumyard.schema._generated.objects import Fencing, Target
 from laburnumyard.schema._generated.settings import Settings
 from laburnumyard.wire import Peer
@@ -136,3 +143,19 @@
     def _guard_of(self, name: TargetName, target: Target) -> DaemonName | None:
         snapshot = self.snapshots.get(ServiceName(target.service))
         return snapshot.head.guards.get(name) if snapshot else None
+
+
+def make_view(settings: Settings) -> View:
+    """Return the view of a daemon that knows nothing yet."""
+    incarnation = new_incarnation()
+    place = settings.daemon
+    identity = Identity(
+        DaemonName(place.name),
+        DataCentre(place.data_centre),
+        Region(place.region),
+        settings.listen.peers,
+        incarnation,
+    )
+    intervals = MembershipSettings()
+    table = MemberTable(identity, intervals, draw_fraction)
+    return View(settings, incarnation, table)
--- a/src/laburnumyard/daemon/_wishes.py
+++ b/src/laburnumyard/daemon/_wishes.py
@@ -1,6 +1,7 @@
 """Operators' orders and news of suspects, on their way between daemons."""
 
 from collections.abc import Callable
+from functools import singledispatch, singledispatchmethod
 
 import anyio
 
@@ -60,26 +61,54 @@
         bool
             Whether the lease manager of the range's owner was reached.
         """
-        table = self.view.tables[service]
-        owned = table.range_of(key_hash)
+        owned = self.view.tables[service].range_of(key_hash)
+        if owned is None:
+            return False
+        part = ownership.hash_range(owned)
+        return self.carry(service, ownership.MoveRequested(part, target))
+
+    def carry(
+        self,
+        service: ServiceName,
+        wish: ownership.MoveRequested | ownership.MergeRequested,
+    ) -> bool:
+        """Carry a wish to the lease manager of the ranges' owner.
+
+        Returns
+        -------
+        bool
+            Whether the manager was reached.
+        """
+        message = _order(wish, service)
+        owned = self.view.tables[service].range_of(KeyHash(message.start))
         if owned is None:
             return False
-        order = messages.MoveRange(service, owned.start, owned.last, target)
         manager = self._manager_of(service, TargetName(owned.target))
         if manager == self.view.name:
-            self.take_move(order)
+            self.take(message)
             return True
         peer = self.view.peer(manager) if manager else None
-        return peer is not None and self.pool.send(peer, order).is_ok()
+        return peer is not None and self.pool.send(peer, message).is_ok()
+
+    @singledispatchmethod
+    def take(self, order: messages.MoveRange | messages.MergeRanges) -> None:
+        """Heed an order or a proposal about ranges."""
+        raise TypeError(f'{order!r} is no order about ranges')
 
-    def take_move(self, order: messages.MoveRange) -> None:
-        """Heed an order to move a range."""
+    @take.register
+    def _take_move(self, order: messages.MoveRange) -> None:
         owned = messages.OwnedRange(order.start, order.last, order.target)
         wish = ownership.MoveRequested(
             ownership.hash_range(owned), TargetName(order.target)
         )
         self.ownership.feed_service(ServiceName(order.service), wish)
 
+    @take.register
+    def _take_merge(self, order: messages.MergeRanges) -> None:
+        owned = messages.OwnedRange(order.start, order.last, '')
+        wish = ownership.MergeRequested(ownership.hash_range(owned))
+        self.ownership.feed_service(ServiceName(order.service), wish)
+
     def drain(self, target: TargetName, *, draining: bool) -> None:
         """Order every daemon to empty a target, or to use it again."""
         order = messages.DrainTarget(target, draining)
@@ -128,6 +157,31 @@
     return condition()
 
 
+@singledispatch
+def _order(
+    wish: ownership.MoveRequested | ownership.MergeRequested,
+    service: ServiceName,
+) -> messages.MoveRange | messages.MergeRanges:
+    raise TypeError(f'{wish!r} is no wish about ranges')
+
+
+@_order.register
+def _move_order(
+    wish: ownership.MoveRequested,
+    service: ServiceName,
+) -> messages.MoveRange:
+    last = wish.part.stop - 1
+    return messages.MoveRange(service, wish.part.start, last, wish.to)
+
+
+@_order.register
+def _merge_order(
+    wish: ownership.MergeRequested,
+    service: ServiceName,
+) -> messages.MergeRanges:
+    return messages.MergeRanges(service, wish.span.start, wish.span.stop - 1)
+
+
 def _wire(suspect: requests.Suspect) -> messages.SuspectRequest:
     return messages.SuspectRequest(
         fingerprint=suspect.fingerprint,
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -600,6 +600,30 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class MergeRanges:
+    """The message ``MergeRanges`` of messages.capnp."""
+
+    service: str
+    start: int
+    last: int
+
+
+def _write_merge_ranges(message: MergeRanges, builder: Any) -> None:
+    builder.service = message.service
+    builder.start = message.start
+    builder.last = message.last
+
+
+def _read_merge_ranges(reader: Any) -> MergeRanges:
+    get = reader._get
+    return MergeRanges(
+        service=get('service'),
+        start=get('start'),
+        last=get('last'),
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class MoveRange:
     """The message ``MoveRange`` of messages.capnp."""
@@ -918,6 +942,7 @@
     | MoveRange
     | DrainTarget
     | Suspects
+    | MergeRanges
 )
 
 _WRITERS: dict[type, Any] = {
@@ -944,6 +969,7 @@
     MoveRange: ('moveRange', _write_move_range),
     DrainTarget: ('drainTarget', _write_drain_target),
     Suspects: ('suspects', _write_suspects),
+    MergeRanges: ('mergeRanges', _write_merge_ranges),
 }
 _READERS: dict[str, Any] = {
     'hello': _read_hello,
@@ -969,6 +995,7 @@
     'moveRange': _read_move_range,
     'drainTarget': _read_drain_target,
     'suspects': _read_suspects,
+    'mergeRanges': _read_merge_ranges,
 }
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -228,7 +228,15 @@
   busy @6 :UInt32;
 }
 
-# An operator's order to the lease manager of the range's owner.
+# A proposal of the planner to the lease manager of the ranges' owner.
+struct MergeRanges {
+  service @0 :Text;
+  start @1 :UInt64;
+  last @2 :UInt64;
+}
+
+# An operator's order, or the planner's proposal, to the lease manager of the
+# range's owner.
 struct MoveRange {
   service @0 :Text;
   start @1 :UInt64;
@@ -282,5 +290,6 @@
     moveRange @20 :MoveRange;
     drainTarget @21 :DrainTarget;
     suspects @22 :Suspects;
+    mergeRanges @23 :MergeRanges;
   }
 }
