--- a/src/standins/owners.py
+++ b/src/standins/owners.py
@@ -52,6 +52,60 @@
         return until_ms - max(self.first.from_ms, self.second.from_ms)
 
 
+@dataclass(frozen=True, slots=True)
+class KeyRun:
+    """One execution on a key at a target that checks no grants.
+
+    Parameters
+    ----------
+    target, key_hash
+        Where it ran, and on which key.
+    start_ms, end_ms
+        The boot-time clock in milliseconds.
+    """
+
+    target: str
+    key_hash: str
+    start_ms: float
+    end_ms: float
+
+
+def read_runs(
+    target: str,
+    exported: Mapping[str, Any],
+    ended_ms: float,
+) -> Iterator[KeyRun]:
+    """Yield what a target ran.
+
+    Parameters
+    ----------
+    target
+        The target.
+    exported
+        The answer of its ``/stand-in/runs``.
+    ended_ms
+        The end of executions that had not ended.
+    """
+    for run in exported['runs']:
+        end_ms = run['end_ms'] or ended_ms
+        yield KeyRun(target, run['key_hash'], run['start_ms'], end_ms)
+
+
+def find_concurrent_runs(
+    runs: Iterable[KeyRun],
+) -> tuple[tuple[KeyRun, KeyRun], ...]:
+    """Return executions on one key at two targets at the same moment."""
+    by_start = sorted(runs, key=lambda run: (run.key_hash, run.start_ms))
+    return tuple(
+        (first, second)
+        for place, first in enumerate(by_start)
+        for second in takewhile(
+            partial(_runs_at_once, first), by_start[place + 1 :]
+        )
+        if second.target != first.target
+    )
+
+
 def read_holdings(
     exported: Mapping[str, Any],
     ended_ms: float | None = None,
@@ -102,6 +156,11 @@
                 yield TwoOwners(first, second)
 
 
+def _runs_at_once(first: KeyRun, second: KeyRun) -> bool:
+    is_earlier = second.start_ms < first.end_ms
+    return is_earlier and first.key_hash == second.key_hash
+
+
 def _is_at_once(first: Holding, second: Holding) -> bool:
     is_earlier = second.from_ms < first.until_ms
     return is_earlier and first.service == second.service
--- a/src/standins/trial.py
+++ b/src/standins/trial.py
@@ -17,7 +17,7 @@
 from standins._load_settings import CallerClass, LoadSettings
 from standins.cluster import Cluster, call
 from standins.observer import unavailable_times
-from standins.owners import find_two_owners
+from standins.owners import find_concurrent_runs, find_two_owners
 
 RECOVERY_LIMIT_S = 15
 POLL_INTERVAL_S = 0.05
@@ -160,6 +160,7 @@
             judge_classes(self.cluster, self.reports),
             find_two_owners(self.grants.holdings()),
             tuple(self.grants.falling_terms()),
+            find_concurrent_runs(self.grants.unfenced_runs()),
         )
 
     def _run_load(self, settings: LoadSettings) -> None:
--- a/tests/processes/test_target_losses.py
+++ b/tests/processes/test_target_losses.py
@@ -14,7 +14,7 @@
     mixed_load,
     assert_intact,
 ):
-    trial.send(*mixed_load(10))
+    trial.send(*mixed_load(8))
     time.sleep(1)
     trial.kill_target('catalogue-2')
     trial.kill_target('orders-2')
--- a/tests/standins/test_owners.py
+++ b/tests/standins/test_owners.py
@@ -8,6 +8,8 @@
 from standins.observer import Started, Verdict, judge
 from standins.owners import (
     Holding,
+    KeyRun,
+    find_concurrent_runs,
     find_falling_terms,
     find_two_owners,
     read_holdings,
@@ -126,3 +128,20 @@
     verdict = judge(told, [Started(ticket, 'a')], foreign=0)
     assert_that(verdict.false_not_run, Equals(1))
     assert_that(judge(told, [], foreign=0).false_not_run, Equals(0))
+
+
+@pytest.mark.parametrize(
+    ('second', 'found'),
+    [
+        (KeyRun('forge-2', '7', 150, 250), 1),
+        (KeyRun('forge-2', '7', 200, 250), 0),
+        (KeyRun('forge-2', '8', 150, 250), 0),
+        (KeyRun('forge-1', '7', 150, 250), 0),
+    ],
+)
+def test_runs_of_one_key_at_two_targets_at_once_are_found(second, found):
+    first = KeyRun('forge-1', '7', 100, 200)
+    pairs = find_concurrent_runs([second, first])
+    assert_that(pairs, HasLength(found))
+    problems = list(Findings({}, (), (), pairs).problems())
+    assert_that(problems, HasLength(found))
