--- a/bench/entry.py
+++ b/bench/entry.py
@@ -104,6 +104,7 @@
     print_figure(f'{name}.half_load_per_s', routed['callers.whole_per_s'])
     print_figure(f'{name}.half_load_p50_ms', routed['callers.p50_ms'])
     print_figure(f'{name}.half_load_p99_ms', routed['callers.p99_ms'])
+    print_figure(f'{name}.half_load_bare_p99_ms', bare['callers.p99_ms'])
     print_figure(f'{name}.added_median_ms', added)
     check_whole(f'{name}.half_load', routed)
 
