--- a/src/laburnumyard/core/ownership/_acknowledging.py
+++ b/src/laburnumyard/core/ownership/_acknowledging.py
@@ -42,7 +42,8 @@
     lease.expires_by = Seconds(
         max(lease.expires_by, now + state.settings.longest_grant),
     )
-    lease.holding.reported = answer.ranges
+    if answer.ranges is not None:
+        lease.holding.reported = answer.ranges
     lease.holding.busy = answer.busy
     if answer.term == term:
         _take_token(lease, answer)
--- a/src/laburnumyard/core/ownership/_events.py
+++ b/src/laburnumyard/core/ownership/_events.py
@@ -49,7 +49,8 @@
     clock_ms
         A reading of its boot-time clock, in milliseconds.
     ranges
-        The ranges whose grant has not expired.
+        The ranges whose grant has not expired; ``None`` where the answer
+        leaves them out, as that to a renewal does.
     busy
         Requests in flight on ranges that it has released.
     guard
@@ -62,7 +63,7 @@
     term: Term
     sequence: Sequence
     clock_ms: int
-    ranges: tuple[HashRange, ...] = ()
+    ranges: tuple[HashRange, ...] | None = ()
     busy: int = 0
     guard: DaemonName | None = None
 
--- a/src/laburnumyard/daemon/_guards.py
+++ b/src/laburnumyard/daemon/_guards.py
@@ -1,7 +1,7 @@
 """The grants of targets that do not check fencing tokens themselves."""
 
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
 from laburnumyard.core.ids import KeyHash, Seconds, Sequence, TargetName, Term
@@ -119,7 +119,9 @@
                 term, sequence, message.clock_ms, message.lifetime_ms, now
             )
         busy = self.busy(TargetName(message.target), now)
-        return _guard_answer(message.number, answer, busy)
+        told = _guard_answer(message.number, answer, busy)
+        # A renewal leaves the ranges as they are: they need not travel.
+        return told if message.replaces else replace(told, ranges=())
 
     def _holder(self, target: TargetName, now: Seconds) -> GrantHolder:
         if target not in self.holders:
--- a/src/laburnumyard/daemon/_orders.py
+++ b/src/laburnumyard/daemon/_orders.py
@@ -6,6 +6,7 @@
 
 from laburnumyard.core import ownership
 from laburnumyard.core.ids import Sequence, ServiceName, TargetName, Term
+from laburnumyard.core.keys import HashRange
 from laburnumyard.daemon._guards import Guards
 from laburnumyard.daemon._view import View
 from laburnumyard.platform import (
@@ -194,7 +195,16 @@
         term=Term(answer.term),
         sequence=Sequence(answer.sequence),
         clock_ms=answer.clock_ms,
-        ranges=tuple(map(ownership.hash_range, answer.ranges)),
+        ranges=_guarded_ranges(effect, answer),
         busy=answer.busy,
         guard=effect.guard,
     )
+
+
+def _guarded_ranges(
+    effect: Sent,
+    answer: GuardAnswer,
+) -> tuple[HashRange, ...] | None:
+    if isinstance(effect, ownership.SendRenew):
+        return None
+    return tuple(map(ownership.hash_range, answer.ranges))
--- a/src/laburnumyard/platform/_target_codec.py
+++ b/src/laburnumyard/platform/_target_codec.py
@@ -117,7 +117,7 @@
         Term(read_count(fields, 'term')),
         Sequence(read_count(fields, 'sequence')),
         read_count(fields, 'clock_ms'),
-        tuple(map(_read_range, read_list(fields.get('ranges')))),
+        _read_ranges(fields),
         read_count(fields, 'busy'),
     )
 
@@ -147,3 +147,9 @@
         return int(text)
     shown = shorten(text)
     raise ValueError(f'{shown} is no hash')
+
+
+def _read_ranges(fields: Fields) -> tuple[HashRange, ...] | None:
+    if 'ranges' not in fields:
+        return None
+    return tuple(map(_read_range, read_list(fields['ranges'])))
--- a/src/laburnumyard/platform/_target_messages.py
+++ b/src/laburnumyard/platform/_target_messages.py
@@ -85,7 +85,7 @@
     clock_ms
         Its clock.
     ranges
-        What it holds now.
+        What it holds now; None after a renewal, which leaves them as they are.
     busy
         How many requests it runs or queues.
     """
@@ -94,7 +94,7 @@
     term: Term
     sequence: Sequence
     clock_ms: int
-    ranges: tuple[HashRange, ...]
+    ranges: tuple[HashRange, ...] | None
     busy: int
 
 
--- a/src/standins/_target_control.py
+++ b/src/standins/_target_control.py
@@ -82,9 +82,10 @@
         'term': fence.term,
         'sequence': fence.sequence,
         'clock_ms': now_ms,
-        'ranges': export_ranges(fence.held(now_ms)),
         'busy': state.busy_released,
     }
+    if call.path != '/control/renew':
+        reply['ranges'] = export_ranges(fence.held(now_ms))
     await answer_json(call, reply, status)
 
 
