--- a/bench/entry.py
+++ b/bench/entry.py
@@ -23,6 +23,7 @@
 # Places in /proc/PID/stat after the name of the process.
 USER_TICKS = 11
 CHILD_TICKS = 13
+WARM_UP_S = 1
 Figures = Mapping[str, float]
 
 
@@ -84,6 +85,8 @@
 ) -> None:
     """Measure one way to the target and the bare target beside it."""
     target = cluster.places.targets[0].address
+    # Daemons that have just started are still busy with each other.
+    measure(address, WARM_UP_S)
     bare = measure(target, duration_s, is_bare=True)
     spent_s = processor_s(cluster)
     routed = measure(address, duration_s)
