--- a/bench/control/links.py
+++ b/bench/control/links.py
@@ -8,11 +8,9 @@
 import sys
 import time
 
-import uvloop
-
 from laburnumyard.core.ids import DaemonName
 from laburnumyard.schema._generated import messages
-from laburnumyard.wire import LinkPool, LinkServer, Peer
+from laburnumyard.wire import IncomingLink, LinkPool, LinkServer, Peer
 
 REQUESTS = 40000
 CALLERS = 64
@@ -21,8 +19,20 @@
     messages.Header(name=f'header-{place}', value='some value')
     for place in range(4)
 )
-SERVER = messages.Hello(daemon='server', incarnation=1, data_centre='a')
-CLIENT = messages.Hello(daemon='client', incarnation=1, data_centre='a')
+SERVER = messages.Hello(
+    daemon='server',
+    incarnation=1,
+    data_centre='a',
+    region='lima',
+    peer_address='',
+)
+CLIENT = messages.Hello(
+    daemon='client',
+    incarnation=1,
+    data_centre='a',
+    region='lima',
+    peer_address='',
+)
 
 
 def submit() -> messages.Submit:
@@ -45,24 +55,40 @@
     )
 
 
-def answer_to(link, message) -> None:
-    """Answer a request with a body of 1 KiB."""
-    link.send(
-        messages.SubmitAnswer(
-            number=message.number,
-            kind='',
-            detail='',
-            status=200,
-            headers=HEADERS,
-            body=BODY,
-        ),
-    )
+class Answerer:
+    """Answers each request with a body of 1 KiB, until its asker is gone."""
+
+    def __init__(self) -> None:
+        """Start without a link."""
+        self.answered = 0
+        self.is_over = asyncio.Event()
+
+    def take(self, link: IncomingLink, message: messages.Submit) -> None:
+        """Answer a request."""
+        if not self.answered:
+            link.on_closed.append(lambda _: self.is_over.set())
+        self.answered += 1
+        link.send(
+            messages.SubmitAnswer(
+                number=message.number,
+                kind='',
+                detail='',
+                status=200,
+                headers=HEADERS,
+                body=BODY,
+            ),
+        )
 
 
 async def serve(address: str) -> None:
-    """Answer until the process is ended."""
-    async with LinkServer(address, SERVER, answer_to):
-        await asyncio.sleep(60)
+    """Answer one asker and print what it cost."""
+    answerer = Answerer()
+    async with LinkServer(address, SERVER, answerer.take):
+        busy = time.process_time()
+        await answerer.is_over.wait()
+        busy = time.process_time() - busy
+    answerer_us = busy * 1e6 / answerer.answered
+    print(f'link_request_answerer_us={answerer_us:.1f}')
 
 
 async def ask(address: str) -> None:
@@ -89,4 +115,4 @@
 
 
 if __name__ == '__main__':
-    uvloop.run({'serve': serve, 'ask': ask}[sys.argv[1]](sys.argv[2]))
+    asyncio.run({'serve': serve, 'ask': ask}[sys.argv[1]](sys.argv[2]))
--- a/src/laburnumyard/core/membership/_believing.py
+++ b/src/laburnumyard/core/membership/_believing.py
@@ -62,12 +62,39 @@
     if member.silent_since is None:
         member.silent_since = state.now
     if not member.is_rumoured and member.identity.incarnation != UNHEARD:
-        member.is_rumoured = True
-        state.rumours.add(member.identity.daemon)
+        _start_rumour(state, member)
     settle(state, member)
     member.probe_at = state.now + member.probe_pause_s
-    pause = 2 * member.probe_pause_s
-    member.probe_pause_s = min(pause, state.settings.probe_backoff_s)
+    member.probe_pause_s = _next_probe_pause(state, member)
+
+
+def _next_probe_pause(state: TableState, member: Member) -> float:
+    """Return the next pause between probes, in seconds.
+
+    A member that only this daemon suspects is most likely alive, so the pause
+    does not grow.
+    """
+    settings = state.settings
+    if not member.is_rumoured:
+        return settings.probe_first_s
+    return min(2 * member.probe_pause_s, settings.probe_backoff_s)
+
+
+def _start_rumour(state: TableState, member: Member) -> None:
+    """Tell others of a suspicion, but ever more seldom if it is refuted.
+
+    A member that only this daemon fails to reach refutes each rumour; without
+    the pause the two would never come to rest.
+    """
+    if state.now < member.rumour_at:
+        return
+    settings = state.settings
+    pause = max(member.rumour_pause_s, settings.rumour_pause_s)
+    member.rumour_at = state.now + pause
+    member.rumour_pause_s = min(2 * pause, settings.rumour_pause_max_s)
+    member.is_rumoured = True
+    state.rumours.add(member.identity.daemon)
+    tell(state, member.identity.daemon, member)
 
 
 def hear(
@@ -92,6 +119,7 @@
     if incarnation > member.identity.incarnation:
         member.restart(replace(member.identity, incarnation=incarnation))
         state.directory.note_change()
+        introduce(state, daemon)
     member.heard_at = state.now
     if member.state is not MemberState.LIVE:
         recover(state, member)
@@ -113,6 +141,15 @@
     state.effects.append(Send(daemon, news))
 
 
+def introduce(state: TableState, daemon: DaemonName) -> None:
+    """Tell a restarted daemon who found it.
+
+    While the platform's list is down it knows no address of its own.
+    """
+    news = messages.Members(members=(own_news(state),))
+    state.effects.append(Send(daemon, news))
+
+
 def own_news(state: TableState) -> messages.Member:
     """Return what this daemon says of itself."""
     identity = state.myself
@@ -131,6 +168,7 @@
 def refute(state: TableState, refutation: int) -> None:
     """Have everyone told that this daemon is alive after all."""
     state.refutation = max(state.refutation, refutation) + 1
+    state.directory.note_change()
     state.rumours.add(state.myself.daemon)
     log_own(state, Decision.REFUTED)
 
--- a/src/laburnumyard/core/membership/_reacting.py
+++ b/src/laburnumyard/core/membership/_reacting.py
@@ -1,5 +1,6 @@
 """What each event does to the member table."""
 
+from dataclasses import replace
 from functools import singledispatch
 
 from laburnumyard.core.ids import DaemonName, Incarnation
@@ -9,18 +10,16 @@
     add_member,
     hear,
     log_own,
-    refute,
     settle,
     suspect,
 )
 from laburnumyard.core.membership._effects import Decision, Probe
 from laburnumyard.core.membership._member import (
+    UNHEARD,
     Member,
     MemberState,
-    identity_in,
-    merge,
-    take_beliefs,
 )
+from laburnumyard.core.membership._news import take_news
 from laburnumyard.core.membership._state import TableState
 from laburnumyard.core.membership._syncing import (
     answer_digests,
@@ -28,7 +27,6 @@
     own_digest,
 )
 from laburnumyard.core.membership._ticking import MS_PER_S, tick
-from laburnumyard.schema._generated import messages
 
 
 @singledispatch
@@ -44,13 +42,19 @@
 
 @react.register
 def _(event: inputs.VmListRead, state: TableState) -> None:
+    if not state.directory.is_listed:
+        state.directory.is_listed = True
+        state.directory.note_change()
     listed = {vm.identity.daemon: vm for vm in event.vms}
     listed.pop(state.myself.daemon, None)
     for daemon, member in state.members.items():
         member.is_listed = daemon in listed
     for daemon, vm in listed.items():
         found = state.members.get(daemon)
-        _take_listing(state, found or add_member(state, vm.identity), vm)
+        if found is None:
+            unheard = replace(vm.identity, incarnation=UNHEARD)
+            found = add_member(state, unheard)
+        _take_listing(state, found, vm)
 
 
 def _take_listing(
@@ -69,6 +73,9 @@
 
 @react.register
 def _(event: inputs.VmListUnavailable, state: TableState) -> None:
+    if not state.directory.is_listed:
+        state.directory.is_listed = True
+        state.directory.note_change()
     state.schedule.vm_list = state.now + state.settings.vm_list_interval_s
 
 
@@ -84,7 +91,8 @@
         state.rumours.add(daemon)
         settle(state, member)
     elif heartbeat.interval_ms and not heartbeat.leaving:
-        interval = heartbeat.interval_ms / MS_PER_S
+        promised = heartbeat.interval_ms / MS_PER_S
+        interval = max(promised, state.settings.deputy_interval_s)
         state.watches.hear(daemon, interval, state.now)
     if heartbeat.digest != own_digest(state):
         compare_with(state, daemon)
@@ -100,8 +108,11 @@
 @react.register
 def _(event: events.ProbeFailed, state: TableState) -> None:
     member = state.members.get(event.daemon)
-    if member is not None:
-        suspect(state, member)
+    if member is None:
+        return
+    if member.state is MemberState.LIVE:
+        state.schedule.scan = state.now
+    suspect(state, member)
 
 
 @react.register
@@ -120,56 +131,6 @@
         state.schedule.sync_pause_s = 0
 
 
-def take_news(state: TableState, news: messages.Member) -> bool:
-    """Take news of one member and tell whether it was new."""
-    if news.daemon == state.myself.daemon:
-        _take_own_news(state, news)
-        return False
-    member = state.members.get(DaemonName(news.daemon))
-    if member is None:
-        member = add_member(state, identity_in(news))
-        take_beliefs(member, news)
-        settle(state, member)
-        return True
-    if _is_refuted_here(state, member, news) or not merge(member, news):
-        return False
-    settle(state, member)
-    return True
-
-
-def _is_refuted_here(
-    state: TableState,
-    member: Member,
-    news: messages.Member,
-) -> bool:
-    """Tell whether a suspicion contradicts what was heard directly."""
-    is_mere_suspicion = (
-        news.suspected
-        and not news.leaving
-        and news.incarnation == member.identity.incarnation
-    )
-    if not is_mere_suspicion or member.heard_at is None:
-        return False
-    if member.silent_since is not None:
-        return False
-    settings = state.settings
-    window = settings.misses_to_suspect * settings.watcher_interval_s
-    return state.now - member.heard_at < window
-
-
-def _take_own_news(state: TableState, news: messages.Member) -> None:
-    own = state.myself.incarnation
-    if news.incarnation > own:
-        if not state.is_superseded:
-            state.is_superseded = True
-            state.directory.is_leaving = True
-            state.directory.note_change()
-            log_own(state, Decision.SUPERSEDED)
-    elif news.incarnation == own and news.suspected:
-        if news.refutation >= state.refutation:
-            refute(state, news.refutation)
-
-
 @react.register
 def _(event: events.DigestsHeard, state: TableState) -> None:
     state.heard_anyone_at = state.now
--- a/src/laburnumyard/core/membership/_settings.py
+++ b/src/laburnumyard/core/membership/_settings.py
@@ -14,6 +14,8 @@
         lease managers, in seconds.
     watcher_interval_s
         The interval between heartbeats to the watchers, in seconds.
+    members_limit
+        How many members gossip can add.
     watchers_near
         How many watchers a daemon has in its own region. In every other
         region it has one.
@@ -25,10 +27,18 @@
         How many members get each batch of news.
     gossip_rounds
         How often this daemon sends each piece of news.
+    tellers
+        How many daemons tell a suspected member what is said of it, in the
+        mean, with each round of gossip.
     gossip_interval_s
         The least time between two batches of news, in seconds.
     gossip_members
         How many members one batch holds at most.
+    rumour_pause_s
+        The pause before this daemon suspects the same member aloud again, in
+        seconds; it doubles each time.
+    rumour_pause_max_s
+        The longest such pause, in seconds.
     hearsay_probe_s
         The wait before a member that others suspect is probed, in seconds.
     probe_backoff_s
@@ -37,6 +47,9 @@
         The pause before the first probe of a suspected member, in seconds.
     probe_interval_s
         The least time between probes of suspected members, in seconds.
+    scan_interval_s
+        The interval between probes of live members drawn at random, in
+        seconds. A failed one is followed by the next at once.
     sync_interval_s
         The least time between two comparisons of member tables, in seconds.
     sync_backoff_s
@@ -63,17 +76,22 @@
 
     deputy_interval_s: float = 0.2
     watcher_interval_s: float = 1.0
+    members_limit: int = 4096
     watchers_near: int = 2
     misses_to_probe: float = 2.0
     misses_to_suspect: float = 3.0
     gossip_fanout: int = 3
-    gossip_rounds: int = 3
+    gossip_rounds: int = 2
+    tellers: float = 2.0
     gossip_interval_s: float = 0.1
     gossip_members: int = 24
+    rumour_pause_s: float = 30.0
+    rumour_pause_max_s: float = 960.0
     hearsay_probe_s: float = 5.0
     probe_backoff_s: float = 60.0
-    probe_first_s: float = 1.0
+    probe_first_s: float = 5.0
     probe_interval_s: float = 0.5
+    scan_interval_s: float = 2.0
     sync_interval_s: float = 2.0
     sync_backoff_s: float = 30.0
     cleaning_interval_s: float = 5.0
--- a/src/laburnumyard/core/membership/_ticking.py
+++ b/src/laburnumyard/core/membership/_ticking.py
@@ -1,25 +1,21 @@
 """What is due as time passes."""
 
-from collections.abc import Iterator
-
 from laburnumyard.core.ids import DaemonName
 from laburnumyard.core.membership._believing import (
     change_state,
     log_own,
-    own_news,
     suspect,
 )
 from laburnumyard.core.membership._effects import (
     Decision,
     Probe,
     ReadVmList,
-    Send,
     SendHeartbeat,
 )
+from laburnumyard.core.membership._gossiping import candidates, gossip
 from laburnumyard.core.membership._member import (
     Member,
     MemberState,
-    news_about,
 )
 from laburnumyard.core.membership._roles import watchers_of
 from laburnumyard.core.membership._settings import VM_ENTRY_BYTES
@@ -39,7 +35,8 @@
     _send_heartbeats(state)
     _check_watched(state)
     _probe_suspect(state)
-    _gossip(state)
+    _scan(state)
+    gossip(state)
     _clean(state)
 
 
@@ -56,6 +53,7 @@
     state.is_stale = True
     state.watches.restart(state.now)
     state.refutation += 1
+    state.directory.note_change()
     state.rumours.add(state.myself.daemon)
     state.schedule.sync = state.now
     log_own(state, Decision.WOKE)
@@ -160,45 +158,23 @@
         state.effects.append(Probe(chosen.identity.daemon))
 
 
-def _probe_time(member: Member) -> float:
-    return member.probe_at
-
+def _scan(state: TableState) -> None:
+    """Probe any live member now and then.
 
-def _gossip(state: TableState) -> None:
-    batch = state.rumours.take(state.now)
-    if not batch:
+    This finds losses that nobody has told of, as when a member is lost
+    together with all of its watchers.
+    """
+    if state.now < state.schedule.scan:
         return
-    gossip = messages.Gossip(members=tuple(_news_of(state, batch)))
-    for daemon in sorted(state.rumours.choose(_candidates(state))):
-        state.effects.append(Send(daemon, gossip))
-
+    state.schedule.scan = state.now + state.settings.scan_interval_s
+    live = candidates(state)
+    if live:
+        drawn = live[int(state.draw() * len(live))]
+        state.effects.append(Probe(drawn))
 
-def _candidates(state: TableState) -> tuple[DaemonName, ...]:
-    """Return whom to tell: the live members, or anyone known if none is."""
-    return state.directory.recall(
-        'candidates',
-        lambda: _live_others(state) or tuple(state.members),
-    )
 
-
-def _live_others(state: TableState) -> tuple[DaemonName, ...]:
-    return tuple(
-        daemon
-        for daemon, member in state.members.items()
-        if member.state is MemberState.LIVE
-    )
-
-
-def _news_of(
-    state: TableState,
-    batch: tuple[DaemonName, ...],
-) -> Iterator[messages.Member]:
-    for daemon in batch:
-        member = state.members.get(daemon)
-        if daemon == state.myself.daemon:
-            yield own_news(state)
-        elif member is not None:
-            yield news_about(member)
+def _probe_time(member: Member) -> float:
+    return member.probe_at
 
 
 def _clean(state: TableState) -> None:
--- a/src/laburnumyard/core/ownership/_head.py
+++ b/src/laburnumyard/core/ownership/_head.py
@@ -26,6 +26,7 @@
 
 MAX_COUNTER = 9_223_372_036_854_775_807
 MAX_NAME_LENGTH = 256
+MAX_CHUNKS = 4096
 _STRICT = ConfigDict(extra='forbid', strict=True)
 
 _COUNTER = Field(ge=0, le=MAX_COUNTER)
@@ -79,13 +80,18 @@
         Targets that take no further ranges: lost or draining ones.
     guards
         The daemon that holds the grants of each target without fencing.
+    draining
+        Targets that somebody has said to be leaving; kept here so that the
+        word outlives the daemon that heard it.
+    settling
+        Targets at which work that a former guard sent may still be running.
     """
 
     __pydantic_config__ = _STRICT
 
     version: Annotated[Version, _COUNTER]
     change: Annotated[ChangeId, _TEXT]
-    chunks: tuple[_Digest, ...]
+    chunks: Annotated[tuple[_Digest, ...], Field(max_length=MAX_CHUNKS)]
     scopes: Mapping[
         Annotated[DataCentre, _TEXT],
         Scope,
@@ -99,6 +105,8 @@
         Annotated[TargetName, _TEXT],
         Annotated[DaemonName, _TEXT],
     ] = field(default_factory=dict)
+    draining: tuple[Annotated[TargetName, _TEXT], ...] = ()
+    settling: tuple[Annotated[TargetName, _TEXT], ...] = ()
 
     @property
     def highest_term(self) -> Term:
@@ -107,6 +115,31 @@
         return max(terms, default=Term(0))
 
 
+def needs_manager(
+    scope: Scope | None,
+    live: Mapping[DaemonName, Incarnation],
+) -> bool:
+    """Tell whether a scope has no manager that runs.
+
+    Parameters
+    ----------
+    scope
+        The scope's entry in the head; ``None`` if it has none.
+    live
+        The newest known incarnation of each daemon that is thought to run. A
+        daemon that has been restarted manages nothing of what its earlier
+        process did; an older incarnation than the manager's says nothing.
+
+    Returns
+    -------
+    bool
+        Whether the daemon that comes first in order should take over.
+    """
+    if scope is None or scope.manager not in live:
+        return True
+    return live[scope.manager] > scope.incarnation
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """One state of a service's assignment in the store.
--- a/src/laburnumyard/core/ownership/_manager.py
+++ b/src/laburnumyard/core/ownership/_manager.py
@@ -16,7 +16,10 @@
     give_up_releases,
     start_releases,
 )
-from laburnumyard.core.ownership._sending import due_messages
+from laburnumyard.core.ownership._sending import (
+    due_messages,
+    last_renewals,
+)
 from laburnumyard.core.ownership._state import (
     ManagerSettings,
     ManagerState,
@@ -62,8 +65,10 @@
             What the daemon must do.
         """
         self._notice_sleep(now)
+        self.state.is_settled = False
         effects = take_event(event, self.state, now)
-        effects.extend(self._advance(now))
+        if not self.state.is_settled:
+            effects.extend(self._advance(now))
         return effects
 
     @property
@@ -71,10 +76,20 @@
         """Whether the manager manages nothing; its daemon may stop."""
         return self.state.authority.phase is Phase.IDLE
 
+    @property
+    def may_take_over(self) -> bool:
+        """Whether ``TakeOver`` would do anything now."""
+        return self.state.authority.phase in {Phase.IDLE, Phase.RETIRING}
+
     def wake_at(self, now: Seconds) -> Seconds:
         """Return when the next ``Tick`` is due, in seconds."""
         state = self.state
-        times = [Seconds(now + state.settings.timing.renew_interval_s)]
+        reading = state.reading
+        times = [
+            Seconds(now + state.settings.timing.renew_interval_s),
+            reading.retry_at,
+            reading.regular_at,
+        ]
         for lease in state.leases.values():
             times.extend((lease.send_at, lease.expires_by))
         return min(moment for moment in times if moment > now)
@@ -98,6 +113,8 @@
             effects.extend(self._offer(now))
         if self.state.authority.phase is Phase.TAKING:
             effects.extend(self._take(now))
+        if self.state.authority.phase is Phase.RETIRING:
+            effects.extend(last_renewals(self.state, now))
         effects.extend(due_reading(self.state, now))
         return effects
 
--- a/src/laburnumyard/core/ownership/_noting.py
+++ b/src/laburnumyard/core/ownership/_noting.py
@@ -6,10 +6,16 @@
 from laburnumyard.core.ownership import _wishes as wishes
 from laburnumyard.core.ownership._lease import NEVER
 from laburnumyard.core.ownership._settling import sync_leases
-from laburnumyard.core.ownership._state import ManagerState, Phase
+from laburnumyard.core.ownership._state import (
+    ManagerState,
+    Phase,
+    WantedMove,
+)
 
 # More wishes than this are dropped; the planner asks again.
 MAX_WISHES = 64
+# How long a wish for a move waits, for example for the store.
+MOVE_WISH_LIFE = 3.0
 
 
 @singledispatch
@@ -26,8 +32,10 @@
 ) -> None:
     if event.draining:
         state.draining.add(event.target)
+        state.staying.discard(event.target)
     else:
         state.draining.discard(event.target)
+        state.staying.add(event.target)
 
 
 @note.register
@@ -70,8 +78,10 @@
     state: ManagerState,
     now: Seconds,
 ) -> None:
-    if len(state.moves) < MAX_WISHES:
-        state.moves[event.part] = event.to
+    is_holding = state.authority.phase is Phase.HOLDING
+    if is_holding and len(state.moves) < MAX_WISHES:
+        drop_at = Seconds(now + MOVE_WISH_LIFE)
+        state.moves[event.part] = WantedMove(event.to, drop_at)
 
 
 @note.register
@@ -91,5 +101,6 @@
     now: Seconds,
 ) -> None:
     state.plan = event.plan
+    state.may_be_misplaced = True
     if state.authority.phase is Phase.HOLDING:
         sync_leases(state, now)
--- a/src/laburnumyard/core/ownership/_releasing.py
+++ b/src/laburnumyard/core/ownership/_releasing.py
@@ -10,7 +10,7 @@
     available_targets,
     leaving_targets,
 )
-from laburnumyard.core.ownership._planner import destinations
+from laburnumyard.core.ownership._planner import destinations, may_own
 from laburnumyard.core.ownership._ranges import within
 from laburnumyard.core.ownership._state import ManagerState
 
@@ -41,12 +41,19 @@
 
 
 def give_up_releases(state: ManagerState, now: Seconds) -> None:
-    """Let targets keep ranges whose work in flight takes too long."""
+    """Let targets keep ranges whose work in flight takes too long.
+
+    A release that is to go on to its end is given up only if its target no
+    longer leaves.
+    """
+    leaving = leaving_targets(state)
     for lease in state.leases.values():
         release = lease.release
-        if release is None or release.final:
+        if release is None:
             continue
-        if now >= release.since + RELEASE_PATIENCE:
+        is_wanted = release.final and lease.name in leaving
+        is_early = now < release.since + RELEASE_PATIENCE
+        if not is_wanted and (release.final or not is_early):
             lease.release = None
             lease.passed_over |= set(release.parts)
 
@@ -55,6 +62,9 @@
     """Start the next release of each target that has none under way."""
     if state.snapshot is None:
         return
+    state.moves = {
+        part: move for part, move in state.moves.items() if now < move.drop_at
+    }
     leaving = leaving_targets(state)
     withdrawn = state.snapshot.head.withdrawn
     available = available_targets(state, now, withdrawn)
@@ -66,6 +76,8 @@
         else:
             lease.drain_since = None
             _start_move(state, lease, available, now)
+    if state.may_be_misplaced:
+        _start_misplaced(state, available, now)
 
 
 def end_releases(state: ManagerState) -> None:
@@ -130,9 +142,29 @@
     ]
     moves = {part: state.moves.pop(part) for part in mine}
     usable = set(available) - {lease.name}
-    wanted = {to_move: to for to_move, to in moves.items() if to in usable}
-    if wanted:
-        lease.release = Release(wanted, now)
+    parts = {part: move.to for part, move in moves.items() if move.to in usable}
+    if parts:
+        lease.release = Release(parts, now)
+
+
+def _start_misplaced(
+    state: ManagerState,
+    available: Collection[TargetName],
+    now: Seconds,
+) -> None:
+    state.may_be_misplaced = False
+    for lease in state.leases.values():
+        parts = [
+            part
+            for part in state.owned_by(lease.name)
+            if not may_own(state.plan, lease.name, part)
+        ]
+        state.may_be_misplaced |= bool(parts)
+        chosen = _placeable(state, parts, available)
+        is_held = lease.sealed and not lease.is_lost(now)
+        if chosen and is_held and _can_release(state, lease, now):
+            part = min(chosen)
+            lease.release = Release({part: chosen[part]}, now)
 
 
 def _can_release(
@@ -143,6 +175,8 @@
     # A release whose swap meets a store that is down leaves keys without an
     # owner until the store is back, so the store must have answered just now.
     is_free = lease.release is None and lease.holding.is_acknowledged
+    if now < lease.work_until:
+        return False
     return is_free and now < state.authority.contact + FRESH_CONTACT
 
 
@@ -163,7 +197,7 @@
 
 def wants_release(state: ManagerState) -> bool:
     """Tell whether a release waits for a fresh contact to the store."""
-    if state.moves:
+    if state.moves or state.may_be_misplaced:
         return True
     leases = [state.leases[name] for name in leaving_targets(state)]
     return any(
--- a/src/laburnumyard/core/ownership/_state.py
+++ b/src/laburnumyard/core/ownership/_state.py
@@ -23,6 +23,7 @@
 from laburnumyard.schema._generated.settings import TimingSettings
 
 NO_TERM = Term(0)
+FIRST_RETRY_INTERVAL = 0.2
 
 
 class Phase(Enum):
@@ -34,8 +35,12 @@
     TAKING = 'taking'
     # It grants and renews.
     HOLDING = 'holding'
-    # A target has seen a higher term; it is silent until it has read the head.
-    DOUBTING = 'doubting'
+    # A higher term exists. It renews where that has not been seen yet, and
+    # neither grants nor moves anything.
+    RETIRING = 'retiring'
+
+
+ACTIVE_PHASES = (Phase.HOLDING, Phase.RETIRING)
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +111,30 @@
     repeated: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class WantedMove:
+    """A move that the planner has asked for.
+
+    Parameters
+    ----------
+    to
+        The new owner.
+    drop_at
+        When the wish is too old to be followed, in seconds.
+    """
+
+    to: TargetName
+    drop_at: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class ConformedTo:
+    """What the assignment was last compared with the configuration at."""
+
+    version: Version
+    plan: ServicePlan
+
+
 @dataclass(slots=True)
 class Authority:
     """What entitles a manager to act.
@@ -153,6 +182,8 @@
         When the next regular one is due.
     retry_at
         When an urgent one may be made.
+    retry_interval
+        How long the next failure delays the next read, in seconds.
     is_stale
         Whether the store has a newer head than the known one, or may have.
     is_absent
@@ -165,6 +196,7 @@
     asked: bool = False
     regular_at: Seconds = NEVER
     retry_at: Seconds = NEVER
+    retry_interval: float = FIRST_RETRY_INTERVAL
     is_stale: bool = False
     is_absent: bool = False
     awake_at: Seconds | None = None
@@ -186,16 +218,26 @@
         Its ranges by target.
     change
         The swap that is not settled.
+    change_count, call_count
+        How many changes and messages it has made; they number the next.
     leases
         The targets of the scope, while it holds the term.
     draining
         Targets that said, or are said by the platform, to leave.
+    staying
+        Targets that are said to leave no longer.
     down
         Guarded targets that their guard cannot reach.
     guards
         The daemons that may guard each target.
     moves
         Moves that the planner has asked for.
+    conformed
+        The state at which the assignment last agreed with the plan.
+    may_be_misplaced
+        Whether a target may own ranges against the configuration.
+    is_settled
+        Whether the last event left nothing to look at before the next tick.
     merges
         Spans whose ranges the planner wants to be one.
     """
@@ -210,13 +252,18 @@
     )
     change: Change | None = None
     change_count: int = 0
+    call_count: int = 0
     leases: dict[TargetName, TargetLease] = field(default_factory=dict)
     draining: set[TargetName] = field(default_factory=set)
+    staying: set[TargetName] = field(default_factory=set)
     down: set[TargetName] = field(default_factory=set)
     guards: dict[TargetName, tuple[DaemonName, ...]] = field(
         default_factory=dict,
     )
-    moves: dict[HashRange, TargetName] = field(default_factory=dict)
+    moves: dict[HashRange, WantedMove] = field(default_factory=dict)
+    conformed: ConformedTo | None = None
+    may_be_misplaced: bool = True
+    is_settled: bool = False
     merges: list[HashRange] = field(default_factory=list)
 
     @property
@@ -240,7 +287,7 @@
         authority = self.authority
         hold = self.settings.timing.outage_hold_s
         return (
-            authority.phase is Phase.HOLDING
+            authority.phase in ACTIVE_PHASES
             and self.reading.awake_at is None
             and now < authority.contact + hold
         )
--- a/src/laburnumyard/core/requests/_target_queue.py
+++ b/src/laburnumyard/core/requests/_target_queue.py
@@ -17,7 +17,7 @@
 from laburnumyard.core.requests._events import Drain, Event
 from laburnumyard.core.requests._fairness import Flows, Turn
 from laburnumyard.core.requests._handlers import apply
-from laburnumyard.core.requests._preemption import victims
+from laburnumyard.core.requests._preemption import next_straggler, victims
 from laburnumyard.core.requests._settings import QueueSettings
 from laburnumyard.core.requests._throttle import Throttle
 
@@ -95,7 +95,8 @@
         apply(event, self, now)
         self._expire(now)
         self._dispatch(now)
-        self._arm(now)
+        self.deadlines.compact(len(self.entries))
+        self._wake_at(self.deadlines.next_due())
         return self.effects
 
     def refuse(self, entry: Entry, failure: Failure) -> None:
@@ -109,6 +110,12 @@
         self.drop(entry)
         self.effects.append(Refuse(entry.request.request_id, failure))
 
+    def restore(self, entry: Entry) -> None:
+        """Let a preempted request wait again, unless the target leaves."""
+        self.flows.restore(entry)
+        if self.draining is not None and not self.draining.serve_waiting:
+            self.refuse(entry, Failure(self.draining.kind))
+
     def drop(self, entry: Entry) -> None:
         """Forget a waiting request."""
         self.flows.remove(entry, State.DONE)
@@ -126,7 +133,7 @@
             return Seconds(0)
         flow = entry.flow
         if flow.is_within_share(now):
-            ahead = self.flows.entitled_waiting(now)
+            ahead = self.flows.entitled_waiting(now, is_long_allowed=True)
         else:
             turns = (flow.waiting + 1) * len(self.flows.active)
             ahead = min(self.flows.waiting, turns)
@@ -153,7 +160,9 @@
                 break
             self._start(turn, now)
         if limit and self.flows.waiting:
-            self._reclaim(now)
+            self._reclaim(limit, now)
+        elif self.entries and now < self.throttle.paused_until:
+            self._wake_at(self.throttle.paused_until)
 
     def _start(self, turn: Turn, now: Seconds) -> None:
         entry = turn.entry
@@ -171,19 +180,19 @@
         longs = sum(entry.is_long for entry in self.running.values())
         return longs < max(limit - 1, 1)
 
-    def _reclaim(self, now: Seconds) -> None:
-        wanted = self.flows.entitled_waiting(now)
+    def _reclaim(self, limit: int, now: Seconds) -> None:
+        is_long_allowed = self._is_long_allowed(limit)
+        wanted = self.flows.entitled_waiting(now, is_long_allowed)
         if not wanted:
             return
-        for entry in victims(self.running.values(), wanted, self.times, now):
+        running = self.running.values()
+        for entry in victims(running, wanted, self.times, now):
             entry.state = State.PREEMPTING
             entry.preemptions += 1
             self.effects.append(Preempt(entry.request.request_id))
+        self._wake_at(next_straggler(running, self.times, now))
 
-    def _arm(self, now: Seconds) -> None:
-        due = self.deadlines.next_due()
-        if self.flows.waiting and now < self.throttle.paused_until:
-            due = min(due, self.throttle.paused_until)
+    def _wake_at(self, due: Seconds | None) -> None:
         if due is not None and (self.armed is None or due < self.armed):
             self.armed = due
             self.effects.append(WakeAt(due))
--- a/src/laburnumyard/daemon/_deaths.py
+++ b/src/laburnumyard/daemon/_deaths.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import anyio
 from anyio.abc import TaskGroup
 
 from laburnumyard.core.errors import Failure
@@ -23,6 +24,9 @@
 # Connections that end within this time of a death belong to the same death.
 SAME_DEATH_S = 1.0
 PROBE_BYTES = 1024
+# The pauses before each probe. The kernel of a dead process closes its
+# connections and its listener one by one, so that one probe proves no life.
+PROBE_PAUSES_S = (0, 0.01, 0.03)
 
 
 def fingerprint(job: Job) -> Fingerprint:
@@ -67,11 +71,7 @@
         self.tasks.start_soon(self._probe, target, fingerprint(job))
 
     async def _probe(self, target: Target, suspect: Fingerprint) -> None:
-        opened = await TargetConnection.open(
-            target.address, PROBE_BYTES, CONNECT_TIMEOUT_S
-        )
-        if opened.is_ok():
-            opened.ok.close()
+        if not await _has_died(target):
             return
         now = boot_time()
         name = TargetName(target.name)
@@ -93,3 +93,15 @@
             known = (DeathId(f'{target}/{draw_token()}'), now)
             self.deaths[target] = known
         return known[0]
+
+
+async def _has_died(target: Target) -> bool:
+    for pause in PROBE_PAUSES_S:
+        await anyio.sleep(pause)
+        opened = await TargetConnection.open(
+            target.address, PROBE_BYTES, CONNECT_TIMEOUT_S
+        )
+        if opened.is_error():
+            return True
+        opened.ok.close()
+    return False
--- a/src/laburnumyard/daemon/_inbox.py
+++ b/src/laburnumyard/daemon/_inbox.py
@@ -1,20 +1,24 @@
 """Hands the messages of other daemons to whom they concern."""
 
 from collections.abc import Awaitable
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from laburnumyard.core import dissemination, membership
 from laburnumyard.core.ids import DaemonName
+from laburnumyard.daemon._balance import BalanceRunner
 from laburnumyard.daemon._documents import DocumentsRunner
 from laburnumyard.daemon._guards import Guards
 from laburnumyard.daemon._log import Event, log_event
 from laburnumyard.daemon._members import MembersRunner
 from laburnumyard.daemon._ownership import OwnershipRunner
 from laburnumyard.daemon._submits import SubmitReceiver
+from laburnumyard.daemon._wishes import Wishes
 from laburnumyard.schema._generated import messages
 from laburnumyard.wire import IncomingLink
 
 
+@dataclass(slots=True)
 class Inbox:
     """Takes every message that comes on a link.
 
@@ -26,22 +30,19 @@
         The grants that this daemon guards.
     submits
         Runs requests that other daemons pass on.
+    wishes
+        Heeds operators' orders and news of suspects.
+    balance
+        Plans for services by the load that dispatchers report.
     """
 
-    def __init__(
-        self,
-        members: MembersRunner,
-        documents: DocumentsRunner,
-        ownership: OwnershipRunner,
-        guards: Guards,
-        submits: SubmitReceiver,
-    ) -> None:
-        """Keep whom messages concern."""
-        self.members = members
-        self.documents = documents
-        self.ownership = ownership
-        self.guards = guards
-        self.submits = submits
+    members: MembersRunner
+    documents: DocumentsRunner
+    ownership: OwnershipRunner
+    guards: Guards
+    submits: SubmitReceiver
+    wishes: Wishes
+    balance: BalanceRunner
 
     def take(
         self,
@@ -140,6 +141,35 @@
     ) -> None:
         self.ownership.take_over(message)
 
+    @route.register(messages.MoveRange)
+    @route.register(messages.MergeRanges)
+    def _ranges(
+        self,
+        message: messages.MoveRange | messages.MergeRanges,
+        link: IncomingLink,
+    ) -> None:
+        self.wishes.take(message)
+
+    @route.register
+    def _load(self, message: messages.LoadReport, link: IncomingLink) -> None:
+        self.balance.take_report(message)
+
+    @route.register
+    def _drain(
+        self,
+        message: messages.DrainTarget,
+        link: IncomingLink,
+    ) -> None:
+        self.wishes.take_drain(message)
+
+    @route.register
+    def _suspects(
+        self,
+        message: messages.Suspects,
+        link: IncomingLink,
+    ) -> None:
+        self.wishes.take_suspects(message)
+
     @route.register(messages.GuardSeal)
     @route.register(messages.GuardGrant)
     def _guard(
--- a/src/laburnumyard/daemon/_node.py
+++ b/src/laburnumyard/daemon/_node.py
@@ -3,18 +3,19 @@
 from anyio.abc import TaskGroup
 
 from laburnumyard.core import membership, requests
-from laburnumyard.core.ids import DaemonName, DataCentre, Region, ServiceName
+from laburnumyard.core.ids import ServiceName
 from laburnumyard.core.ownership import Snapshot
+from laburnumyard.daemon._balance import BalanceRunner
 from laburnumyard.daemon._clock import (
     boot_time,
     draw_fraction,
-    new_incarnation,
 )
 from laburnumyard.daemon._deaths import DeathWatch
 from laburnumyard.daemon._documents import DocumentsRunner
 from laburnumyard.daemon._entry import EntryApp
 from laburnumyard.daemon._guards import Guards
 from laburnumyard.daemon._inbox import Inbox
+from laburnumyard.daemon._load_meter import LoadMeter
 from laburnumyard.daemon._members import MembersRunner
 from laburnumyard.daemon._metrics import Metrics
 from laburnumyard.daemon._ownership import OwnershipRunner
@@ -23,7 +24,8 @@
 from laburnumyard.daemon._submits import SubmitReceiver, SubmitSender
 from laburnumyard.daemon._targets import Targets
 from laburnumyard.daemon._tickets import TicketOffice
-from laburnumyard.daemon._view import View
+from laburnumyard.daemon._view import make_view
+from laburnumyard.daemon._wishes import Wishes
 from laburnumyard.platform import StoreClient, VmList
 from laburnumyard.schema._generated.messages import Hello
 from laburnumyard.schema._generated.settings import Settings
@@ -50,12 +52,20 @@
         self.build_links()
         self.build_requests()
         self.build_control()
+        self.wishes = Wishes(
+            self.view, self.ownership, self.quarantine, self.pool
+        )
+        self.balance = BalanceRunner(
+            self.view, self.meter, self.ownership, self.wishes, self.pool
+        )
         self.inbox = Inbox(
             self.members,
             self.documents,
             self.ownership,
             self.guards,
             SubmitReceiver(self.targets.run_here, self.office.submit_here),
+            self.wishes,
+            self.balance,
         )
 
     def build_links(self) -> None:
@@ -65,6 +75,8 @@
             settings.daemon.name,
             self.view.incarnation,
             settings.daemon.data_centre,
+            settings.daemon.region,
+            settings.listen.peers,
         )
         links = LinkSettings(body_bytes=settings.limits.body_bytes)
         self.pool = LinkPool(hello, links, draw_fraction)
@@ -72,17 +84,24 @@
             settings.listen.peers,
             hello,
             lambda link, message: self.inbox.take(link, message),
-            settings=links,
+            lambda hello: self.members.meet(hello),
+            links,
         )
         self.store = StoreClient(settings.store, boot_time, draw_fraction)
 
     def build_requests(self) -> None:
         """Build what serves requests."""
         quarantine = requests.Quarantine()
-        deaths = DeathWatch(quarantine, lambda suspects: None, self.tasks)
+        deaths = DeathWatch(
+            quarantine,
+            lambda suspects: self.wishes.tell_suspects(suspects),
+            self.tasks,
+        )
+        self.quarantine = quarantine
         sender = SubmitSender(self.view, self.pool)
         self.guards = Guards(self.view)
-        self.targets = Targets(self.view, self.guards, deaths)
+        self.meter = LoadMeter()
+        self.targets = Targets(self.view, self.guards, deaths, self.meter)
         self.router = Router(
             self.view,
             self.targets.run_here,
@@ -159,19 +178,3 @@
         if configuration is None or self.view.is_draining:
             return False
         return set(configuration.services) <= set(self.view.tables)
-
-
-def make_view(settings: Settings) -> View:
-    """Return the view of a daemon that knows nothing yet."""
-    incarnation = new_incarnation()
-    place = settings.daemon
-    identity = membership.Identity(
-        DaemonName(place.name),
-        DataCentre(place.data_centre),
-        Region(place.region),
-        settings.listen.peers,
-        incarnation,
-    )
-    intervals = membership.MembershipSettings()
-    table = membership.MemberTable(identity, intervals, draw_fraction)
-    return View(settings, incarnation, table)
--- a/src/laburnumyard/daemon/_ownership.py
+++ b/src/laburnumyard/daemon/_ownership.py
@@ -5,7 +5,13 @@
 from anyio.abc import TaskGroup
 
 from laburnumyard.core import membership, ownership
-from laburnumyard.core.ids import DaemonName, DataCentre, Seconds, ServiceName
+from laburnumyard.core.ids import (
+    DaemonName,
+    DataCentre,
+    Seconds,
+    ServiceName,
+    TargetName,
+)
 from laburnumyard.core.rendezvous import rank
 from laburnumyard.daemon._assignment_store import AssignmentStore
 from laburnumyard.daemon._guards import Guards
@@ -59,10 +65,11 @@
         self.publish = publish
         self.runners: dict[ScopeId, ScopeRunner] = {}
         self.stores: dict[ServiceName, AssignmentStore] = {}
+        self.drained: dict[TargetName, None] = {}
 
     def reconfigure(self) -> None:
         """Take a new configuration: new scopes start, all learn the plan."""
-        plans = {name: self._plan(name) for name in self._services()}
+        plans = {name: self.plan(name) for name in self._services()}
         for service, plan in plans.items():
             for scope in _scopes(service, plan):
                 self._take_plan(scope, plan)
@@ -74,8 +81,8 @@
         snapshot: ownership.Snapshot,
     ) -> None:
         """Tell the managers of a service its newest head."""
-        for runner in self._of_service(service):
-            runner.feed(ownership.HeadRead(snapshot, asked_at=None))
+        news = ownership.HeadRead(snapshot, asked_at=None)
+        self.feed_service(service, news)
         self.assess()
 
     def assess(self) -> None:
@@ -85,7 +92,7 @@
             return
         for scope, runner in self.runners.items():
             self._tell_guards(scope, runner)
-            if runner.manager.is_idle and self._is_due(scope):
+            if runner.manager.may_take_over and self._is_due(scope):
                 runner.feed(ownership.TakeOver())
 
     def held(self) -> tuple[membership.Scope, ...]:
@@ -105,20 +112,42 @@
         if runner is not None and not self.view.is_draining:
             runner.feed(ownership.TakeOver())
 
+    def feed_service(
+        self,
+        service: ServiceName,
+        event: ownership.Event,
+    ) -> None:
+        """Hand an event to every manager of a service."""
+        for runner in self._of_service(service):
+            runner.feed(event)
+
+    def drain(self, target: TargetName, draining: bool) -> None:
+        """Empty a target, or use it again, until this daemon ends."""
+        self.drained.pop(target, None)
+        if draining:
+            self.drained[target] = None
+        event = ownership.TargetDraining(target, draining)
+        for runner in self.runners.values():
+            runner.feed(event)
+
     def leave(self) -> None:
         """Hand every scope over."""
         for runner in self.runners.values():
             runner.feed(ownership.Leave())
 
     @property
-    def is_idle(self) -> bool:
-        """Whether this daemon manages nothing."""
-        return all(each.manager.is_idle for each in self.runners.values())
+    def is_handed_over(self) -> bool:
+        """Whether this daemon manages nothing that another could manage."""
+        return all(
+            runner.manager.is_idle or self._successor(scope) is None
+            for scope, runner in self.runners.items()
+        )
 
     def _services(self) -> tuple[ServiceName, ...]:
         return tuple(self.view.configuration.services)
 
-    def _plan(self, service: ServiceName) -> ownership.ServicePlan:
+    def plan(self, service: ServiceName) -> ownership.ServicePlan:
+        """Return what the configuration says about a service."""
         longest = Seconds(self.view.settings.limits.deadline_max_s)
         objects = self.view.configuration.objects
         return ownership.service_plan(objects, service, longest)
@@ -137,6 +166,8 @@
             return
         runner = self._start(scope, plan)
         self.runners[scope] = runner
+        for target in self.drained:
+            runner.feed(ownership.TargetDraining(target))
         snapshot = self.view.snapshots.get(scope.service)
         if snapshot is not None:
             runner.feed(ownership.HeadRead(snapshot, asked_at=None))
@@ -168,29 +199,25 @@
     def _is_due(self, scope: ScopeId) -> bool:
         """Tell whether this daemon is to take a scope over now."""
         members = self.view.members
-        first = members.manager_of(
-            membership.Scope(scope.service, scope.data_centre)
-        )
-        if first != self.view.name:
+        wanted = membership.Scope(scope.service, scope.data_centre)
+        if members.manager_of(wanted) != self.view.name:
             return False
         snapshot = self.view.snapshots.get(scope.service)
         held = snapshot and snapshot.head.scopes.get(scope.data_centre)
-        if not held:
-            return True
-        if held.manager == self.view.name:
-            return True
-        live = {each.daemon for each in members.live()}
-        return held.manager not in live
+        live = {each.daemon: each.incarnation for each in members.live()}
+        return ownership.needs_manager(held or None, live)
 
     def _offer(self, scope: ScopeId) -> None:
-        wanted = membership.Scope(scope.service, scope.data_centre)
-        successor = self.view.members.manager_of(wanted)
-        if successor is None or successor == self.view.name:
-            return
-        peer = self.view.peer(successor)
+        successor = self._successor(scope)
+        peer = self.view.peer(successor) if successor else None
         if peer is not None:
             self.pool.send(peer, HandOver(scope.service, scope.data_centre))
 
+    def _successor(self, scope: ScopeId) -> DaemonName | None:
+        wanted = membership.Scope(scope.service, scope.data_centre)
+        successor = self.view.members.manager_of(wanted)
+        return None if successor == self.view.name else successor
+
     def _tell_guards(self, scope: ScopeId, runner: ScopeRunner) -> None:
         for target in self.view.configuration.service_targets(scope.service):
             is_here = target.data_centre == scope.data_centre
--- a/src/laburnumyard/daemon/_run.py
+++ b/src/laburnumyard/daemon/_run.py
@@ -62,6 +62,7 @@
         node.entry.watch.run,
         node.members.run,
         node.documents.run,
+        node.balance.run,
     ):
         tasks.start_soon(start)
     return entry_server
@@ -100,6 +101,6 @@
     return (
         node.entry.in_flight == 0
         and node.targets.is_idle
-        and node.ownership.is_idle
+        and node.ownership.is_handed_over
         and node.office.ledger.running == 0
     )
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -21,6 +21,9 @@
   daemon @0 :Text;
   incarnation @1 :UInt64;
   dataCentre @2 :Text;
+  # Where the sender itself listens, so that it can be linked back to.
+  region @3 :Text;
+  peerAddress @4 :Text;
 }
 
 # A request on its way from the entry to the dispatcher of its target, or
@@ -111,8 +114,10 @@
 struct DocumentVersion {
   name @0 :Text;
   version @1 :UInt64;
-  # Whether the sender reads the store and had an answer a moment ago.
+  # Whether the store has confirmed the version as its newest of late, and
+  # how long ago; passed on by those who only heard of it.
   confirmed @2 :Bool;
+  confirmedAgeMs @3 :UInt32;
 }
 
 # Asks for one part of the patch from the known version to the newest one.
@@ -223,6 +228,43 @@
   busy @6 :UInt32;
 }
 
+# A proposal of the planner to the lease manager of the ranges' owner.
+struct MergeRanges {
+  service @0 :Text;
+  start @1 :UInt64;
+  last @2 :UInt64;
+}
+
+# An operator's order, or the planner's proposal, to the lease manager of the
+# range's owner.
+struct MoveRange {
+  service @0 :Text;
+  start @1 :UInt64;
+  last @2 :UInt64;
+  target @3 :Text;
+}
+
+# An operator's order to every daemon, whose lease managers heed it.
+struct DrainTarget {
+  target @0 :Text;
+  draining @1 :Bool;
+}
+
+# Requests after which targets died; every daemon merges them.
+struct Suspects {
+  suspects @0 :List(SuspectRequest);
+}
+
+struct SuspectRequest {
+  fingerprint @0 :Data;
+  deaths @1 :List(Death);
+  remainingMs @2 :UInt32;
+}
+
+struct Death {
+  name @0 :Text;
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -245,5 +287,9 @@
     members @17 :Members;
     documentPart @18 :DocumentPart;
     documentPatch @19 :DocumentPatch;
+    moveRange @20 :MoveRange;
+    drainTarget @21 :DrainTarget;
+    suspects @22 :Suspects;
+    mergeRanges @23 :MergeRanges;
   }
 }
--- a/tests/core/ownership/fleet.py
+++ b/tests/core/ownership/fleet.py
@@ -14,17 +14,8 @@
 SERVICE = 'orders'
 
 
-class Target(Node):
-    """A target that checks fencing tokens."""
-
-    def __init__(self, world: World, name: str, data_centre: str) -> None:
-        super().__init__(world, name, data_centre)
-        self.holder = ownership.GrantHolder(self.clock)
-        self.busy = 0
-        self.on_change = _ignore
-
-    def boot(self) -> None:
-        self.holder = ownership.GrantHolder(self.clock)
+class Keeper:
+    """Does what messages of lease managers ask, with a grant holder."""
 
     def serve(self, message) -> ownership.HolderAnswer:
         """Do what a message asks and answer it."""
@@ -62,6 +53,48 @@
         )
 
 
+class Target(Keeper, Node):
+    """A target that checks fencing tokens."""
+
+    def __init__(self, world: World, name: str, place: str, holder) -> None:
+        super().__init__(world, name, place)
+        self.holder_class = holder
+        self.holder = holder(self.clock)
+        self.busy = 0
+        self.on_change = _ignore
+
+    def boot(self) -> None:
+        self.holder = self.holder_class(self.clock)
+
+
+class Guard(Keeper):
+    """The daemon that holds the grants of a target without fencing."""
+
+    def __init__(self, target: Target, daemon) -> None:
+        self.name = target.name
+        self.target = target
+        self.daemon = daemon
+        self.generation = daemon.generation
+        self.holder = ownership.GrantHolder(daemon.clock)
+        self.on_change = target.on_change
+        self.true_time = daemon.true_time
+
+    @property
+    def clock(self) -> float:
+        """The clock of the daemon."""
+        return self.daemon.clock
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the process that began to guard still runs."""
+        return self.generation == self.daemon.generation
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether the guard, or its target, does not run."""
+        return self.daemon.is_paused or self.target.is_paused
+
+
 class Daemon(Node):
     """A daemon that runs lease managers and hears of others by heartbeats."""
 
@@ -73,7 +106,9 @@
 
     def boot(self) -> None:
         self.incarnation += 1
-        self.heard: dict[str, float] = {}
+        self.booted_at = self.clock
+        self.heard: dict[str, tuple[float, int]] = {}
+        self.guards: dict[str, Guard] = {}
         self.snapshot = None
         self.is_leaving = False
         self.managers = {
@@ -93,6 +128,12 @@
             self._tick(place)
         self._beat()
 
+    def guard(self, target: Target) -> Guard:
+        """Guard a target from now on."""
+        if target.name not in self.guards:
+            self.guards[target.name] = Guard(target, self)
+        return self.guards[target.name]
+
     def feed(self, place: str, event) -> None:
         """Give an event to a manager and run its effects."""
         for effect in self.managers[place].handle(event, self.clock):
@@ -100,9 +141,19 @@
 
     def live(self) -> list[str]:
         """The members that were heard lately."""
-        limit = self.clock - TIMING.suspect_after_s
-        heard = [name for name, at in self.heard.items() if at > limit]
-        return heard if self.is_leaving else [*heard, self.name]
+        return list(self.incarnations())
+
+    def incarnations(self) -> dict[str, int]:
+        """The incarnations of the members that were heard lately."""
+        limit = self.clock - self.fleet.timing.suspect_after_s
+        live = {
+            name: incarnation
+            for name, (at, incarnation) in self.heard.items()
+            if at > limit
+        }
+        if not self.is_leaving:
+            live[self.name] = self.incarnation
+        return live
 
     def candidates(self, place: str) -> tuple[str, ...]:
         """The daemons that may manage a scope, the preferred one first."""
@@ -130,10 +181,12 @@
     def _stop_when_idle(self) -> None:
         if all(manager.is_idle for manager in self.managers.values()):
             self.kill()
-        self.later(TIMING.heartbeat_interval_s, self._stop_when_idle)
+        self.later(self.fleet.timing.heartbeat_interval_s, self._stop_when_idle)
 
     def _tick(self, place: str) -> None:
         manager = self.managers[place]
+        if self.fleet.is_guarded:
+            self._name_guards(place)
         if self._should_take_over(place):
             self.feed(place, ownership.TakeOver())
         else:
@@ -144,27 +197,33 @@
     def _beat(self) -> None:
         if not self.is_leaving:
             name, snapshot = self.name, self.snapshot
+            incarnation = self.incarnation
 
             def hear(other):
-                other.heard[name] = other.clock
+                other.heard[name] = (other.clock, incarnation)
                 if snapshot:
                     other.learn(snapshot)
 
             self._tell_others(hear)
-        self.later(TIMING.heartbeat_interval_s, self._beat)
+        self.later(self.fleet.timing.heartbeat_interval_s, self._beat)
+
+    def _name_guards(self, place: str) -> None:
+        homes = self.fleet.homes
+        near = [name for name in self.live() if homes[name] == place]
+        for target in self.fleet.targets_in(place):
+            order = rank(f'guard/{target.name}', near)
+            wish = ownership.GuardCandidates(target.name, order)
+            self.feed(place, wish)
 
     def _should_take_over(self, place: str) -> bool:
+        # A new process has not heard of the others yet.
+        is_new = self.clock < self.booted_at + self.fleet.timing.suspect_after_s
         order = self.candidates(place)
-        if not order or order[0] != self.name:
+        if is_new or not order or order[0] != self.name:
             return False
         scopes = self.snapshot.head.scopes if self.snapshot else {}
         scope = scopes.get(place)
-        if scope is None:
-            return self.clock - self.offset > 1
-        is_self = scope.manager == self.name
-        if is_self:
-            return scope.incarnation != self.incarnation
-        return scope.manager not in self.live()
+        return ownership.needs_manager(scope, self.incarnations())
 
     def _tell_others(self, action) -> None:
         for other in self.fleet.daemons.values():
@@ -213,14 +272,17 @@
     @run.register(ownership.SendGrant)
     @run.register(ownership.SendRenew)
     def _send(self, effect, place: str) -> None:
-        target = self.daemon.fleet.targets[effect.target]
+        fleet = self.daemon.fleet
+        target = fleet.targets[effect.target]
+        node = fleet.daemons[effect.guard] if effect.guard else target
 
         def serve():
-            self._answer(effect, place, target, target.serve(effect))
+            keeper = node.guard(target) if effect.guard else target
+            self._answer(effect, place, node, keeper.serve(effect))
 
-        self.daemon.world.send(self.daemon, target, serve)
+        self.daemon.world.send(self.daemon, node, serve)
 
-    def _answer(self, effect, place: str, target: Target, held) -> None:
+    def _answer(self, effect, place: str, node: Node, held) -> None:
         answer = ownership.TargetAnswer(
             effect.target,
             effect.call,
@@ -229,10 +291,11 @@
             held.sequence,
             held.clock_ms,
             held.ranges,
-            target.busy,
+            self.daemon.fleet.targets[effect.target].busy,
+            effect.guard,
         )
         self.daemon.world.send(
-            target, self.daemon, lambda: self.daemon.feed(place, answer)
+            node, self.daemon, lambda: self.daemon.feed(place, answer)
         )
 
     @run.register
@@ -266,23 +329,27 @@
         self,
         seed: int,
         manager_class=ownership.LeaseManager,
+        holder_class=ownership.GrantHolder,
         timing: TimingSettings = TIMING,
+        target_kind=ownership.FencedTarget,
     ) -> None:
         self.world = World(seed)
         self.manager_class = manager_class
+        self.holder_class = holder_class
         self.timing = timing
+        self.is_guarded = target_kind is ownership.GuardedTarget
         self.store = Store(self.world)
         names = [(f'target-{number}', number % 3) for number in range(6)]
         kinds = {
-            name: ownership.FencedTarget(DATA_CENTRES[place])
-            for name, place in names
+            name: target_kind(DATA_CENTRES[place]) for name, place in names
         }
         key_range = ownership.KeyRangePlan(WHOLE, tuple(kinds))
         self.plan = ownership.ServicePlan(SERVICE, (key_range,), kinds, 2)
         self.targets = {
-            name: Target(self.world, name, kind.data_centre)
+            name: Target(self.world, name, kind.data_centre, holder_class)
             for name, kind in kinds.items()
         }
+        self.owners_by_revision: dict = {}
         self.acknowledged: list = []
         self.log: list = []
         self.homes = {
@@ -300,12 +367,12 @@
     @property
     def owners(self):
         """The ranges of each target that the store holds now."""
-        snapshot = _snapshot(
-            self.store.head,
-            self.store.revision,
-            self.store.chunks,
-        )
-        return ownership.ranges_by_target(snapshot.assignment)
+        store = self.store
+        if store.revision not in self.owners_by_revision:
+            found = _snapshot(store.head, store.revision, store.chunks)
+            owners = ownership.ranges_by_target(found.assignment)
+            self.owners_by_revision[store.revision] = owners
+        return self.owners_by_revision[store.revision]
 
     def manager_of(self, place: str) -> Daemon:
         """The daemon that the store names as the manager of a scope."""
--- a/tests/core/requests/world.py
+++ b/tests/core/requests/world.py
@@ -1,6 +1,6 @@
 """A target, its shell and an observer, all in virtual time."""
 
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from types import MappingProxyType
@@ -15,8 +15,15 @@
 TOKEN = '0' * 64
 
 
-def objects(*, slots=3, queue_limit=64, shares=None, least_share=0, common=()):
-    """Two classes, a deferrable one, and customers with paid shares."""
+def objects(
+    *,
+    slots=3,
+    queue_limit=64,
+    shares=None,
+    least_share=0,
+    paid_class='first',
+):
+    """Three classes, a deferrable one, and customers with paid shares."""
     shares = {'clinic': 0.2} if shares is None else shares
     return Objects.model_validate(
         {
@@ -40,17 +47,21 @@
             'priority_class': [
                 {'name': 'first', 'rank': 0},
                 {'name': 'common', 'rank': 10, 'least_share': least_share},
+                {'name': 'last', 'rank': 15},
                 {'name': 'later', 'rank': 20, 'deferrable': True},
             ],
             'customer': [
-                *(_customer(name, share) for name, share in shares.items()),
                 _customer('reports', 0.1, 'later'),
+                *(
+                    _customer(name, share, paid_class)
+                    for name, share in shares.items()
+                ),
             ],
         }
     )
 
 
-def _customer(name, share, priority_class='first'):
+def _customer(name, share, priority_class):
     paid = {
         'service': SERVICE,
         'priority_class': priority_class,
@@ -85,19 +96,22 @@
     `run_log` is the target's own; `answers` is what callers were told.
     """
 
-    def __init__(self, queue, slots):
+    def __init__(self, queue, slots, cancel_time=0):
         self.queue = queue
         self.now = Seconds(0)
         self.run_log = []
         self.runs = {}
         self.answers = defaultdict(list)
-        self.answered_at = {}
         self.sent_at = defaultdict(list)
         self.plans = {}
         self.requests = {}
         self.gone = set()
         self.wake = None
+        self.inbox = deque()
         self.slots = slots
+        self.cancel_time = cancel_time
+        # Whether the target must not get anything new.
+        self.is_closed = False
 
     def arrive(self, customer, **options):
         """Let a request arrive; gives its id."""
@@ -118,8 +132,14 @@
         return request_id
 
     def feed(self, event):
-        for effect in self.queue.handle(event, self.now):
-            self.carry_out(effect)
+        """Feed an event, then those that its effects bring about."""
+        self.inbox.append(event)
+        if len(self.inbox) > 1:
+            return
+        while self.inbox:
+            for effect in self.queue.handle(self.inbox[0], self.now):
+                self.carry_out(effect)
+            self.inbox.popleft()
 
     def advance(self, seconds):
         """Let time pass; runs end and timers fire in their order."""
@@ -145,13 +165,13 @@
         self.runs.pop(run.request_id)
         if run.outcome is requests.Outcome.ANSWERED:
             self.tell(run.request_id, f'answer to {run.request_id}')
-        else:
-            self.tell(run.request_id, Failure(KINDS[run.outcome]))
+        elif run.outcome is not requests.Outcome.CANCELLED:
+            kind = KINDS[run.outcome]
+            self.tell(run.request_id, Failure(kind))
         self.feed(requests.Finished(run.request_id, run.outcome))
 
     def tell(self, request_id, answer):
         self.answers[request_id].append(answer)
-        self.answered_at[request_id] = self.now
 
     @singledispatchmethod
     def carry_out(self, effect):
@@ -164,6 +184,7 @@
         self.sent_at[request_id].append(self.now)
         if outcome in (requests.Outcome.ANSWERED, requests.Outcome.BROKEN_OFF):
             self.run_log.append(request_id)
+        assert not self.is_closed, f'{request_id} sent to a leaving target'
         run = Running(request_id, self.now + length, outcome)
         self.runs[request_id] = run
         assert len(self.runs) <= self.slots, 'more runs than slots'
@@ -187,9 +208,14 @@
         self.wake = effect.time
 
     def stop(self, request_id):
-        if self.runs.pop(request_id, None) is not None:
-            outcome = requests.Outcome.CANCELLED
-            self.feed(requests.Finished(request_id, outcome))
+        """Close the connection; the slot is free when the target stops."""
+        cancelled = requests.Outcome.CANCELLED
+        if self.cancel_time:
+            ends = self.now + self.cancel_time
+            self.runs[request_id] = Running(request_id, ends, cancelled)
+        else:
+            self.runs.pop(request_id)
+            self.feed(requests.Finished(request_id, cancelled))
 
 
 def leave(world, request_id):
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -4,10 +4,14 @@
 import anyio
 import pytest
 
+from laburnumyard.core.keys import hash_key
+from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._jobs import Job
 from standins._serve import serving
 from standins.target import Fencing, TargetApp, TargetSettings
 from tests.daemon.world import running
 
+GENEROUS_S = 20
 POLL_S = 0.002
 POLLS = 10_000
 
@@ -93,3 +97,24 @@
             server.close()
 
     return serve
+
+
+@pytest.fixture
+def job():
+    """Return a repeatable job of the catalogue."""
+    return Job(
+        request_id='vm-1-1',
+        service='catalogue',
+        customer='',
+        key='bench',
+        key_hash=hash_key('bench'),
+        operation='GET read',
+        method='GET',
+        path='/catalogue/read',
+        headers=(),
+        body=b'',
+        deadline=boot_time() + GENEROUS_S,
+        repeatable=True,
+        ticket='',
+        hops=0,
+    )
--- a/tests/daemon/world.py
+++ b/tests/daemon/world.py
@@ -120,6 +120,19 @@
     def feed(self, event):
         self.events.append(event)
 
+    def meet(self, hello):
+        return True
+
+
+class Wishes:
+    """Takes what the parts tell every daemon."""
+
+    def __init__(self):
+        self.suspects = []
+
+    def tell_suspects(self, suspects):
+        self.suspects.extend(suspects)
+
 
 class Daemon(Node):
     """The parts of a daemon that serve requests."""
@@ -130,6 +143,7 @@
         self.metrics = Metrics()
         self.view = FixedView(settings, Incarnation(incarnation), None)
         self.members = Members()
+        self.wishes = Wishes()
         self.build_links()
         self.build_requests()
         self.receiver = SubmitReceiver(
