--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,18 @@
 import subprocess
 import sys
 
-BENCHMARKS = ('requests', 'control', 'entry', 'recovery', 'idle')
+BENCHMARKS = (
+    'requests',
+    'ownership',
+    'control',
+    'control.assignments',
+    'control.renewals',
+    'control.links',
+    'roles',
+    'entry',
+    'recovery',
+    'idle',
+)
 
 
 def main() -> None:
