A target that was dead from the start keeps no keys from others

Cause: a manager of a scope that nobody had managed before waited the inherited hold (90 min) for targets that it could not reach, as if a predecessor might have granted them something. Ruled out: detection (the target was withdrawn in the head within 2 s). Change: targets of a scope without a predecessor inherit nothing, but for those whose home was in another data centre.

--- a/src/laburnumyard/core/ownership/_changing.py
+++ b/src/laburnumyard/core/ownership/_changing.py
@@ -57,9 +57,25 @@
     if state.snapshot:
         highest = max(highest, state.snapshot.head.highest_term)
     authority.term = Term(highest + 1)
+    authority.unheld = _unheld(state)
     return _change(state, start_draft(state), now)
 
 
+def _unheld(state: ManagerState) -> frozenset[TargetName]:
+    """Return the targets to which nobody can have granted anything yet.
+
+    In a scope that nobody has managed these are all, but for those that
+    another data centre's manager had when the configuration placed them here.
+    """
+    if state.scope is not None:
+        return frozenset()
+    here = state.settings.data_centre
+    homes = state.snapshot.head.homes if state.snapshot else {}
+    return frozenset(
+        name for name in state.plan.targets if homes.get(name, here) == here
+    )
+
+
 def due_change(state: ManagerState, now: Seconds) -> DueChange | None:
     """Return the change of the assignment that is due, if any."""
     draft = start_draft(state)
--- a/src/laburnumyard/core/ownership/_settling.py
+++ b/src/laburnumyard/core/ownership/_settling.py
@@ -176,7 +176,8 @@
     state.leases.clear()
     sync_leases(state, now)
     for lease in state.leases.values():
-        lease.inherited = state.owned_by(lease.name)
+        if lease.name not in state.authority.unheld:
+            lease.inherited = state.owned_by(lease.name)
 
 
 def retire(state: ManagerState) -> list[Effect]:
--- a/src/laburnumyard/core/ownership/_state.py
+++ b/src/laburnumyard/core/ownership/_state.py
@@ -154,6 +154,8 @@
     replacing
         The term that its takeover replaces; another one in the head means
         that somebody else was faster.
+    unheld
+        Targets to which nobody can have granted anything before.
     is_silent
         Whether it has been unable to send since its last message.
     offer_at
@@ -166,6 +168,7 @@
     taken_at: Seconds = NEVER
     highest_term: Term = NO_TERM
     replacing: Term | None = None
+    unheld: frozenset[TargetName] = frozenset()
     is_silent: bool = False
     offer_at: Seconds = LATER
 
--- a/tests/core/ownership/test_bounds.py
+++ b/tests/core/ownership/test_bounds.py
@@ -7,7 +7,7 @@
 from laburnumyard.core import ownership
 from laburnumyard.schema._generated.settings import TimingSettings
 from tests.core.ownership.faults import begin
-from tests.core.ownership.fleet import DATA_CENTRES
+from tests.core.ownership.fleet import DATA_CENTRES, Fleet
 from tests.core.ownership.steps import begin_step
 from tests.support.matrix import Fault, Step
 
@@ -44,6 +44,16 @@
     assert_that(scene.fleet.head.withdrawn, Equals(()))
 
 
+@pytest.mark.cell(step='take-over', fault='target-freeze')
+@pytest.mark.parametrize('seed', SEEDS)
+def test_a_target_that_was_never_there(seed):
+    fleet = Fleet(seed)
+    fleet.targets['target-0'].kill()
+    fleet.run(8)
+    owners = ownership.ranges_by_target(fleet.acknowledged[-1].assignment)
+    assert_that(owners.get('target-0', ()), Equals(()))
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_a_lost_manager(make_scene, seed):
     scene = make_scene(seed)
