--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 setup: $(BIN)/.ready
 
-test: setup
+test: setup dist/laburnumyard
 	$(BIN)/python -m pytest
 
 format: setup
--- a/src/laburnumyard/core/configuration/_checks.py
+++ b/src/laburnumyard/core/configuration/_checks.py
@@ -13,6 +13,9 @@
 from laburnumyard.core.configuration._range_checks import find_range_problems
 from laburnumyard.core.problems import Problem
 
+# The first segment of paths that a caller must never reach at a target.
+RESERVED_SERVICES = frozenset(('control', 'stand-in'))
+
 
 def find_problems(catalogue: Catalogue) -> Iterator[Problem]:
     """Yield every problem of a set of objects that are each valid alone.
@@ -30,6 +33,7 @@
     if not catalogue.objects.service:
         yield Problem('', 'objects', '', '', 'add a [[service]]')
     yield from chain(
+        _reserved(catalogue),
         _duplicates(catalogue),
         _dangling(catalogue),
         _addresses(catalogue),
@@ -42,6 +46,13 @@
     )
 
 
+def _reserved(catalogue: Catalogue) -> Iterator[Problem]:
+    for item in catalogue.objects.service:
+        if item.name in RESERVED_SERVICES:
+            remedy = 'give another name; targets keep this path for themselves'
+            yield catalogue.problem(item, 'name', item.name, remedy)
+
+
 def _duplicates(catalogue: Catalogue) -> Iterator[Problem]:
     for item, first in catalogue.duplicates():
         file = catalogue.file_of(first)
--- a/src/laburnumyard/daemon/_ownership.py
+++ b/src/laburnumyard/daemon/_ownership.py
@@ -15,7 +15,7 @@
 )
 from laburnumyard.daemon._assignment_store import AssignmentStore
 from laburnumyard.daemon._guard_candidates import guard_candidates
-from laburnumyard.daemon._guards import Guards
+from laburnumyard.daemon._guards import TRANSFER_S, Guards
 from laburnumyard.daemon._orders import OrderSender
 from laburnumyard.daemon._scope_id import ScopeId
 from laburnumyard.daemon._scope_runner import ScopeRunner, ScopeTools
@@ -164,7 +164,8 @@
 
     def plan(self, service: ServiceName) -> ownership.ServicePlan:
         """Return what the configuration says about a service."""
-        longest = Seconds(self.view.settings.limits.deadline_max_s)
+        limits = self.view.settings.limits
+        longest = Seconds(limits.guarded_deadline_max_s + TRANSFER_S)
         objects = self.view.configuration.objects
         return ownership.service_plan(objects, service, longest)
 
--- a/tests/core/configuration/test_parsing.py
+++ b/tests/core/configuration/test_parsing.py
@@ -22,6 +22,7 @@
     ("region = 'lima'", "region = 'Lima'", 'region'),
     ("region = 'lima'", 'region = 1', 'region'),
     ("region = 'lima'", "regoin = 'lima'", 'regoin'),
+    ("name = 'catalogue'", "name = 'control'", 'name'),
     ("name = 'high'", "name = 'low'", 'name'),
     ("name = 'catalogue-2'", "name = 'catalogue-1'", 'name'),
     ("targets = ['catalogue-2']", "targets = ['nobody']", 'targets'),
