A request that was answered since is no longer suspected of killing targets

Cause: a popular read in flight at two deaths within 300 s was refused everywhere, since nothing cleared a suspect. Ruled out: a shorter time (the poison request would walk on sooner). Change: a whole answer acquits its request at the daemon that saw it.

--- a/src/laburnumyard/core/requests/_quarantine.py
+++ b/src/laburnumyard/core/requests/_quarantine.py
@@ -114,6 +114,14 @@
             )
         return self._select(fingerprints, now)
 
+    def acquit(self, fingerprint: Fingerprint) -> None:
+        """Suspect a request no longer: a target has answered it whole.
+
+        Without that, a popular read that happens to be in flight at two deaths
+        would be refused.
+        """
+        self.records.pop(fingerprint, None)
+
     def merge(self, suspects: Iterable[Suspect], now: Seconds) -> None:
         """Take in what a peer knows.
 
--- a/src/laburnumyard/daemon/_log.py
+++ b/src/laburnumyard/daemon/_log.py
@@ -32,8 +32,6 @@
     STORE = 'store'
     MEMBER = 'member'
     PLACED = 'placed'
-    GRANT = 'grant'
-    TAKEN_OVER = 'taken-over'
     QUARANTINED = 'quarantined'
     FAULT = 'fault'
 
--- a/src/laburnumyard/daemon/_router.py
+++ b/src/laburnumyard/daemon/_router.py
@@ -154,6 +154,7 @@
         while True:
             outcome = await self._try(attempt)
             if outcome.is_ok():
+                self._acquit(job)
                 return outcome
             failure = outcome.error
             attempt.note(failure)
@@ -186,6 +187,10 @@
             return False
         return self.quarantine.is_suspect(fingerprint(job), boot_time())
 
+    def _acquit(self, job: Job) -> None:
+        if self.quarantine.records:
+            self.quarantine.acquit(fingerprint(job))
+
     async def _try(self, attempt: Attempt) -> Outcome:
         started = boot_time()
         found = self.find(attempt.job, attempt.avoided)
--- a/tests/daemon/test_router_faults.py
+++ b/tests/daemon/test_router_faults.py
@@ -129,3 +129,12 @@
     outcome = await router.route(job)
     assert_that(tries, HasLength(1))
     assert_that(outcome.error.kind, Is(ErrorKind.TARGET_BROKE_OFF))
+
+
+async def test_whole_answer_acquits_a_suspect(build_router, quarantine, job):
+    suspect = fingerprint_of(
+        job.service, job.method, job.path, job.key, job.body
+    )
+    quarantine.note_death(DeathId('1'), (suspect,), boot_time())
+    await build_router(Ok(WHOLE)).route(job)
+    assert_that(quarantine.is_suspect(suspect, boot_time()), Is(False))
