--- a/src/laburnumyard/core/ownership/__init__.py
+++ b/src/laburnumyard/core/ownership/__init__.py
@@ -72,6 +72,15 @@
     encode_head,
     needs_manager,
 )
+from laburnumyard.core.ownership._hints import (
+    GuardCandidates,
+    MergeRequested,
+    MoveRequested,
+    PlanChanged,
+    TargetDown,
+    TargetDraining,
+    TargetGone,
+)
 from laburnumyard.core.ownership._manager import LeaseManager
 from laburnumyard.core.ownership._messages import (
     SendGrant,
@@ -102,15 +111,6 @@
     SwapRefused,
     SwapUnknown,
 )
-from laburnumyard.core.ownership._wishes import (
-    GuardCandidates,
-    MergeRequested,
-    MoveRequested,
-    PlanChanged,
-    TargetDown,
-    TargetDraining,
-    TargetGone,
-)
 
 __all__ = (
     'AssignmentChanged',
--- a/src/laburnumyard/core/ownership/_balancing.py
+++ b/src/laburnumyard/core/ownership/_balancing.py
@@ -7,10 +7,10 @@
 from laburnumyard.core.ids import Seconds, TargetName
 from laburnumyard.core.keys import HashRange
 from laburnumyard.core.ownership._head import Snapshot
+from laburnumyard.core.ownership._hints import MergeRequested, MoveRequested
 from laburnumyard.core.ownership._load import Heat, LoadTable
 from laburnumyard.core.ownership._plan import ServicePlan
 from laburnumyard.core.ownership._planner import may_own
-from laburnumyard.core.ownership._wishes import MergeRequested, MoveRequested
 from laburnumyard.schema._generated.messages import LoadReport
 
 
--- a/src/laburnumyard/core/ownership/_events.py
+++ b/src/laburnumyard/core/ownership/_events.py
@@ -9,12 +9,12 @@
     Term,
 )
 from laburnumyard.core.keys import HashRange
+from laburnumyard.core.ownership._hints import Hint
 from laburnumyard.core.ownership._store_events import (
     HeadRead,
     HeadUnreadable,
     SwapAnswer,
 )
-from laburnumyard.core.ownership._wishes import Wish
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,5 +76,5 @@
     | HeadUnreadable
     | SwapAnswer
     | TargetAnswer
-    | Wish
+    | Hint
 )
--- a/src/laburnumyard/core/ownership/_wishes.py
+++ b/src/laburnumyard/core/ownership/_hints.py
@@ -61,7 +61,7 @@
 
 
 # What others want of the manager, or know about its targets.
-Wish = (
+Hint = (
     TargetDraining
     | TargetGone
     | TargetDown
--- a/src/laburnumyard/core/ownership/_noting.py
+++ b/src/laburnumyard/core/ownership/_noting.py
@@ -3,7 +3,7 @@
 from functools import singledispatch
 
 from laburnumyard.core.ids import Seconds
-from laburnumyard.core.ownership import _wishes as wishes
+from laburnumyard.core.ownership import _hints as hints
 from laburnumyard.core.ownership._lease import NEVER
 from laburnumyard.core.ownership._settling import sync_leases
 from laburnumyard.core.ownership._state import (
@@ -12,21 +12,21 @@
     WantedMove,
 )
 
-# More wishes than this are dropped; the planner asks again.
+# More hints than this are dropped; the planner asks again.
 MAX_WISHES = 64
-# How long a wish for a move waits, for example for the store.
+# How long a hint for a move waits, for example for the store.
 MOVE_WISH_LIFE = 3.0
 
 
 @singledispatch
-def note(event: wishes.Wish, state: ManagerState, now: Seconds) -> None:
-    """Note a wish or a hint; the manager acts on it when it can."""
+def note(event: hints.Hint, state: ManagerState, now: Seconds) -> None:
+    """Note a hint or a hint; the manager acts on it when it can."""
     raise TypeError(f'event {event!r} has no handler; register one')
 
 
 @note.register
 def _draining(
-    event: wishes.TargetDraining,
+    event: hints.TargetDraining,
     state: ManagerState,
     now: Seconds,
 ) -> None:
@@ -40,7 +40,7 @@
 
 @note.register
 def _gone(
-    event: wishes.TargetGone,
+    event: hints.TargetGone,
     state: ManagerState,
     now: Seconds,
 ) -> None:
@@ -53,7 +53,7 @@
 
 @note.register
 def _down(
-    event: wishes.TargetDown,
+    event: hints.TargetDown,
     state: ManagerState,
     now: Seconds,
 ) -> None:
@@ -65,7 +65,7 @@
 
 @note.register
 def _guards(
-    event: wishes.GuardCandidates,
+    event: hints.GuardCandidates,
     state: ManagerState,
     now: Seconds,
 ) -> None:
@@ -74,7 +74,7 @@
 
 @note.register
 def _move(
-    event: wishes.MoveRequested,
+    event: hints.MoveRequested,
     state: ManagerState,
     now: Seconds,
 ) -> None:
@@ -86,7 +86,7 @@
 
 @note.register
 def _merge(
-    event: wishes.MergeRequested,
+    event: hints.MergeRequested,
     state: ManagerState,
     now: Seconds,
 ) -> None:
@@ -96,7 +96,7 @@
 
 @note.register
 def _plan(
-    event: wishes.PlanChanged,
+    event: hints.PlanChanged,
     state: ManagerState,
     now: Seconds,
 ) -> None:
--- a/src/laburnumyard/core/ownership/_state.py
+++ b/src/laburnumyard/core/ownership/_state.py
@@ -120,7 +120,7 @@
     to
         The new owner.
     drop_at
-        When the wish is too old to be followed, in seconds.
+        When the hint is too old to be followed, in seconds.
     """
 
     to: TargetName
--- a/src/laburnumyard/core/ownership/_taking.py
+++ b/src/laburnumyard/core/ownership/_taking.py
@@ -10,6 +10,7 @@
     take_target_answer,
 )
 from laburnumyard.core.ownership._effects import Effect
+from laburnumyard.core.ownership._hints import Hint
 from laburnumyard.core.ownership._noting import note
 from laburnumyard.core.ownership._reading import (
     note_unreadable,
@@ -17,7 +18,6 @@
 )
 from laburnumyard.core.ownership._settling import begin_takeover
 from laburnumyard.core.ownership._state import ManagerState, Phase
-from laburnumyard.core.ownership._wishes import Wish
 
 
 @singledispatch
@@ -121,7 +121,7 @@
 
 @take_event.register
 def _take_wish(
-    event: Wish,
+    event: Hint,
     state: ManagerState,
     now: Seconds,
 ) -> list[Effect]:
--- a/src/laburnumyard/daemon/_balance.py
+++ b/src/laburnumyard/daemon/_balance.py
@@ -6,11 +6,11 @@
 from laburnumyard.core.ids import DaemonName, ServiceName
 from laburnumyard.core.rendezvous import rank
 from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._control_relay import ControlRelay
 from laburnumyard.daemon._load_meter import LoadMeter
 from laburnumyard.daemon._log import Event, log_event
 from laburnumyard.daemon._ownership import OwnershipRunner
 from laburnumyard.daemon._view import View
-from laburnumyard.daemon._wishes import Wishes
 from laburnumyard.schema._generated.messages import LoadReport
 from laburnumyard.wire import LinkPool
 
@@ -31,7 +31,7 @@
         What this daemon's targets were busy with.
     runner
         Knows the plan of each service.
-    wishes
+    relay
         Carries proposals to lease managers.
     pool
         The links to the other daemons.
@@ -42,14 +42,14 @@
         view: View,
         meter: LoadMeter,
         runner: OwnershipRunner,
-        wishes: Wishes,
+        relay: ControlRelay,
         pool: LinkPool,
     ) -> None:
         """Start without a planner."""
         self.view = view
         self.meter = meter
         self.runner = runner
-        self.wishes = wishes
+        self.relay = relay
         self.pool = pool
         self.planners: dict[ServiceName, ownership.LoadPlanner] = {}
 
@@ -94,13 +94,13 @@
             self.planners[service] = planner
         snapshot = self.view.snapshots[service]
         plan = self.runner.plan(service)
-        for wish in planner.propose(snapshot, plan, boot_time()):
-            is_carried = self.wishes.carry(service, wish)
+        for proposal in planner.propose(snapshot, plan, boot_time()):
+            is_carried = self.relay.carry(service, proposal)
             log_event(
                 Event.PLACED,
                 action='propose',
                 service=service,
-                wish=wish,
+                proposal=proposal,
                 carried=is_carried,
             )
 
--- a/src/laburnumyard/daemon/_wishes.py
+++ b/src/laburnumyard/daemon/_control_relay.py
@@ -20,7 +20,7 @@
 from laburnumyard.wire import LinkPool
 
 
-class Wishes:
+class ControlRelay:
     """Carries orders to lease managers, and suspects to every daemon.
 
     Parameters
@@ -70,16 +70,16 @@
     def carry(
         self,
         service: ServiceName,
-        wish: ownership.MoveRequested | ownership.MergeRequested,
+        proposal: ownership.MoveRequested | ownership.MergeRequested,
     ) -> bool:
-        """Carry a wish to the lease manager of the ranges' owner.
+        """Carry a proposal to the lease manager of the ranges' owner.
 
         Returns
         -------
         bool
             Whether the manager was reached.
         """
-        message = _order(wish, service)
+        message = _order(proposal, service)
         owned = self.view.tables[service].range_of(KeyHash(message.start))
         if owned is None:
             return False
@@ -98,16 +98,16 @@
     @take.register
     def _take_move(self, order: messages.MoveRange) -> None:
         owned = messages.OwnedRange(order.start, order.last, order.target)
-        wish = ownership.MoveRequested(
+        proposal = ownership.MoveRequested(
             ownership.hash_range(owned), TargetName(order.target)
         )
-        self.ownership.feed_service(ServiceName(order.service), wish)
+        self.ownership.feed_service(ServiceName(order.service), proposal)
 
     @take.register
     def _take_merge(self, order: messages.MergeRanges) -> None:
         owned = messages.OwnedRange(order.start, order.last, '')
-        wish = ownership.MergeRequested(ownership.hash_range(owned))
-        self.ownership.feed_service(ServiceName(order.service), wish)
+        proposal = ownership.MergeRequested(ownership.hash_range(owned))
+        self.ownership.feed_service(ServiceName(order.service), proposal)
 
     def drain(self, target: TargetName, *, draining: bool) -> None:
         """Order every daemon to empty a target, or to use it again."""
@@ -159,27 +159,29 @@
 
 @singledispatch
 def _order(
-    wish: ownership.MoveRequested | ownership.MergeRequested,
+    proposal: ownership.MoveRequested | ownership.MergeRequested,
     service: ServiceName,
 ) -> messages.MoveRange | messages.MergeRanges:
-    raise TypeError(f'{wish!r} is no wish about ranges')
+    raise TypeError(f'{proposal!r} is no proposal about ranges')
 
 
 @_order.register
 def _move_order(
-    wish: ownership.MoveRequested,
+    proposal: ownership.MoveRequested,
     service: ServiceName,
 ) -> messages.MoveRange:
-    last = wish.part.stop - 1
-    return messages.MoveRange(service, wish.part.start, last, wish.to)
+    last = proposal.part.stop - 1
+    return messages.MoveRange(service, proposal.part.start, last, proposal.to)
 
 
 @_order.register
 def _merge_order(
-    wish: ownership.MergeRequested,
+    proposal: ownership.MergeRequested,
     service: ServiceName,
 ) -> messages.MergeRanges:
-    return messages.MergeRanges(service, wish.span.start, wish.span.stop - 1)
+    return messages.MergeRanges(
+        service, proposal.span.start, proposal.span.stop - 1
+    )
 
 
 def _wire(suspect: requests.Suspect) -> messages.SuspectRequest:
--- a/src/laburnumyard/daemon/_inbox.py
+++ b/src/laburnumyard/daemon/_inbox.py
@@ -7,13 +7,13 @@
 from laburnumyard.core import dissemination, membership
 from laburnumyard.core.ids import DaemonName
 from laburnumyard.daemon._balance import BalanceRunner
+from laburnumyard.daemon._control_relay import ControlRelay
 from laburnumyard.daemon._documents import DocumentsRunner
 from laburnumyard.daemon._guards import Guards
 from laburnumyard.daemon._log import Event, log_event
 from laburnumyard.daemon._members import MembersRunner
 from laburnumyard.daemon._ownership import OwnershipRunner
 from laburnumyard.daemon._submits import SubmitReceiver
-from laburnumyard.daemon._wishes import Wishes
 from laburnumyard.schema._generated import messages
 from laburnumyard.wire import IncomingLink
 
@@ -30,7 +30,7 @@
         The grants that this daemon guards.
     submits
         Runs requests that other daemons pass on.
-    wishes
+    relay
         Heeds operators' orders and news of suspects.
     balance
         Plans for services by the load that dispatchers report.
@@ -41,7 +41,7 @@
     ownership: OwnershipRunner
     guards: Guards
     submits: SubmitReceiver
-    wishes: Wishes
+    relay: ControlRelay
     balance: BalanceRunner
 
     def take(
@@ -148,7 +148,7 @@
         message: messages.MoveRange | messages.MergeRanges,
         link: IncomingLink,
     ) -> None:
-        self.wishes.take(message)
+        self.relay.take(message)
 
     @route.register
     def _load(self, message: messages.LoadReport, link: IncomingLink) -> None:
@@ -160,7 +160,7 @@
         message: messages.DrainTarget,
         link: IncomingLink,
     ) -> None:
-        self.wishes.take_drain(message)
+        self.relay.take_drain(message)
 
     @route.register
     def _suspects(
@@ -168,7 +168,7 @@
         message: messages.Suspects,
         link: IncomingLink,
     ) -> None:
-        self.wishes.take_suspects(message)
+        self.relay.take_suspects(message)
 
     @route.register(messages.GuardSeal)
     @route.register(messages.GuardGrant)
--- a/src/laburnumyard/daemon/_node.py
+++ b/src/laburnumyard/daemon/_node.py
@@ -10,6 +10,7 @@
     boot_time,
     draw_fraction,
 )
+from laburnumyard.daemon._control_relay import ControlRelay
 from laburnumyard.daemon._deaths import DeathWatch
 from laburnumyard.daemon._documents import DocumentsRunner
 from laburnumyard.daemon._entry import EntryApp
@@ -25,7 +26,6 @@
 from laburnumyard.daemon._targets import Targets
 from laburnumyard.daemon._tickets import TicketOffice
 from laburnumyard.daemon._view import make_view
-from laburnumyard.daemon._wishes import Wishes
 from laburnumyard.platform import StoreClient, VmList
 from laburnumyard.schema._generated.messages import Hello
 from laburnumyard.schema._generated.settings import Settings
@@ -52,11 +52,11 @@
         self.build_links()
         self.build_requests()
         self.build_control()
-        self.wishes = Wishes(
+        self.relay = ControlRelay(
             self.view, self.ownership, self.quarantine, self.pool
         )
         self.balance = BalanceRunner(
-            self.view, self.meter, self.ownership, self.wishes, self.pool
+            self.view, self.meter, self.ownership, self.relay, self.pool
         )
         self.inbox = Inbox(
             self.members,
@@ -64,7 +64,7 @@
             self.ownership,
             self.guards,
             SubmitReceiver(self.targets.run_here, self.office.submit_here),
-            self.wishes,
+            self.relay,
             self.balance,
         )
 
@@ -94,7 +94,7 @@
         quarantine = requests.Quarantine()
         deaths = DeathWatch(
             quarantine,
-            lambda suspects: self.wishes.tell_suspects(suspects),
+            lambda suspects: self.relay.tell_suspects(suspects),
             self.tasks,
         )
         self.quarantine = quarantine
--- a/src/laburnumyard/daemon/_operations.py
+++ b/src/laburnumyard/daemon/_operations.py
@@ -7,8 +7,8 @@
 from laburnumyard.core.keys import hash_key
 from laburnumyard.daemon._admin import AdminAnswer, AdminRequest, Handler
 from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._control_relay import wait_until
 from laburnumyard.daemon._node import Node
-from laburnumyard.daemon._wishes import wait_until
 
 UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
 # How long an order to move or drain is waited for, and how often looked at.
@@ -109,7 +109,7 @@
         if problem:
             return AdminAnswer({'error': problem}, HTTPStatus.NOT_FOUND)
         key_hash = hash_key(key)
-        if not self.node.wishes.move(service, key_hash, target):
+        if not self.node.relay.move(service, key_hash, target):
             detail = f'the lease manager of {key!r} is not reached; try again'
             return AdminAnswer({'error': detail}, UNAVAILABLE)
         tables = self.node.view.tables
@@ -129,7 +129,7 @@
         target = TargetName(str(request.message.get('target', '')))
         if self._service_of(target) is None:
             return self._no_target(target)
-        self.node.wishes.drain(target, draining=True)
+        self.node.relay.drain(target, draining=True)
         is_empty = await wait_until(
             lambda: self._is_drained(target),
             ORDER_TIMEOUT_S,
@@ -144,7 +144,7 @@
         target = TargetName(str(request.message.get('target', '')))
         if self._service_of(target) is None:
             return self._no_target(target)
-        self.node.wishes.drain(target, draining=False)
+        self.node.relay.drain(target, draining=False)
         return AdminAnswer({'target': target, 'draining': False})
 
     def _move_problem(
--- a/tests/core/ownership/drawing.py
+++ b/tests/core/ownership/drawing.py
@@ -1,4 +1,4 @@
-"""Faults and operators' wishes drawn from a seed."""
+"""Faults and operators' hints drawn from a seed."""
 
 from functools import partial
 
@@ -61,11 +61,11 @@
 
 def _move(fleet: Fleet, chance) -> None:
     parts = [part for ranges in fleet.owners.values() for part in ranges]
-    wish = ownership.MoveRequested(
+    hint = ownership.MoveRequested(
         chance.choice(parts),
         chance.choice(tuple(fleet.targets)),
     )
-    fleet.feed_all(wish)
+    fleet.feed_all(hint)
 
 
 def _drain(fleet: Fleet, chance) -> None:
--- a/tests/core/ownership/fleet.py
+++ b/tests/core/ownership/fleet.py
@@ -212,8 +212,8 @@
         near = [name for name in self.live() if homes[name] == place]
         for target in self.fleet.targets_in(place):
             order = rank(f'guard/{target.name}', near)
-            wish = ownership.GuardCandidates(target.name, order)
-            self.feed(place, wish)
+            hint = ownership.GuardCandidates(target.name, order)
+            self.feed(place, hint)
 
     def _should_take_over(self, place: str) -> bool:
         # A new process has not heard of the others yet.
--- a/tests/core/ownership/test_balancing.py
+++ b/tests/core/ownership/test_balancing.py
@@ -69,13 +69,13 @@
     def follow(self):
         head = ownership.Head(1, 'c', (), withdrawn=self.withdrawn)
         snapshot = ownership.Snapshot(head, self.assignment, 1)
-        for wish in self.planner.propose(snapshot, self.plan, self.now):
-            if isinstance(wish, ownership.MoveRequested):
-                self.moves.append(wish)
-                owners = {wish.part: wish.to}
+        for hint in self.planner.propose(snapshot, self.plan, self.now):
+            if isinstance(hint, ownership.MoveRequested):
+                self.moves.append(hint)
+                owners = {hint.part: hint.to}
                 self.assignment = reassigned(self.assignment, owners)
             else:
-                self.merge(wish.span)
+                self.merge(hint.span)
 
     def merge(self, span):
         self.assignment = merged(
@@ -132,7 +132,7 @@
     service.keys = {7: 2.9}
     owner = service.owner(7)
     service.run(3 * MINUTE_S)
-    moved = {wish.part for wish in service.moves}
+    moved = {hint.part for hint in service.moves}
     assert_that(service.owner(7), Equals(owner))
     assert_that(len(moved), Equals(len(service.moves)))
 
--- a/tests/core/ownership/test_bounds.py
+++ b/tests/core/ownership/test_bounds.py
@@ -148,7 +148,7 @@
 
 
 @pytest.mark.cell(step='move', fault='racing-operators')
-def test_two_wishes_for_one_range(make_scene):
+def test_two_hints_for_one_range(make_scene):
     scene = make_scene(1)
     part = scene.fleet.owners['target-0'][0]
     for name in ('target-1', 'target-2', 'target-1'):
--- a/tests/daemon/world.py
+++ b/tests/daemon/world.py
@@ -124,7 +124,7 @@
         return True
 
 
-class Wishes:
+class ControlRelay:
     """Takes what the parts tell every daemon."""
 
     def __init__(self):
@@ -143,7 +143,7 @@
         self.metrics = Metrics()
         self.view = FixedView(settings, Incarnation(incarnation), None)
         self.members = Members()
-        self.wishes = Wishes()
+        self.relay = ControlRelay()
         self.build_links()
         self.build_requests()
         self.receiver = SubmitReceiver(
