--- a/bench/control/links.py
+++ b/bench/control/links.py
@@ -1,10 +1,10 @@
 """Requests per second over one link between two processes.
 
-Run ``python -m bench.control.links serve 127.0.0.1:7900`` in one process and
-``python -m bench.control.links ask 127.0.0.1:7900`` in another.
+``python -m bench.control.links`` starts the answering process itself.
 """
 
 import asyncio
+import subprocess
 import sys
 import time
 
@@ -12,6 +12,8 @@
 from laburnumyard.schema._generated import messages
 from laburnumyard.wire import IncomingLink, LinkPool, LinkServer, Peer
 
+ADDRESS = '127.0.0.1:17933'
+START_S = 2
 REQUESTS = 40000
 CALLERS = 64
 BODY = b'x' * 1024
@@ -114,5 +116,20 @@
         assert answer.is_ok(), answer.error
 
 
+def main() -> None:
+    """Ask another process, which this one starts and waits for."""
+    if len(sys.argv) > 1:
+        asyncio.run(serve(ADDRESS))
+        return
+    command = (sys.executable, '-m', 'bench.control.links', 'serve')
+    answerer = subprocess.Popen(command)
+    try:
+        time.sleep(START_S)
+        asyncio.run(ask(ADDRESS))
+        answerer.wait(START_S)
+    finally:
+        answerer.kill()
+
+
 if __name__ == '__main__':
-    asyncio.run({'serve': serve, 'ask': ask}[sys.argv[1]](sys.argv[2]))
+    main()
