--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 	mkdir -p dist
 	$(BIN)/shiv --site-packages build/site --entry-point laburnumyard.cli:main --python '/usr/bin/env python3.11' --compressed --output-file $@
 
-faults: setup
+faults: setup dist/laburnumyard
 	$(BIN)/python -m scripts.faults
 
 demo: setup
