--- a/tests/processes/test_daemon_losses.py
+++ b/tests/processes/test_daemon_losses.py
@@ -76,7 +76,6 @@
 
 @pytest.mark.cell(step='send', fault='pause')
 @pytest.mark.cell(step='retry', fault='pause')
-@pytest.mark.cell(step='issue-ticket', fault='pause')
 def test_ticket_of_a_paused_issuer_runs_at_most_once(
     trial,
     submit,
--- a/tests/processes/test_link_cuts.py
+++ b/tests/processes/test_link_cuts.py
@@ -11,7 +11,6 @@
 @pytest.mark.cell(step='take-over', fault='cut')
 @pytest.mark.cell(step='send', fault='cut')
 @pytest.mark.cell(step='answer', fault='cut')
-@pytest.mark.cell(step='disseminate', fault='cut')
 def test_daemon_cut_off_both_ways_and_healed(
     relayed_trial,
     mixed_load,
