One place turns a fraction into a place of the hash space

Cause: configuration and ownership each had the same formula; had one changed, checked key ranges and assigned ranges would no longer meet. Change: place_of stands in core/keys.py and serves both. Behaviour as before.

--- a/src/laburnumyard/core/configuration/_index.py
+++ b/src/laburnumyard/core/configuration/_index.py
@@ -5,7 +5,6 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from fractions import Fraction
 from hashlib import sha256
 from types import MappingProxyType
 from typing import Any, TypeVar
@@ -18,7 +17,7 @@
     ServiceName,
     TargetName,
 )
-from laburnumyard.core.keys import HASH_SPACE, HashRange
+from laburnumyard.core.keys import HashRange, place_of
 from laburnumyard.schema._generated.objects import (
     Customer,
     KeyRange,
@@ -183,28 +182,6 @@
     )
 
 
-def place_of(fraction: float) -> int:
-    """Return the place of a fraction in the hash space, exactly.
-
-    Parameters
-    ----------
-    fraction
-        From 0 to 1.
-
-    Returns
-    -------
-    int
-        From 0 to ``HASH_SPACE``. Equal fractions have equal places, so that
-        ranges that meet in the file meet in the hash space.
-
-    Examples
-    --------
-    >>> place_of(0.5) == HASH_SPACE // 2
-    True
-    """
-    return int(Fraction(fraction) * HASH_SPACE)
-
-
 def target_names(key_range: KeyRange) -> tuple[TargetName, ...]:
     """Return the names of the targets that a key range lists."""
     return tuple(TargetName(str(name.root)) for name in key_range.targets)
--- a/src/laburnumyard/core/configuration/_range_checks.py
+++ b/src/laburnumyard/core/configuration/_range_checks.py
@@ -4,7 +4,7 @@
 from itertools import filterfalse, pairwise
 
 from laburnumyard.core.configuration._catalogue import Catalogue
-from laburnumyard.core.configuration._index import place_of
+from laburnumyard.core.keys import place_of
 from laburnumyard.core.problems import Problem
 from laburnumyard.schema._generated.objects import KeyRange, Service
 
--- a/src/laburnumyard/core/keys.py
+++ b/src/laburnumyard/core/keys.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from fractions import Fraction
 
 import xxhash
 
@@ -99,3 +100,25 @@
             return False
         position = part.stop
     return position == whole.stop
+
+
+def place_of(fraction: float) -> int:
+    """Return the place of a fraction in the hash space, exactly.
+
+    Parameters
+    ----------
+    fraction
+        From 0 to 1.
+
+    Returns
+    -------
+    int
+        From 0 to ``HASH_SPACE``. Equal fractions have equal places, so that
+        ranges that meet in the file meet in the hash space.
+
+    Examples
+    --------
+    >>> place_of(0.5) == HASH_SPACE // 2
+    True
+    """
+    return int(Fraction(fraction) * HASH_SPACE)
--- a/src/laburnumyard/core/ownership/_plan.py
+++ b/src/laburnumyard/core/ownership/_plan.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from fractions import Fraction
 from functools import singledispatch
 
 from laburnumyard.core.ids import (
@@ -11,7 +10,7 @@
     ServiceName,
     TargetName,
 )
-from laburnumyard.core.keys import HASH_SPACE, HashRange
+from laburnumyard.core.keys import HashRange, place_of
 from laburnumyard.schema._generated.objects import Fencing, KeyRange, Objects
 from laburnumyard.schema._generated.objects import Target as TargetObject
 
@@ -180,15 +179,11 @@
 
 
 def _key_range_plan(key_range: KeyRange) -> KeyRangePlan:
-    span = HashRange(_place(key_range.start), _place(key_range.stop))
+    span = HashRange(place_of(key_range.start), place_of(key_range.stop))
     names = tuple(TargetName(target.root) for target in key_range.targets)
     return KeyRangePlan(span, names)
 
 
-def _place(fraction: float) -> int:
-    return int(Fraction(fraction) * HASH_SPACE)
-
-
 def _target_kind(
     target: TargetObject,
     longest_deadline: Seconds,
