A daemon is ready once it has compared its members with another daemon

A daemon that starts while the VM list is down learns of the first peer from its hello. The hello was fed as MembersHeard, which counts as the answer to a comparison of tables: has_joined was set, so the daemon never asked that peer for its table and waited for the other peer's own probe, which backs off. It was ready meanwhile, with dispatchers ranked over half of the members. Ruled out: a slow machine (the introduction alone decides; the pure table shows it without a clock). Change: HelloHeard is an event of its own that doesn't end the joining; digests that agree are answered, so that two daemons that know each other alone end it too; readiness waits for it, at most join_timeout_s (3 s). The introduction message of the core, which said the same as the hello once more, is gone. Also: test_a_submit_before_the_configuration_is_typed used a ticket issued at 1 ms of the boot-time clock, which is void by age only on machines up for more than ticket_life; it names another incarnation now (void on every machine).

--- a/src/laburnumyard/core/membership/__init__.py
+++ b/src/laburnumyard/core/membership/__init__.py
@@ -35,6 +35,7 @@
     ProbeFailed,
 )
 from laburnumyard.core.membership._inputs import (
+    HelloHeard,
     Leave,
     ListedVm,
     Scope,
@@ -60,6 +61,7 @@
     'Event',
     'GossipHeard',
     'HeartbeatHeard',
+    'HelloHeard',
     'Identity',
     'Leave',
     'LinkLost',
--- a/src/laburnumyard/core/membership/_believing.py
+++ b/src/laburnumyard/core/membership/_believing.py
@@ -119,7 +119,6 @@
     if incarnation > member.identity.incarnation:
         member.restart(replace(member.identity, incarnation=incarnation))
         state.directory.note_change()
-        introduce(state, daemon)
     member.heard_at = state.now
     if member.state is not MemberState.LIVE:
         recover(state, member)
@@ -141,15 +140,6 @@
     state.effects.append(Send(daemon, news))
 
 
-def introduce(state: TableState, daemon: DaemonName) -> None:
-    """Tell a restarted daemon who found it.
-
-    While the platform's list is down it knows no address of its own.
-    """
-    news = messages.Members(members=(own_news(state),))
-    state.effects.append(Send(daemon, news))
-
-
 def own_news(state: TableState) -> messages.Member:
     """Return what this daemon says of itself."""
     identity = state.myself
--- a/src/laburnumyard/core/membership/_events.py
+++ b/src/laburnumyard/core/membership/_events.py
@@ -4,6 +4,7 @@
 
 from laburnumyard.core.ids import DaemonName, Incarnation
 from laburnumyard.core.membership._inputs import (
+    HelloHeard,
     Leave,
     ScopesHeld,
     Tick,
@@ -79,6 +80,7 @@
     | ProbeAnswered
     | ProbeFailed
     | LinkLost
+    | HelloHeard
     | GossipHeard
     | MembersHeard
     | DigestsHeard
--- a/src/laburnumyard/core/membership/_inputs.py
+++ b/src/laburnumyard/core/membership/_inputs.py
@@ -4,6 +4,7 @@
 
 from laburnumyard.core.ids import DataCentre, ServiceName
 from laburnumyard.core.membership._member import Identity
+from laburnumyard.schema._generated import messages
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +23,17 @@
     is_leaving: bool
 
 
+@dataclass(frozen=True, slots=True)
+class HelloHeard:
+    """A daemon opened a link and said who it is; it is not passed on.
+
+    A daemon that starts while the VM list is down knows nobody: it learns of
+    the others from the links that they open to it.
+    """
+
+    member: messages.Member
+
+
 @dataclass(frozen=True, slots=True)
 class VmListRead:
     """The platform's list was read. It lags both ways."""
--- a/src/laburnumyard/core/membership/_reacting.py
+++ b/src/laburnumyard/core/membership/_reacting.py
@@ -115,6 +115,12 @@
     suspect(state, member)
 
 
+@react.register
+def _(event: inputs.HelloHeard, state: TableState) -> None:
+    state.heard_anyone_at = state.now
+    take_news(state, event.member)
+
+
 @react.register
 def _(event: events.GossipHeard, state: TableState) -> None:
     state.heard_anyone_at = state.now
@@ -134,7 +140,6 @@
 @react.register
 def _(event: events.DigestsHeard, state: TableState) -> None:
     state.heard_anyone_at = state.now
-    state.has_joined = True
     answer_digests(state, event.sender, event.digests)
 
 
--- a/src/laburnumyard/core/membership/_settings.py
+++ b/src/laburnumyard/core/membership/_settings.py
@@ -52,6 +52,9 @@
         seconds. A failed one is followed by the next at once.
     sync_interval_s
         The least time between two comparisons of member tables, in seconds.
+    join_timeout_s
+        How long a daemon that starts waits for the table of another one, in
+        seconds.
     sync_backoff_s
         The longest time between them while they bring nothing new, in
         seconds.
@@ -94,6 +97,7 @@
     scan_interval_s: float = 2.0
     sync_interval_s: float = 2.0
     sync_backoff_s: float = 30.0
+    join_timeout_s: float = 3.0
     cleaning_interval_s: float = 5.0
     wake_after_s: float = 0.6
     isolated_after_s: float = 4.0
--- a/src/laburnumyard/core/membership/_state.py
+++ b/src/laburnumyard/core/membership/_state.py
@@ -60,7 +60,9 @@
     documents_digest
         What its heartbeats say of its documents.
     has_joined
-        Whether another daemon has told it of members.
+        Whether the table has been compared with that of another daemon.
+    started_at
+        The time of the first tick, in seconds, or None before it.
     is_superseded
         Whether a newer incarnation of this daemon's name runs.
     is_stale
@@ -87,6 +89,7 @@
     sequence: int = 0
     documents_digest: int = 0
     has_joined: bool = False
+    started_at: float | None = None
     is_superseded: bool = False
     is_stale: bool = False
     now: float = 0
--- a/src/laburnumyard/core/membership/_syncing.py
+++ b/src/laburnumyard/core/membership/_syncing.py
@@ -80,7 +80,7 @@
     daemon: DaemonName,
     digests: messages.MemberDigests,
 ) -> None:
-    """Send the members of the buckets that differ."""
+    """Send the members of the buckets that differ, or say that none does."""
     theirs = unpack_buckets(digests.buckets)
     if theirs is None:
         return
@@ -96,5 +96,7 @@
     for start in range(0, len(found), MEMBERS_PER_MESSAGE):
         part = found[start : start + MEMBERS_PER_MESSAGE]
         state.effects.append(Send(daemon, messages.Members(members=part)))
-    if digests.reply and differing:
+    if not differing:
+        state.has_joined = True
+    if digests.reply:
         send_digests(state, daemon, reply=False)
--- a/src/laburnumyard/core/membership/_table.py
+++ b/src/laburnumyard/core/membership/_table.py
@@ -137,6 +137,27 @@
         """Return who reads the store for a data centre."""
         return self.directory.readers(data_centre)
 
+    def is_settled(self, now: float) -> bool:
+        """Tell whether the live members can be relied on after a start.
+
+        Parameters
+        ----------
+        now
+            The boot-time clock, in seconds.
+
+        Returns
+        -------
+        bool
+            False until the table has been compared with that of another
+            daemon, but no longer than ``join_timeout_s``.
+        """
+        state = self.state
+        if state.has_joined:
+            return True
+        if state.started_at is None:
+            return False
+        return now - state.started_at >= state.settings.join_timeout_s
+
     def is_isolated(self, now: float) -> bool:
         """Tell whether nobody has been heard for long.
 
--- a/src/laburnumyard/core/membership/_ticking.py
+++ b/src/laburnumyard/core/membership/_ticking.py
@@ -75,6 +75,8 @@
 
 def _join(state: TableState) -> None:
     """Ask one of the others for its table until one has answered."""
+    if state.started_at is None:
+        state.started_at = state.now
     if state.has_joined or not state.members:
         return
     state.rumours.add(state.myself.daemon)
--- a/src/laburnumyard/daemon/_members.py
+++ b/src/laburnumyard/daemon/_members.py
@@ -79,11 +79,7 @@
             self.on_change()
 
     def meet(self, hello: Hello) -> bool:
-        """Learn of a daemon from its hello; every daemon may link.
-
-        A daemon that starts while the VM list is down knows nobody: it learns
-        of the others from the links that they open to it.
-        """
+        """Learn of a daemon from its hello; every daemon may link."""
         news = Member(
             daemon=hello.daemon,
             incarnation=hello.incarnation,
@@ -94,7 +90,7 @@
             suspected=False,
             refutation=0,
         )
-        self.feed(membership.MembersHeard((news,)))
+        self.feed(membership.HelloHeard(news))
         return True
 
     @singledispatchmethod
--- a/src/laburnumyard/daemon/_node.py
+++ b/src/laburnumyard/daemon/_node.py
@@ -173,8 +173,10 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether every configured service can be routed."""
+        """Whether the members are known and every service can be routed."""
         configuration = self.view.configuration
         if configuration is None or self.view.is_draining:
             return False
+        if not self.view.knows_members:
+            return False
         return set(configuration.services) <= set(self.view.tables)
--- a/src/laburnumyard/daemon/_view.py
+++ b/src/laburnumyard/daemon/_view.py
@@ -23,7 +23,7 @@
 from laburnumyard.core.ownership import Snapshot
 from laburnumyard.core.rendezvous import rank
 from laburnumyard.core.routing import RoutingTable
-from laburnumyard.daemon._clock import draw_fraction, new_incarnation
+from laburnumyard.daemon._clock import boot_time, draw_fraction, new_incarnation
 from laburnumyard.schema._generated.objects import Fencing, Target
 from laburnumyard.schema._generated.settings import Settings
 from laburnumyard.wire import Peer
@@ -126,6 +126,11 @@
                 return DaemonName(rank(f'dispatcher/{name}', names)[0])
         return None
 
+    @property
+    def knows_members(self) -> bool:
+        """Whether the live members can be relied on after a start."""
+        return self.members.is_settled(boot_time())
+
     def peer(self, daemon: DaemonName) -> Peer | None:
         """Return where another daemon listens; None if it is not known.
 
--- a/tests/core/membership/test_introductions.py
+++ b/tests/core/membership/test_introductions.py
@@ -1,9 +1,12 @@
+import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals
+from testtools.matchers import Equals, Is
 
 from laburnumyard.core import membership
+from laburnumyard.schema._generated import messages
 
 OLD, NEW = 10, 20
+JOIN_TIMEOUT_S = membership.MembershipSettings().join_timeout_s
 
 
 def identity_of(daemon, incarnation):
@@ -12,31 +15,81 @@
 
 
 def start_table(identity):
-    return membership.MemberTable(
+    table = membership.MemberTable(
         identity, membership.MembershipSettings(), lambda: 0.5
     )
+    table.handle(membership.Tick(), 0)
+    return table
 
 
-def test_restarted_member_is_told_who_found_it():
-    finder = start_table(identity_of('vm-1', OLD))
-    known = identity_of('vm-3', OLD)
-    finder.handle(membership.Tick(), 0)
-    finder.handle(
-        membership.VmListRead((membership.ListedVm(known, is_leaving=False),)),
-        0,
+def hello_from(identity):
+    return membership.HelloHeard(
+        messages.Member(
+            daemon=identity.daemon,
+            incarnation=identity.incarnation,
+            data_centre=identity.data_centre,
+            region=identity.region,
+            peer_address=identity.address,
+            leaving=False,
+            suspected=False,
+            refutation=0,
+        )
     )
-    finder.handle(membership.ProbeAnswered('vm-3', OLD), 1)
-    effects = finder.handle(membership.ProbeAnswered('vm-3', NEW), 2)
-    told = [
-        effect.message.members
-        for effect in effects
-        if isinstance(effect, membership.Send) and effect.daemon == 'vm-3'
-    ]
-    assert_that([news[0].daemon for news in told], Contains('vm-1'))
-
-    # The restarted daemon has no list of VMs, and now knows its finder.
-    restarted = start_table(identity_of('vm-3', NEW))
-    for news in told:
-        restarted.handle(membership.MembersHeard(news), 3)
+
+
+def exchange(first, second, now):
+    """Tick the first table and deliver what the two have to say."""
+    queue = [(second, first, first.handle(membership.Tick(), now))]
+    while queue:
+        target, sender, effects = queue.pop()
+        for effect in effects:
+            message = getattr(effect, 'message', None)
+            if message is None or effect.daemon != target.state.myself.daemon:
+                continue
+            answers = target.handle(event_of(message, sender), now)
+            queue.append((sender, target, answers))
+
+
+def event_of(message, sender):
+    if hasattr(message, 'buckets'):
+        daemon = sender.state.myself.daemon
+        return membership.DigestsHeard(daemon, message)
+    return membership.MembersHeard(message.members)
+
+
+@pytest.fixture
+def finder():
+    """Start a daemon that knows a live third one."""
+    table = start_table(identity_of('vm-1', OLD))
+    table.handle(hello_from(identity_of('vm-2', OLD)), 0)
+    return table
+
+
+@pytest.fixture
+def restarted():
+    """Start a daemon that has no list of VMs."""
+    return start_table(identity_of('vm-3', NEW))
+
+
+def test_restarted_member_learns_of_all_from_the_first_hello(finder, restarted):
+    restarted.handle(hello_from(finder.state.myself), 1)
+    assert_that(restarted.is_settled(1), Is(False))
+    exchange(restarted, finder, 1)
     live = {member.daemon for member in restarted.live()}
-    assert_that(live, Equals({'vm-1', 'vm-3'}))
+    assert_that(live, Equals({'vm-1', 'vm-2', 'vm-3'}))
+    assert_that(restarted.is_settled(1), Is(True))
+
+
+def test_two_that_know_each_other_alone_are_settled(restarted):
+    other = start_table(identity_of('vm-1', OLD))
+    restarted.handle(hello_from(other.state.myself), 1)
+    other.handle(hello_from(restarted.state.myself), 1)
+    exchange(restarted, other, 1)
+    assert_that(restarted.is_settled(1), Is(True))
+
+
+def test_nobody_answers_and_the_wait_ends(restarted):
+    restarted.handle(hello_from(identity_of('vm-1', OLD)), 1)
+    restarted.handle(membership.Tick(), JOIN_TIMEOUT_S)
+    assert_that(restarted.is_settled(JOIN_TIMEOUT_S - 0.1), Is(False))
+    assert_that(restarted.is_settled(JOIN_TIMEOUT_S), Is(True))
--- a/tests/daemon/test_submits.py
+++ b/tests/daemon/test_submits.py
@@ -116,7 +116,7 @@
 @pytest.mark.anyio
 async def test_a_submit_before_the_configuration_is_typed(hop, daemon):
     daemon.view.configuration = None
-    answer = await submit(hop, daemon, target='', ticket='vm-1.1.1.1')
+    answer = await submit(hop, daemon, target='', ticket='vm-1.9.1.1')
     assert_that(answer.kind, Equals('ticket-void'))
     answer = await submit(hop, daemon)
     assert_that(answer.kind, Equals('no-owner'))
--- a/tests/daemon/world.py
+++ b/tests/daemon/world.py
@@ -110,6 +110,10 @@
     def peer(self, daemon):
         return self.peers.get(daemon)
 
+    @property
+    def knows_members(self):
+        return True
+
 
 class Members:
     """Takes what the parts tell of others."""
