--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
 BENCHMARKS = (
     'requests',
     'ownership',
+    'churn',
     'control',
     'control.assignments',
     'control.renewals',
