One budget of calls serves the store client and dissemination

Cause: two token buckets of the same name stood in platform and in core/dissemination; only one kept a reserve and stood a clock that steps back. Change: core/call_budget.py holds the one, with both uses. Its tests moved along and gained one for several calls at once. tests/core/test_call_budget.py, tests/platform and tests/core/dissemination pass.

--- a/src/laburnumyard/core/dissemination/_documents.py
+++ b/src/laburnumyard/core/dissemination/_documents.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
+from laburnumyard.core.call_budget import CallBudget
 from laburnumyard.core.dissemination._adopting import own_digest
-from laburnumyard.core.dissemination._budget import CallBudget
 from laburnumyard.core.dissemination._document import (
     Document,
     DocumentName,
--- a/src/laburnumyard/core/dissemination/_reading.py
+++ b/src/laburnumyard/core/dissemination/_reading.py
@@ -27,7 +27,7 @@
         reading = entry.reading
         if reading.is_waiting or state.now < reading.retry_at:
             continue
-        if _has_to_read(state, entry) and state.budget.take(1, state.now):
+        if _has_to_read(state, entry) and state.budget.take(state.now):
             reading.is_waiting = True
             state.effects.append(ReadStore(name, _known_revision(entry)))
 
@@ -79,7 +79,7 @@
     name: DocumentName,
     missing: tuple[Digest, ...],
 ) -> None:
-    if state.budget.take(len(missing), state.now):
+    if state.budget.take(state.now, len(missing)):
         state.effects.append(ReadChunks(name, missing))
     else:
         fail(state, name)
--- a/src/laburnumyard/core/dissemination/_state.py
+++ b/src/laburnumyard/core/dissemination/_state.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from laburnumyard.core.dissemination._budget import CallBudget
+from laburnumyard.core.call_budget import CallBudget
 from laburnumyard.core.dissemination._document import (
     NO_VERSION,
     Document,
--- a/src/laburnumyard/platform/_store_calls.py
+++ b/src/laburnumyard/platform/_store_calls.py
@@ -6,7 +6,7 @@
 import anyio
 from expression import Error, Result
 
-from laburnumyard.platform._budget import CallBudget
+from laburnumyard.core.call_budget import CallBudget
 from laburnumyard.platform._endpoint import (
     Endpoint,
     Exchanged,
@@ -57,7 +57,7 @@
         self.clock = clock
         self.draw = draw
         self.endpoint = Endpoint(settings.address)
-        self.budget = CallBudget(settings, now)
+        self.budget = CallBudget(settings.calls_per_s, settings.call_burst, now)
         self.outage = OutageDetector(patience_s, now)
 
     async def fetch(
@@ -98,7 +98,7 @@
         is_urgent: bool,
         wait_s: float,
     ) -> Called:
-        if not self.budget.take(self.clock(), is_urgent):
+        if not self.budget.take(self.clock(), is_urgent=is_urgent):
             return Error(over_budget())
         timeout_s = self.settings.timeout_s + wait_s
         answer = await self._exchange(request, timeout_s)
--- a/tests/platform/test_budget.py
+++ b/tests/core/test_call_budget.py
@@ -2,19 +2,12 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from laburnumyard.platform._budget import CallBudget
-from laburnumyard.schema._generated.settings import StoreSettings
-
-SETTINGS = StoreSettings(
-    address='127.0.0.1:7900',
-    calls_per_s=2,
-    call_burst=4,
-)
+from laburnumyard.core.call_budget import CallBudget
 
 
 @pytest.fixture
 def budget():
-    return CallBudget(SETTINGS, updated=100)
+    return CallBudget(calls_per_s=2, burst=4, updated=100)
 
 
 def test_burst_is_spent_and_refilled_at_the_rate(budget):
@@ -41,3 +34,10 @@
 def test_long_silence_fills_no_more_than_the_burst(budget):
     taken = [budget.take(100_000) for _ in range(5)]
     assert_that(taken.count(True), Equals(4))
+
+
+def test_several_calls_are_granted_together_or_not_at_all(budget):
+    assert_that(budget.take(100, 5), Is(False))
+    assert_that(budget.take(100, 3), Is(True))
+    assert_that(budget.take(100, 2), Is(False))
+    assert_that(budget.take(100, 1), Is(True))
