--- a/bench/control/calm.py
+++ b/bench/control/calm.py
@@ -57,6 +57,7 @@
 def reset(fleet: Fleet) -> None:
     """Begin to measure."""
     fleet.network.traffic.clear()
+    fleet.network.links.opened = 0
     fleet.store.calls = 0
     for node in fleet.running():
         node.busy_s = 0
@@ -70,6 +71,7 @@
     fleet.clock.run(settings.MEASURED_S)
     show_traffic(fleet, 'calm', settings.MEASURED_S)
     show_kinds(fleet)
+    show_links(fleet)
     seconds = daemons * settings.MEASURED_S
     events = sum(node.handled for node in fleet.running()) / seconds
     busy = sum(node.busy_s for node in fleet.running()) / seconds
@@ -121,6 +123,16 @@
         show(f'calm.sent_bytes_per_s.{kind}', daemons, rate)
 
 
+def show_links(fleet: Fleet) -> None:
+    """Print how many links a daemon opens for control, and keeps open."""
+    daemons = len(fleet.identities)
+    links = fleet.network.links
+    held = links.count_open(fleet.clock.now) / daemons
+    show('calm.links_opened_by_itself', daemons, held)
+    opened = links.opened / daemons / settings.MEASURED_S
+    show('calm.links_opened_per_s', daemons, opened)
+
+
 def measure_change(fleet: Fleet) -> None:
     """Print what one change of the configuration costs and how long it takes.
 
--- a/bench/control/losses.py
+++ b/bench/control/losses.py
@@ -12,6 +12,8 @@
 LIMIT_S = 60
 COUNTED_S = 10
 CUT_S = 20
+RACK_VMS = 16
+LASTING_S = 30
 
 
 def believe_right(fleet: Fleet) -> bool:
@@ -45,13 +47,14 @@
 
 
 def measure_losses(daemons: int) -> None:
-    """Print the loss of a VM and of a data centre."""
+    """Print the loss of a VM, of a rack and of a data centre."""
     fleet = new_fleet(daemons)
     centre = fleet.identities[0].data_centre
     together = [
         one.daemon for one in fleet.identities if one.data_centre == centre
     ]
     measure_loss(daemons, 'vm_loss', together[:1])
+    measure_loss(daemons, 'rack_loss', together[:RACK_VMS])
     measure_loss(daemons, 'data_centre_loss', together)
 
 
@@ -61,13 +64,28 @@
     return 'region-0' in regions and len(regions) > 1
 
 
+def believe_apart(fleet: Fleet) -> bool:
+    """Tell whether all believe just those live that they can reach."""
+    cut_off = sum(one.region == 'region-0' for one in fleet.identities)
+    reached = {True: cut_off, False: len(fleet.identities) - cut_off}
+    return all(
+        len(node.table.live()) == reached[node.identity.region == 'region-0']
+        for node in fleet.running()
+    )
+
+
 def measure_region_cut(daemons: int) -> None:
     """Print how soon regions that lost each other find each other again."""
     fleet = new_fleet(daemons)
     reset(fleet)
     fleet.network.cuts.append(cut_region)
-    fleet.clock.run(CUT_S)
-    show_traffic(fleet, 'region_cut', CUT_S)
+    known_s = wait_until(fleet, believe_apart)
+    show('region_cut.known_to_all_s', daemons, known_s)
+    fleet.clock.run(max(0, CUT_S - known_s))
+    show_traffic(fleet, 'region_cut', max(CUT_S, known_s))
+    reset(fleet)
+    fleet.clock.run(LASTING_S)
+    show_traffic(fleet, 'region_cut_lasting', LASTING_S)
     reset(fleet)
     fleet.network.cuts.clear()
     healed_s = wait_until(fleet, believe_right)
--- a/bench/control/network.py
+++ b/bench/control/network.py
@@ -10,6 +10,7 @@
 from laburnumyard.core.ids import DaemonName
 from laburnumyard.core.membership import Identity
 from laburnumyard.schema._generated import messages
+from laburnumyard.wire import DEFAULT_LINK_SETTINGS
 
 SAME_DATA_CENTRE_S = 0.0005
 SAME_REGION_S = 0.0015
@@ -70,6 +71,46 @@
     received_bytes: int = 0
 
 
+class OpenLinks:
+    """Which links the messages use; a silent one is closed.
+
+    Attributes
+    ----------
+    used_at
+        When each link was last used, in seconds.
+    opened
+        How many links were opened.
+    """
+
+    def __init__(self) -> None:
+        """Start without a link."""
+        self.used_at: dict[tuple[DaemonName, DaemonName], float] = {}
+        self.opened = 0
+
+    def use(
+        self,
+        source: DaemonName,
+        destination: DaemonName,
+        now: float,
+    ) -> None:
+        """Note that a message takes the link, which is opened if need be."""
+        link = (source, destination)
+        if not self.is_open(link, now):
+            self.opened += 1
+        self.used_at[link] = now
+
+    def is_open(self, link: tuple[DaemonName, DaemonName], now: float) -> bool:
+        """Tell whether a link was used a short time ago."""
+        used_at = self.used_at.get(link)
+        if used_at is None:
+            return False
+        return now - used_at < DEFAULT_LINK_SETTINGS.idle_close_after_s
+
+    def count_open(self, now: float) -> int:
+        """Return how many links are open."""
+        return sum(self.is_open(link, now) for link in self.used_at)
+
+
 class Network:
     """Delays, drops and counts messages.
 
@@ -91,6 +132,7 @@
         self.cuts: list[Cut] = []
         self.loss = float(0)
         self.traffic: dict[DaemonName, Traffic] = {}
+        self.links = OpenLinks()
         self.measured: tuple[messages.Message | None, int] = (None, 0)
 
     def passes(self, source: Identity, destination: Identity) -> bool:
@@ -117,6 +159,9 @@
         """Count a message."""
         if not self.measures:
             return
+        # A pong comes back on the link of its ping.
+        if not isinstance(message, messages.Pong):
+            self.links.use(source, destination, self.clock.now)
         size = self.size_of(message)
         kind = type(message).__name__
         sender = self.traffic.setdefault(source, Traffic())
