--- a/tests/platform/test_publication.py
+++ b/tests/platform/test_publication.py
@@ -1,5 +1,4 @@
-import json
-from itertools import pairwise, repeat
+from itertools import repeat
 
 import anyio
 import pytest
@@ -10,47 +9,24 @@
     HEAD_KEY,
     decode_published,
     encode_published,
-    parse_objects,
 )
 from laburnumyard.platform.publication import (
-    Proposal,
     PublishErrorKind,
     publish,
     read_current,
     read_history,
     read_version,
 )
-from tests.core.configuration.conftest import OBJECTS
+from tests.platform.publishing import (
+    accepted_changes,
+    assert_versions_rise,
+    propose,
+)
 from tests.support.fake_store import FakeStore, KilledError, StoreFault
 
 HISTORY = 'config/history/'
 
 
-def propose(change, base, slots=3):
-    text = OBJECTS.replace(":8002'", f":8002'\nslots = {slots}")
-    return Proposal(
-        parse_objects({'lima.toml': text}).ok,
-        base,
-        change_id=change,
-        author=f'author of {change}',
-        time='2026-12-04T04:33:00+00:00',
-        note='spring',
-    )
-
-
-def accepted_changes(store):
-    """Return the change ids that the store itself has seen in force."""
-    heads = [content for key, content in store.log if key == HEAD_KEY]
-    return [json.loads(content)['change_id'] for content in heads]
-
-
-def assert_versions_rise(store):
-    heads = [content for key, content in store.log if key == HEAD_KEY]
-    versions = [json.loads(content)['version'] for content in heads]
-    for earlier, later in pairwise(versions):
-        assert_that(later, Equals(earlier + 1))
-
-
 @pytest.fixture
 def store():
     return FakeStore()
--- a/tests/support/matrix.py
+++ b/tests/support/matrix.py
@@ -45,6 +45,7 @@
 _NO_STORE = 'the step makes no call to the store'
 _NO_OPERATOR = 'operators do not take part in the step'
 _NO_WRITE = 'the step writes nothing to the store'
+_NO_LEASE = 'a publication is one compare-and-swap; no lease takes part'
 _NO_TARGET = 'the step does not reach a target'
 
 NOT_POSSIBLE = MappingProxyType(
@@ -73,6 +74,7 @@
         (Step.RENEW, Fault.POISON_REQUEST): 'a renewal carries no request',
         (Step.TAKE_OVER, Fault.POISON_REQUEST): 'no request takes part',
         (Step.PUBLISH, Fault.POISON_REQUEST): 'no request takes part',
+        (Step.PUBLISH, Fault.LEASE_LAPSED): _NO_LEASE,
         (Step.PUBLISH, Fault.TARGET_FREEZE): _NO_TARGET,
         (Step.DISSEMINATE, Fault.POISON_REQUEST): 'no request takes part',
         (Step.DISSEMINATE, Fault.TARGET_FREEZE): _NO_TARGET,
