Fault matrix: move, join, leave and drain x poison-request

Cause: no test let a poison request kill targets while keys change hands.

Change: in the ownership fleet a caller resends one request through each daemon in turn. Whoever holds its key runs it and dies; a daemon that finds no owner tries again until one gets its grant, so that the new owner of a moved key dies within the step. Deaths are held against it by the real quarantines, which the daemons share. The observer of ownership checks one owner per key throughout; two targets die, no more, the step ends and every key is served again.

Broken variants that the checks catch: a quarantine that refuses nothing, a lease manager that moves keys of dead targets too early.

--- /dev/null
+++ b/tests/core/requests/test_poison_at_moves.py
@@ -0,0 +1,159 @@
+"""A poison request that kills targets while their keys change hands."""
+
+from functools import partial
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, HasLength, Is, LessThan
+
+from laburnumyard.core import requests
+from laburnumyard.schema._generated.settings import TimingSettings
+from tests.core.ownership import broken
+from tests.core.ownership.conftest import build_scene
+from tests.core.ownership.observer import Breach
+from tests.core.ownership.steps import begin_step, is_done, prepare
+from tests.core.requests.times import DEATHS_LIMIT
+from tests.support.matrix import Step
+
+STEPS = (Step.MOVE, Step.JOIN, Step.LEAVE, Step.DRAIN)
+# When the first target dies, counted from the step: before it, while the
+# store makes the change, and while targets answer.
+OFFSETS_S = (-0.3, 0.003, 0.008)
+TIMING = TimingSettings(outage_hold_s=3)
+DOWN_S = 0.3
+RESEND_S = 0.4
+RETRY_S = 0.002
+DEADLINE_S = 0.3
+# A change of owner takes less.
+STEP_S = 0.1
+RESENDS = 12
+RECOVERY_S = 12
+POISON = requests.fingerprint_of('orders', 'POST', '/orders/x', 'k', b'{}')
+
+
+class PoisonCaller:
+    """Sends one request again and again, each time through another daemon.
+
+    Whoever holds the key runs it, dies, and is back after a while. The
+    dispatcher holds the death against the request and tells the others.
+    """
+
+    quarantine_class = requests.Quarantine
+
+    def __init__(self, fleet, key):
+        self.fleet = fleet
+        self.key = key
+        self.sent = 0
+        self.deaths = []
+        self.refused = 0
+        self.quarantines = {
+            name: self.quarantine_class() for name in fleet.daemons
+        }
+
+    def resend(self):
+        if self.sent == RESENDS:
+            return
+        names = tuple(self.quarantines)
+        name = names[self.sent % len(names)]
+        self.sent += 1
+        world = self.fleet.world
+        world.at(world.now + RESEND_S, self.resend)
+        self.pass_on(self.fleet.daemons[name], world.now + DEADLINE_S)
+
+    def pass_on(self, daemon, deadline):
+        """Have it run, and while nobody owns the key, try again."""
+        world = self.fleet.world
+        if not daemon.is_alive or world.now > deadline:
+            return
+        quarantine = self.quarantines[daemon.name]
+        if quarantine.refusal(POISON, daemon.clock) is not None:
+            self.refused += 1
+            return
+        owner = self.owner()
+        if owner is None:
+            again = partial(self.pass_on, daemon, deadline)
+            world.at(world.now + RETRY_S, again)
+        else:
+            self.kill(owner, daemon)
+
+    def owner(self):
+        """Give the target that would run it: it holds the key now."""
+        for target in self.fleet.targets.values():
+            holds = target.holder.holds(self.key, target.clock)
+            if target.is_alive and holds:
+                return target
+        return None
+
+    def kill(self, target, daemon):
+        world = self.fleet.world
+        target.kill()
+        self.deaths.append(world.now)
+        world.at(world.now + DOWN_S, target.start)
+        quarantine = self.quarantines[daemon.name]
+        death = f'{target.name}@{world.now}'
+        suspects = quarantine.note_death(death, [POISON], daemon.clock)
+        for other in self.fleet.daemons.values():
+            world.send(daemon, other, partial(self.learn, other, suspects))
+
+    def learn(self, daemon, suspects):
+        self.quarantines[daemon.name].merge(suspects, daemon.clock)
+
+
+def run_step(step, offset, caller_class=PoisonCaller, **options):
+    scene = build_scene(13, timing=TIMING, **options)
+    fleet = scene.fleet
+    key = fleet.owners['target-0'][0].start + 1
+    prepare(step, fleet)
+    start = fleet.world.now + max(-offset, 0)
+    caller = caller_class(fleet, key)
+    fleet.world.at(start + offset, caller.resend)
+    fleet.world.at(start, lambda: begin_step(step, fleet))
+    fleet.run(RESEND_S * RESENDS + 1)
+    return scene, caller, start + offset
+
+
+@pytest.mark.parametrize(
+    'step',
+    [
+        pytest.param(
+            step,
+            id=step.value,
+            marks=pytest.mark.cell(step=step.value, fault='poison-request'),
+        )
+        for step in STEPS
+    ],
+)
+def test_poison_kills_two_targets_and_no_key_gets_two_owners(step):
+    for offset in OFFSETS_S:
+        scene, caller, first = run_step(step, offset)
+        assert_that(caller.deaths, HasLength(DEATHS_LIMIT))
+        assert_that(caller.deaths[0] - first, LessThan(STEP_S))
+        scene.recover(RECOVERY_S)
+        scene.fleet.run(1)
+        assert_that(scene.observer.worst, Equals(0))
+        assert_that(is_done(step, scene.fleet), Is(True))
+
+
+class MildQuarantine(requests.Quarantine):
+    """Refuses nothing."""
+
+    def refusal(self, fingerprint, now):
+        """Let everything run."""
+
+
+class MildCaller(PoisonCaller):
+    quarantine_class = MildQuarantine
+
+
+@pytest.mark.parametrize('step', STEPS)
+def test_check_catches_a_quarantine_that_refuses_nothing(step):
+    for offset in OFFSETS_S:
+        caller = run_step(step, offset, MildCaller)[1]
+        assert_that(len(caller.deaths), GreaterThan(DEATHS_LIMIT))
+
+
+def test_observer_catches_a_manager_that_moves_keys_of_the_dead_too_early():
+    with pytest.raises(Breach, match='both own'):
+        for offset in OFFSETS_S:
+            manager = broken.HastyManager
+            run_step(Step.JOIN, offset, manager_class=manager)
