Pairs of faults at each step of an order; make faults counts them

Cause: only single faults struck the steps of an order.

Change: all 15 pairs of cut, pause, kill, target-freeze, store-down and silent-connection at each of the 7 steps: on one daemon and on two neighbours, at once and 50 ms apart; with the store down from before the step, on each daemon. Each run asserts that both struck, then the observer's checks run. A mark `pair(step, faults)` has them counted: `make faults` prints `pairs: N proved, N red` under the cells, and the page has a section with the counts and each pair that is red.

A daemon that keeps no ledger is caught under each of the 15 pairs.

--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 from collections import Counter
+from collections.abc import Iterable
 from enum import Enum
 from pathlib import Path
 
@@ -17,10 +18,15 @@
 
 Written by `make faults` from the tests that ran; do not edit. A cell is
 *proved* if every test that carries its mark passed in that run, *red* if one
-failed, *not possible* with the reason below, or *not covered* (empty).
+failed, *not possible* with the reason below, or *not covered* (empty). A pair
+is two faults that strike at one step, together or one shortly after the other.
 """
 
 
+# A step, and two faults in the order of their names.
+Pair = tuple[str, ...]
+
+
 class CellState(Enum):
     """What is known of one cell."""
 
@@ -59,6 +65,32 @@
     return [row for row in rows if (row['step'], row['fault']) == cell]
 
 
+def judge_pairs(rows: list[dict]) -> dict[Pair, CellState]:
+    """Return the state of each pair of faults that a test carries."""
+    outcomes: dict[Pair, set[str]] = {}
+    for row in rows:
+        pair = (row['step'], *row['pair'])
+        outcomes.setdefault(pair, set()).add(row['outcome'])
+    return {
+        pair: CellState.PROVED if found == {'passed'} else CellState.RED
+        for pair, found in outcomes.items()
+    }
+
+
+def pair_lines(pairs: dict[Pair, CellState]) -> list[str]:
+    """Return the counts of pairs by step, and each pair that is red."""
+    proved = Counter(
+        pair[0] for pair, state in pairs.items() if state is CellState.PROVED
+    )
+    lines = [
+        f'- {step.value}: {proved[step.value]} proved'
+        for step in Step
+        if proved[step.value]
+    ]
+    red = (pair for pair, state in pairs.items() if state is CellState.RED)
+    return lines + [f'- {" x ".join(pair)}: red' for pair in sorted(red)]
+
+
 def table_lines(states: dict[tuple[Step, Fault], CellState]) -> list[str]:
     """Return the matrix as a table."""
     shown = {CellState.NOT_POSSIBLE: 'n/a', CellState.NOT_COVERED: ''}
@@ -83,7 +115,11 @@
     ]
 
 
-def page(rows: list[dict], states: dict[tuple[Step, Fault], CellState]) -> str:
+def page(
+    rows: list[dict],
+    states: dict[tuple[Step, Fault], CellState],
+    pairs: dict[Pair, CellState],
+) -> str:
     """Return the text of the page."""
     reasons = [
         f'- {step.value} x {fault.value}: {why}'
@@ -95,6 +131,8 @@
         *table_lines(states),
         '\n## Proofs\n',
         *proof_lines(rows),
+        '\n## Pairs of faults\n',
+        *pair_lines(pairs),
         '\n## Not possible\n',
         *reasons,
     )
@@ -103,18 +141,26 @@
 
 def main() -> None:
     """Write the page and print the counts."""
-    rows, code = run_tests()
+    records, code = run_tests()
+    rows = [record for record in records if 'fault' in record]
+    pairs = judge_pairs([record for record in records if 'pair' in record])
     states = {
         (step, fault): judge(rows, step, fault)
         for step in Step
         for fault in Fault
     }
-    PAGE.write_text(f'{page(rows, states)}\n')
-    counts = Counter(states.values())
-    shares = ', '.join(f'{counts[state]} {state.value}' for state in CellState)
-    sys.stdout.write(f'cells: {shares}\n')
+    PAGE.write_text(f'{page(rows, states, pairs)}\n')
+    cells = shares(states.values(), CellState)
+    judged = shares(pairs.values(), (CellState.PROVED, CellState.RED))
+    sys.stdout.write(f'cells: {cells}\npairs: {judged}\n')
     sys.exit(code)
 
 
+def shares(states: Iterable[CellState], shown: Iterable[CellState]) -> str:
+    """Return how many are in each of some states."""
+    counts = Counter(states)
+    return ', '.join(f'{counts[state]} {state.value}' for state in shown)
+
+
 if __name__ == '__main__':
     main()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -28,6 +28,20 @@
                 'outcome': report.outcome,
             }
             cells.write(f'{json.dumps(row)}\n')
+        for mark in item.iter_markers('pair'):
+            row = {
+                'step': Step(mark.kwargs['step']).value,
+                'pair': _pair(mark),
+                'test': item.nodeid,
+                'outcome': report.outcome,
+            }
+            cells.write(f'{json.dumps(row)}\n')
+
+
+def _pair(mark):
+    """Return the names of two faults, in one order."""
+    one, other = mark.kwargs['faults']
+    return sorted((Fault(one).value, Fault(other).value))
 
 
 def pytest_collection_modifyitems(items):
@@ -39,6 +53,9 @@
         for mark in item.iter_markers('cell'):
             Step(mark.kwargs['step'])
             Fault(mark.kwargs['fault'])
+        for mark in item.iter_markers('pair'):
+            Step(mark.kwargs['step'])
+            _pair(mark)
 
 
 def pytest_terminal_summary(terminalreporter):
--- a/tests/core/requests/faults.py
+++ b/tests/core/requests/faults.py
@@ -72,6 +72,7 @@
 
 
 def silence(fleet, victim):
+    assert fleet.links.of(victim), f'{victim} has no connection'
     fleet.links.silence(victim)
 
 
--- a/tests/core/requests/test_faults.py
+++ b/tests/core/requests/test_faults.py
@@ -19,6 +19,14 @@
 )
 from tests.core.requests.fleet import Fleet, check_answered, check_fleet
 from tests.core.requests.grants import Grants
+from tests.core.requests.orders import (
+    LATE_STEPS,
+    ORDERS,
+    STEPS,
+    WARM_UP,
+    WARM_UP_ORDERS,
+    order_all,
+)
 from tests.core.requests.target import Run, Target
 from tests.core.requests.times import (
     DAEMONS,
@@ -29,23 +37,7 @@
 )
 from tests.support.matrix import Fault, Step
 
-ORDERS = 5
-ORDER_INTERVAL = 0.005
-# Orders before the fault, so that connections are open when it strikes.
-WARM_UP = 0.08
-WARM_UP_ORDERS = 4
 SERVED_AGAIN_S = 5
-STEPS = (
-    Step.ISSUE_TICKET,
-    Step.ADMIT,
-    Step.QUEUE,
-    Step.SEND,
-    Step.ANSWER,
-    Step.RETRY,
-    Step.CANCEL,
-)
-# Steps that are only reached when the target is frozen to begin with.
-LATE_STEPS = frozenset((Step.CANCEL, Step.RETRY))
 # Those that hit one process, and need nothing else.
 PLAIN_FAULTS = (
     Fault.CUT,
@@ -58,13 +50,6 @@
 NEEDS_WARM_UP = frozenset((Fault.SILENT_CONNECTION, Fault.POISON_REQUEST))
 
 
-def order_all(fleet, count=ORDERS, name='order'):
-    for number in range(count):
-        caller = Caller(fleet, f'{name}-{number}', start=number)
-        moment = fleet.now + number * ORDER_INTERVAL
-        fleet.at(moment, caller.order, caller.next_try)
-
-
 def run_fleet(step, fault, victim, *, entry_class=Daemon, timing=None):
     def strike(fleet):
         FAULTS[fault](fleet, victim)
--- /dev/null
+++ b/tests/core/requests/test_pairs.py
@@ -0,0 +1,111 @@
+"""Each pair of faults at each step of an order, together or one by one."""
+
+from itertools import combinations, product
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from laburnumyard.core import ownership
+from tests.core.requests.daemon import Daemon
+from tests.core.requests.faults import FAULTS, freeze_target
+from tests.core.requests.fleet import Fleet, check_fleet
+from tests.core.requests.grants import Grants
+from tests.core.requests.orders import (
+    LATE_STEPS,
+    STEPS,
+    WARM_UP,
+    WARM_UP_ORDERS,
+    order_all,
+)
+from tests.core.requests.times import DAEMONS, TARGET
+from tests.support.matrix import Fault
+
+# A silent connection has to be hit before the other fault closes it.
+PAIRED = (
+    Fault.SILENT_CONNECTION,
+    Fault.CUT,
+    Fault.PAUSE,
+    Fault.KILL,
+    Fault.TARGET_FREEZE,
+    Fault.STORE_DOWN,
+)
+# How long after the first fault the second one strikes.
+DELAYS = (0, 0.05)
+SERVED_AGAIN_S = 5
+
+
+def run_pair(step, faults, victims, delay, *, entry_class=Daemon):
+    """Let a fault strike one victim, and another the next."""
+    struck = []
+
+    def strike(fleet):
+        hit(fleet, 0)
+        if delay:
+            fleet.at(fleet.now + delay, 'outside', hit, fleet, 1)
+        else:
+            hit(fleet, 1)
+
+    def hit(fleet, number):
+        FAULTS[faults[number]](fleet, victims[number])
+        struck.append(faults[number])
+
+    def begin():
+        fleet.step = step.value
+        if step in LATE_STEPS:
+            freeze_target(fleet, TARGET)
+        order_all(fleet)
+
+    has_store = Fault.STORE_DOWN in faults
+    grants = Grants(ownership.FencedTarget) if has_store else None
+    fleet = Fleet(None, strike, entry_class=entry_class, grants=grants)
+    if has_store:
+        grants.fleet.store.is_down = True
+    order_all(fleet, WARM_UP_ORDERS, 'early')
+    fleet.at(WARM_UP, 'outside', begin)
+    fleet.run()
+    assert_that(struck, Equals(list(faults)), 'a fault did not strike')
+    check_fleet(fleet)
+    if has_store:
+        grants.check_served(fleet.now, SERVED_AGAIN_S)
+
+
+def places(faults):
+    """Give the victims of both faults, and the delay of the second."""
+    if Fault.STORE_DOWN in faults:
+        # The store is down from the beginning, and has no victim.
+        return [((victim, victim), 0) for victim in DAEMONS]
+    neighbours = zip(DAEMONS, (*DAEMONS[1:], DAEMONS[0]), strict=True)
+    both = [*neighbours, *((victim, victim) for victim in DAEMONS)]
+    return list(product(both, DELAYS))
+
+
+def cases():
+    for step, faults in product(STEPS, combinations(PAIRED, 2)):
+        names = sorted(fault.value for fault in faults)
+        joined = '-'.join(names)
+        mark = pytest.mark.pair(step=step.value, faults=names)
+        name = f'{step.value}-{joined}'
+        yield pytest.param(step, faults, id=name, marks=mark)
+
+
+@pytest.mark.parametrize(('step', 'faults'), tuple(cases()))
+def test_two_faults_at_a_step_break_no_promise(step, faults):
+    for victims, delay in places(faults):
+        run_pair(step, faults, victims, delay)
+
+
+class ForgetfulDaemon(Daemon):
+    """Keeps no ledger, so that a resend runs again."""
+
+    def submit_to_ledger(self, order, ticket, reply):
+        self.ledger.entries.clear()
+        super().submit_to_ledger(order, ticket, reply)
+
+
+@pytest.mark.parametrize('faults', tuple(combinations(PAIRED, 2)))
+def test_checks_catch_a_forgetful_daemon(faults):
+    """Under each pair, at one step at least."""
+    with pytest.raises(AssertionError, match=r'ran \d+ times'):
+        for step, (victims, delay) in product(STEPS, places(faults)):
+            run_pair(step, faults, victims, delay, entry_class=ForgetfulDaemon)
