--- a/tests/core/requests/test_pairs.py
+++ b/tests/core/requests/test_pairs.py
@@ -1,4 +1,4 @@
-"""Each pair of faults at each step of an order, together or one by one."""
+"""Two faults at each step of an order, or one fault twice."""
 
 from itertools import combinations, product
 
@@ -18,7 +18,7 @@
     WARM_UP_ORDERS,
     order_all,
 )
-from tests.core.requests.times import DAEMONS, TARGET
+from tests.core.requests.times import DAEMONS, FAULT_TIME, TARGET
 from tests.support.matrix import Fault
 
 # A silent connection has to be hit before the other fault closes it.
@@ -32,6 +32,13 @@
 )
 # How long after the first fault the second one strikes.
 DELAYS = (0, 0.05)
+# The same fault strikes two daemons at once, or again once it has ended.
+DELAYS_TWICE = (0, FAULT_TIME + 0.05)
+# The store is down once, from the beginning.
+PAIRS = (
+    *combinations(PAIRED, 2),
+    *((fault, fault) for fault in PAIRED if fault is not Fault.STORE_DOWN),
+)
 SERVED_AGAIN_S = 5
 
 
@@ -77,11 +84,12 @@
         return [((victim, victim), 0) for victim in DAEMONS]
     neighbours = zip(DAEMONS, (*DAEMONS[1:], DAEMONS[0]), strict=True)
     both = [*neighbours, *((victim, victim) for victim in DAEMONS)]
-    return list(product(both, DELAYS))
+    is_twice = len(set(faults)) == 1
+    return list(product(both, DELAYS_TWICE if is_twice else DELAYS))
 
 
 def cases():
-    for step, faults in product(STEPS, combinations(PAIRED, 2)):
+    for step, faults in product(STEPS, PAIRS):
         names = sorted(fault.value for fault in faults)
         joined = '-'.join(names)
         mark = pytest.mark.pair(step=step.value, faults=names)
@@ -103,7 +111,7 @@
         super().submit_to_ledger(order, ticket, reply)
 
 
-@pytest.mark.parametrize('faults', tuple(combinations(PAIRED, 2)))
+@pytest.mark.parametrize('faults', PAIRS)
 def test_checks_catch_a_forgetful_daemon(faults):
     """Under each pair, at one step at least."""
     with pytest.raises(AssertionError, match=r'ran \d+ times'):
