A daemon that leaves gives its balancer notice before it refuses anybody

Cause: SIGTERM turned a daemon not-ready and had it refuse new requests in the same moment, so that callers saw refusals until the balancer had looked.

Change: timing.leave_notice_s (5 s). On SIGTERM the daemon is not ready, hands its roles over, still serves callers and closes each kept connection with its next answer; then it closes its listener and idle connections, and only then refuses new requests and submissions of tickets. A second signal ends it at once. A daemon that was not ready, or is superseded, gives no notice. drain_timeout_s counts from the end of the notice and must be at least limits.deadline_max_s, or it would cut off requests in flight.

Ruled out: the notice inside drain_timeout_s: a request of the notice with the longest deadline would be cut off, or sound settings become invalid.

tests/daemon/test_tickets.py sets the new stage in place of the flag; the process tests choose a notice of 0.1 s.

--- a/src/laburnumyard/core/settings.py
+++ b/src/laburnumyard/core/settings.py
@@ -113,6 +113,7 @@
     """
     report = partial(Problem, source)
     yield from _timing_problems(settings.timing, report)
+    yield from _drain_problems(settings, report)
     yield from _limit_problems(settings.limits, report)
     yield from _malformed_addresses(settings, report)
     yield from _clashing_addresses(settings.listen, report)
@@ -153,6 +154,19 @@
         )
 
 
+def _drain_problems(settings: Settings, report: Report) -> Iterator[Problem]:
+    longest = settings.limits.deadline_max_s
+    timeout = settings.timing.drain_timeout_s
+    if timeout < longest:
+        yield report(
+            '[timing]',
+            'drain_timeout_s',
+            show_value(timeout),
+            f'give at least deadline_max_s = {longest}, or a shutdown cuts '
+            'off requests in flight',
+        )
+
+
 def _limit_problems(limits: LimitSettings, report: Report) -> Iterator[Problem]:
     at = partial(report, '[limits]')
     if limits.deadline_default_s > limits.deadline_max_s:
--- a/src/laburnumyard/daemon/_balance.py
+++ b/src/laburnumyard/daemon/_balance.py
@@ -79,7 +79,7 @@
 
     def propose(self) -> None:
         """Propose moves for each service that this daemon plans for."""
-        if self.view.configuration is None or self.view.is_draining:
+        if self.view.configuration is None or self.view.is_leaving:
             return
         for service in self.view.configuration.services:
             if self._planner_of(service) != self.view.name:
--- a/src/laburnumyard/daemon/_http_server.py
+++ b/src/laburnumyard/daemon/_http_server.py
@@ -12,6 +12,7 @@
 
 BACKLOG = 2048
 KEEP_ALIVE_S = 75
+CLOSE = (b'connection', b'close')
 
 
 class HttpServer(uvicorn.Server):
@@ -22,6 +23,22 @@
         """Install no signal handlers; the daemon has its own."""
         yield
 
+    def close_kept(self) -> None:
+        """Close each connection with its next answer, which says so."""
+        self.config.encoded_headers.append(CLOSE)
+        # The server renews its own copy once a second.
+        self.server_state.default_headers = self.config.encoded_headers
+        for connection in self.server_state.connections:
+            if connection.cycle is not None:
+                connection.cycle.keep_alive = False
+
+    @property
+    def is_listening(self) -> bool:
+        """Whether new connections are accepted."""
+        return self.started and any(
+            listener.is_serving() for listener in self.servers
+        )
+
     @property
     def is_flushed(self) -> bool:
         """Whether every answer has left this process."""
--- a/src/laburnumyard/daemon/_node.py
+++ b/src/laburnumyard/daemon/_node.py
@@ -175,7 +175,7 @@
     def is_ready(self) -> bool:
         """Whether the members are known and every service can be routed."""
         configuration = self.view.configuration
-        if configuration is None or self.view.is_draining:
+        if configuration is None or self.view.is_leaving:
             return False
         if not self.view.knows_members:
             return False
--- a/src/laburnumyard/daemon/_operations.py
+++ b/src/laburnumyard/daemon/_operations.py
@@ -53,6 +53,7 @@
                 'daemon': view.name,
                 'incarnation': view.incarnation,
                 'ready': node.is_ready,
+                'leaving': view.is_leaving,
                 'draining': view.is_draining,
                 'configuration': {'version': view.configuration_version},
                 'assignments': {
--- a/src/laburnumyard/daemon/_ownership.py
+++ b/src/laburnumyard/daemon/_ownership.py
@@ -103,7 +103,7 @@
         """
         state = self.view.members.state
         is_blind = state.is_stale or not self.has_looked_around
-        if is_blind or self.view.is_draining:
+        if is_blind or self.view.is_leaving:
             return
         for scope, runner in self.runners.items():
             for candidates in guard_candidates(self.view, scope):
@@ -125,7 +125,7 @@
             ServiceName(message.service), DataCentre(message.data_centre)
         )
         runner = self.runners.get(scope)
-        if runner is not None and not self.view.is_draining:
+        if runner is not None and not self.view.is_leaving:
             runner.feed(ownership.TakeOver())
 
     def feed_service(
--- a/src/laburnumyard/daemon/_run.py
+++ b/src/laburnumyard/daemon/_run.py
@@ -1,25 +1,26 @@
 """Starts a daemon, serves until it is told to leave, and drains it."""
 
 import signal
+from collections.abc import AsyncIterator
 
 import anyio
 from anyio.abc import TaskGroup
 
-from laburnumyard.core import membership
 from laburnumyard.daemon._admin import AdminApp
 from laburnumyard.daemon._http_server import HttpServer, make_server
+from laburnumyard.daemon._leaving import Departure
 from laburnumyard.daemon._log import Event, configure_log, log_event
 from laburnumyard.daemon._node import Node
 from laburnumyard.daemon._operations import make_handlers
 from laburnumyard.schema._generated.settings import Settings
 
-POLL_INTERVAL_S = 0.02
-# What the last heartbeats and answers need to leave after a drain.
-PARTING_S = 0.1
+SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def run(settings: Settings) -> None:
-    """Run a daemon until SIGTERM or SIGINT, then drain it.
+    """Run a daemon until SIGTERM or SIGINT, then have it leave.
+
+    A second signal ends it at once, whatever is in flight.
 
     Parameters
     ----------
@@ -45,8 +46,9 @@
                 data_centre=settings.daemon.data_centre,
                 callers=settings.listen.callers,
             )
-            await _wait_for_end(node)
-            await _drain(node, entry_server)
+            with anyio.open_signal_receiver(*SIGNALS) as signals:
+                await _wait_for_end(node, signals)
+                await _leave(Departure(node, entry_server), signals)
             tasks.cancel_scope.cancel()
     log_event(Event.STOPPED, daemon=settings.daemon.name)
 
@@ -69,49 +71,31 @@
     return entry_server
 
 
-async def _wait_for_end(node: Node) -> None:
+async def _wait_for_end(
+    node: Node,
+    signals: AsyncIterator[signal.Signals],
+) -> None:
     """Wait for a signal, or for a newer process under this daemon's name."""
     async with anyio.create_task_group() as waiting:
-        waiting.start_soon(_wait_for_signal, waiting.cancel_scope)
+        waiting.start_soon(_wait_for_signal, signals, waiting.cancel_scope)
         await node.members.superseded.wait()
         log_event(Event.STOPPING, 'ERROR', reason='superseded')
         waiting.cancel_scope.cancel()
 
 
-async def _wait_for_signal(waiting: anyio.CancelScope) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        await anext(aiter(signals))
+async def _wait_for_signal(
+    signals: AsyncIterator[signal.Signals],
+    waiting: anyio.CancelScope,
+) -> None:
+    await anext(signals)
     waiting.cancel()
 
 
-async def _drain(node: Node, entry_server: HttpServer) -> None:
-    """Hand roles over, finish what is in flight, and leave.
-
-    New requests are refused as ``not-run`` while the balancer has not yet
-    seen that the daemon is no longer ready.
-    """
-    log_event(Event.STOPPING, daemon=node.view.name)
-    node.view.is_draining = True
-    node.office.ledger.drain()
-    node.members.feed(membership.Leave())
-    node.ownership.leave()
-    timeout = node.settings.timing.drain_timeout_s
-    with anyio.move_on_after(timeout):
-        await _wait_idle(node, entry_server)
-    entry_server.should_exit = True
-    await anyio.sleep(PARTING_S)
-
-
-async def _wait_idle(node: Node, entry_server: HttpServer) -> None:
-    # The state machines have no common event of rest.
-    while not (_is_idle(node) and entry_server.is_flushed):  # noqa: ASYNC110
-        await anyio.sleep(POLL_INTERVAL_S)
-
-
-def _is_idle(node: Node) -> bool:
-    return (
-        node.entry.in_flight == 0
-        and node.targets.is_idle
-        and node.ownership.is_handed_over
-        and node.office.ledger.running == 0
-    )
+async def _leave(
+    departure: Departure,
+    signals: AsyncIterator[signal.Signals],
+) -> None:
+    async with anyio.create_task_group() as leaving:
+        leaving.start_soon(_wait_for_signal, signals, leaving.cancel_scope)
+        await departure.run()
+        leaving.cancel_scope.cancel()
--- a/src/laburnumyard/daemon/_view.py
+++ b/src/laburnumyard/daemon/_view.py
@@ -1,6 +1,7 @@
 """What this daemon knows of the deployment at the moment."""
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 import anyio
 
@@ -32,6 +33,16 @@
 NOBODY: frozenset[DaemonName] = frozenset()
 
 
+class Stage(Enum):
+    """How far a daemon is on its way out."""
+
+    SERVING = 'serving'
+    # Not ready and without roles, but callers are still served.
+    LEAVING = 'leaving'
+    # New requests are refused, those in flight end.
+    DRAINING = 'draining'
+
+
 @dataclass(slots=True)
 class View:
     """Configuration, assignments and members, as this daemon knows them.
@@ -50,8 +61,8 @@
         The newest head and assignment of each service.
     tables
         The routing table of each service.
-    is_draining
-        Whether the daemon is shutting down.
+    stage
+        How far the daemon is on its way out.
     changes
         Set at the next assignment of a service that somebody waits for.
     """
@@ -63,7 +74,7 @@
     configuration_version: Version = NO_VERSION
     snapshots: dict[ServiceName, Snapshot] = field(default_factory=dict)
     tables: dict[ServiceName, RoutingTable] = field(default_factory=dict)
-    is_draining: bool = False
+    stage: Stage = Stage.SERVING
     changes: dict[ServiceName, anyio.Event] = field(default_factory=dict)
 
     @property
@@ -71,6 +82,16 @@
         """The name of this daemon."""
         return DaemonName(self.settings.daemon.name)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the daemon takes no role and no new connection."""
+        return self.stage is not Stage.SERVING
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the daemon refuses new requests."""
+        return self.stage is Stage.DRAINING
+
     def take_snapshot(self, service: ServiceName, snapshot: Snapshot) -> None:
         """Route by a newer assignment."""
         version = snapshot.head.version
--- a/src/laburnumyard/schema/_generated/settings.py
+++ b/src/laburnumyard/schema/_generated/settings.py
@@ -197,9 +197,13 @@
     """
     The bound on the relative drift of two clocks.
     """
+    leave_notice_s: Annotated[float, Field(ge=0.0, le=60.0)] = 5.0
+    """
+    How long a daemon that leaves still serves new requests, in seconds; the balancer has to notice within it that the daemon is not ready.
+    """
     drain_timeout_s: Annotated[float, Field(gt=0.0)] = 30.0
     """
-    The longest wait for requests in flight at a shutdown, in seconds.
+    The longest wait for requests in flight after the notice of a shutdown, in seconds.
     """
     removal_means_stopped: bool = False
     """
--- a/src/standins/_cluster_files.py
+++ b/src/standins/_cluster_files.py
@@ -75,7 +75,8 @@
     paying_share
         The share of each service that the customer ``clinic`` pays for.
     timing
-        Lines of the ``[timing]`` table that differ from the default.
+        Lines of the ``[timing]`` table that differ from the default; no
+        balancer is there to be given notice.
     """
 
     services: tuple[ServiceShape, ...]
@@ -83,7 +84,7 @@
     data_centres: tuple[str, ...] = ('lima-a', 'lima-b', 'lima-c')
     region: str = 'lima'
     paying_share: float = 0.3
-    timing: tuple[str, ...] = ()
+    timing: tuple[str, ...] = ('leave_notice_s = 0.1',)
     limits: tuple[str, ...] = ()
 
 
--- a/tests/daemon/test_tickets.py
+++ b/tests/daemon/test_tickets.py
@@ -4,6 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
+from laburnumyard.daemon._view import Stage
 from tests.daemon.http import ask, connected, encode
 from tests.daemon.world import TOKEN, running
 
@@ -173,7 +174,7 @@
         asyncio.create_task(ask(daemon.callers, x_work_ms=60)),
     ]
     await wait_until(lambda: len(target_app.state.log.runs) == 2)
-    daemon.view.is_draining = True
+    daemon.view.stage = Stage.DRAINING
     daemon.office.ledger.drain()
     refused = await ask(daemon.callers)
     assert_that(refused.kind, Equals('shutting-down'))
--- a/tests/daemon/world.py
+++ b/tests/daemon/world.py
@@ -120,6 +120,7 @@
 
     def __init__(self):
         self.events = []
+        self.superseded = anyio.Event()
 
     def feed(self, event):
         self.events.append(event)
@@ -128,6 +129,15 @@
         return True
 
 
+class Ownership:
+    """Has no role to hand over."""
+
+    is_handed_over = True
+
+    def leave(self):
+        self.is_left = True
+
+
 class ControlRelay:
     """Takes what the parts tell every daemon."""
 
@@ -147,6 +157,7 @@
         self.metrics = Metrics()
         self.view = FixedView(settings, Incarnation(incarnation), None)
         self.members = Members()
+        self.ownership = Ownership()
         self.relay = ControlRelay()
         self.build_links()
         self.build_requests()
