--- a/src/laburnumyard/daemon/_run.py
+++ b/src/laburnumyard/daemon/_run.py
@@ -7,8 +7,8 @@
 from anyio.abc import TaskGroup
 
 from laburnumyard.daemon._admin import AdminApp
+from laburnumyard.daemon._departure import Departure
 from laburnumyard.daemon._http_server import HttpServer, make_server
-from laburnumyard.daemon._leaving import Departure
 from laburnumyard.daemon._log import Event, configure_log, log_event
 from laburnumyard.daemon._node import Node
 from laburnumyard.daemon._operations import make_handlers
--- a/tests/daemon/test_leaving.py
+++ b/tests/daemon/test_departure.py
@@ -7,7 +7,7 @@
 from testtools.matchers import Equals, HasLength, Is, IsInstance
 
 from laburnumyard.core import membership
-from laburnumyard.daemon._leaving import Departure
+from laburnumyard.daemon._departure import Departure
 from tests.daemon.http import ask, connected, encode
 from tests.daemon.world import running
 
