Silent connections are noticed by a daemon whose queue cancels first

Cause: the queue cancels a run at its deadline in the same moment in which the link would time out, and mostly before it. The link then never told its ConnectionPolicy, so that no idle connection was ever doubted and no target was ever found UNREACHABLE by silence. Besides, nothing fed TargetSheds when the policy said UNREACHABLE, as the docstring of core.requests asks.

UNREACHABLE by silence feeds TargetSheds, so that the queue pauses and tries one request at a time.

Ruled out: the queue's later cancellation of the two: a margin between the two clocks would either end runs early or let them run past their deadline.

--- a/src/laburnumyard/daemon/_target_link.py
+++ b/src/laburnumyard/daemon/_target_link.py
@@ -1,5 +1,6 @@
 """Sends jobs to one target over its kept connections."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -83,6 +84,8 @@
         Holds the grants of a target that checks nothing itself.
     on_broken_off
         Called after a connection ended before its answer.
+    on_unreachable
+        Called when fresh connections, too, are silent.
     """
 
     def __init__(
@@ -91,12 +94,14 @@
         body_bytes: int,
         guard: TargetGuard,
         on_broken_off: Callable[[Job], None],
+        on_unreachable: Callable[[], None],
     ) -> None:
         """Start without a connection."""
         self.target = target
         self.body_bytes = body_bytes
         self.guard = guard
         self.on_broken_off = on_broken_off
+        self.on_unreachable = on_unreachable
         self.policy = requests.ConnectionPolicy()
         self.idle: dict[requests.ConnectionId, _Kept] = {}
         self.numbers = count(1)
@@ -123,7 +128,13 @@
         request = self._request(job, deadline, sent)
         # Stays noted where the run is cancelled: it may go on for a while.
         noted = self.guard.note_sent(job.key_hash, deadline)
-        answer = await kept.connection.send(request, deadline - sent)
+        try:
+            answer = await kept.connection.send(request, deadline - sent)
+        except asyncio.CancelledError:
+            # The queue watches the deadline as well, and may be the first.
+            if boot_time() >= deadline:
+                self._note_silence(kept, sent)
+            raise
         if answer.is_ok():
             self.guard.note_ended(noted)
             return self._take_answer(kept, answer.ok)
@@ -226,12 +237,17 @@
         if not failure.has_left:
             return Failure(ErrorKind.TARGET_UNREACHABLE, failure.detail)
         if failure.kind is FailureKind.TIMEOUT:
-            self.policy.on_timeout(kept.note, sent)
+            self._note_silence(kept, sent)
         if failure.kind is FailureKind.BROKE_OFF:
             self.on_broken_off(job)
         kind = _LEFT_KINDS.get(failure.kind, ErrorKind.TARGET_BROKE_OFF)
         return Failure(kind, failure.detail)
 
+    def _note_silence(self, kept: _Kept, sent: Seconds) -> None:
+        self.policy.on_timeout(kept.note, sent)
+        if self.policy.reach is requests.Reach.UNREACHABLE:
+            self.on_unreachable()
+
     def _keep(self, kept: _Kept) -> None:
         self.idle[kept.note.connection_id] = kept
 
--- a/src/laburnumyard/daemon/_targets.py
+++ b/src/laburnumyard/daemon/_targets.py
@@ -151,10 +151,16 @@
         self.dispatchers[name] = Dispatcher(queue, run)
         return self.dispatchers[name]
 
+    def _note_unreachable(self, name: TargetName) -> None:
+        dispatcher = self.dispatchers.get(name)
+        if dispatcher is not None:
+            dispatcher.feed(requests.TargetSheds())
+
     def _link(self, name: TargetName, target: Target) -> TargetLink:
         return TargetLink(
             target,
             self.view.settings.limits.body_bytes,
             TargetGuard(self.guards, name),
             lambda job: self.deaths.note_broken_off(target, job),
+            lambda: self._note_unreachable(name),
         )
--- /dev/null
+++ b/tests/daemon/test_silent_targets.py
@@ -0,0 +1,58 @@
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from laburnumyard.core.requests._connections import Reach
+from tests.daemon.http import ask, connected, encode
+
+pytestmark = [
+    pytest.mark.anyio,
+    pytest.mark.cell(step='answer', fault='silent-connection'),
+]
+
+EMPTY = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
+HOLD = b''
+
+
+async def ask_in_vain(daemon):
+    answer = await ask(daemon.callers, laburnumyard_deadline_ms=60)
+    assert_that(answer.kind, Equals('deadline-after-start'))
+    assert_that(answer.ran, Equals('unknown'))
+    return daemon.targets.links['c1']
+
+
+async def test_deadline_in_silence_casts_doubt_on_idle_connections(
+    daemon, scripted
+):
+    async with scripted(EMPTY, HOLD) as target:
+        daemon.configure(target.address)
+        assert_that((await ask(daemon.callers)).status, Equals(200))
+        link = await ask_in_vain(daemon)
+        assert_that(link.policy.reach, Is(Reach.SUSPECTED))
+
+
+async def test_silence_of_fresh_connections_throttles_the_queue(
+    daemon, scripted
+):
+    async with scripted(HOLD) as target:
+        daemon.configure(target.address)
+        link = await ask_in_vain(daemon)
+        throttle = daemon.targets.dispatchers['c1'].queue.throttle
+        assert_that(throttle.allowed, Equals(3))
+        await ask_in_vain(daemon)
+        assert_that(link.policy.reach, Is(Reach.UNREACHABLE))
+        assert_that(throttle.allowed, Equals(1))
+        assert_that(target.connections, Equals(2))
+
+
+async def test_run_that_is_given_up_early_casts_no_doubt(
+    daemon, scripted, wait_until
+):
+    async with scripted(HOLD) as target:
+        daemon.configure(target.address)
+        async with connected(daemon.callers) as caller:
+            caller.send(encode())
+            await wait_until(lambda: target.received)
+        await wait_until(lambda: daemon.targets.is_idle)
+        link = daemon.targets.links['c1']
+        assert_that(link.policy.reach, Is(Reach.REACHABLE))
