One death that two daemons notice counts once against a request

Cause: each daemon draws a name for a death that it notices. Where two dispatch to a target at once (its dispatcher changes, or a guard), a request that both had there was refused everywhere after a single death.

Change: deaths of one target within 1 s of the first notice are one death in a record, under the lesser name. The first notice counts, so that a crash loop does not stay one death.

Ruled out: the target's start as part of the name: targets tell no such time, and one that dies of its first request would have told nobody; the version of the head: a target that restarts fast keeps its ranges, and daemons learn of a version at different times.

tests/daemon/test_deaths.py cleared the watch's memory between two deaths; it puts the clock forward instead, which the record sees as well.

--- a/src/laburnumyard/core/requests/__init__.py
+++ b/src/laburnumyard/core/requests/__init__.py
@@ -101,10 +101,12 @@
 from laburnumyard.core.requests._flow_control import refusal_delay
 from laburnumyard.core.requests._ledger import TicketLedger
 from laburnumyard.core.requests._quarantine import (
+    SAME_DEATH_S,
     DeathId,
     Fingerprint,
     Quarantine,
     Suspect,
+    death_id,
     fingerprint_of,
 )
 from laburnumyard.core.requests._requests import (
@@ -131,6 +133,7 @@
 
 __all__ = (
     'HOPS_LIMIT',
+    'SAME_DEATH_S',
     'Arrive',
     'CallerGone',
     'CancelRunning',
@@ -171,6 +174,7 @@
     'Void',
     'WakeAt',
     'costs_budget',
+    'death_id',
     'failure_before_ledger',
     'fingerprint_of',
     'may_retry',
--- a/src/laburnumyard/core/requests/_quarantine.py
+++ b/src/laburnumyard/core/requests/_quarantine.py
@@ -7,15 +7,18 @@
 import xxhash
 
 from laburnumyard.core.errors import ErrorKind, Failure
-from laburnumyard.core.ids import Seconds, ServiceName
+from laburnumyard.core.ids import Seconds, ServiceName, TargetName
 
 # A digest of what makes a request the same one when it is sent again.
 Fingerprint = NewType('Fingerprint', bytes)
-# Names one death of one target, the same at every daemon.
+# Names one death of one target; each daemon that notices it draws a name.
 DeathId = NewType('DeathId', str)
 
 # Deaths after which a request is refused.
 DEATHS_LIMIT = 2
+# All daemons notice a death within this time. Deaths of one target that are
+# closer together are taken for one.
+SAME_DEATH_S = 1.0
 # How long a death is held against a request.
 QUARANTINE_TIME_S = 300
 # Suspects that are remembered; the oldest make room.
@@ -47,6 +50,39 @@
     deaths: frozenset[DeathId]
     until: Seconds
 
+    def is_same_death(self, other: '_Record') -> bool:
+        """Tell whether both hold one death, and the same one."""
+        if len(self.deaths) != 1 or len(other.deaths) != 1:
+            return False
+        if abs(self.until - other.until) > SAME_DEATH_S:
+            return False
+        return _targets(self.deaths) == _targets(other.deaths)
+
+    def unite(self, other: '_Record') -> None:
+        """Take over the deaths that are new."""
+        if other.deaths <= self.deaths:
+            return
+        if self.is_same_death(other):
+            # The first notice, so that a crash loop doesn't stay one death.
+            self.until = min(self.until, other.until)
+            self.deaths = min(self.deaths, other.deaths, key=sorted)
+            return
+        self.deaths = _bounded(self.deaths | other.deaths)
+        self.until = max(self.until, other.until)
+
+
+def death_id(target: TargetName, token: str) -> DeathId:
+    """Name a death of a target.
+
+    Parameters
+    ----------
+    target
+        The target.
+    token
+        Tells this death from others.
+    """
+    return DeathId(f'{target}/{token}')
+
 
 def fingerprint_of(
     service: ServiceName,
@@ -95,7 +131,7 @@
         Parameters
         ----------
         death
-            Names this death, such as the target and when it started.
+            Names this death; see `death_id`.
         running
             What the target ran when it died.
         now
@@ -126,7 +162,8 @@
         """Take in what a peer knows.
 
         The deaths of each request are united; the order of the merges and
-        their number make no difference. Only a death that is new here
+        their number make no difference, but for a chain of deaths of one
+        target that are each close to the next. Only a death that is new here
         extends the time, so that daemons don't keep a record alive by
         passing it to and fro.
         """
@@ -178,15 +215,13 @@
         until = Seconds(now + remaining)
         if until <= now:
             return
+        news = _Record(_bounded(suspect.deaths), until)
         record = self.records.get(suspect.fingerprint)
         if record is None or record.until <= now:
             self._make_room(now)
-            deaths = _bounded(suspect.deaths)
-            self.records[suspect.fingerprint] = _Record(deaths, until)
+            self.records[suspect.fingerprint] = news
             return
-        if suspect.deaths - record.deaths:
-            record.deaths = _bounded(record.deaths | suspect.deaths)
-            record.until = max(record.until, until)
+        record.unite(news)
 
     def _make_room(self, now: Seconds) -> None:
         if len(self.records) < SUSPECTS_LIMIT:
@@ -195,5 +230,9 @@
         self.records.pop(oldest)
 
 
+def _targets(deaths: frozenset[DeathId]) -> set[str]:
+    return {death.rpartition('/')[0] or death for death in deaths}
+
+
 def _bounded(deaths: frozenset[DeathId]) -> frozenset[DeathId]:
     return frozenset(sorted(deaths)[:DEATHS_LIMIT])
--- a/src/laburnumyard/daemon/_deaths.py
+++ b/src/laburnumyard/daemon/_deaths.py
@@ -8,10 +8,12 @@
 from laburnumyard.core.errors import Failure
 from laburnumyard.core.ids import TargetName
 from laburnumyard.core.requests import (
+    SAME_DEATH_S,
     DeathId,
     Fingerprint,
     Quarantine,
     Suspect,
+    death_id,
     fingerprint_of,
 )
 from laburnumyard.daemon._clock import boot_time, draw_token
@@ -21,8 +23,6 @@
 from laburnumyard.schema._generated.objects import Target
 
 CONNECT_TIMEOUT_S = 0.25
-# Connections that end within this time of a death belong to the same death.
-SAME_DEATH_S = 1.0
 PROBE_BYTES = 1024
 # The pauses before each probe. The kernel of a dead process closes its
 # connections and its listener one by one, so that one probe proves no life.
@@ -90,7 +90,7 @@
     def _death(self, target: TargetName, now: float) -> DeathId:
         known = self.deaths.get(target)
         if known is None or now - known[1] > SAME_DEATH_S:
-            known = (DeathId(f'{target}/{draw_token()}'), now)
+            known = (death_id(target, draw_token()), now)
             self.deaths[target] = known
         return known[0]
 
--- a/tests/daemon/test_deaths.py
+++ b/tests/daemon/test_deaths.py
@@ -4,6 +4,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from laburnumyard.core.requests import SAME_DEATH_S
+from laburnumyard.daemon import _deaths
+from laburnumyard.daemon._clock import boot_time
 from tests.daemon.http import ask
 from tests.daemon.world import running
 
@@ -26,25 +29,47 @@
         writer.close()
 
 
-async def kill_one(daemon, wait_until):
+class Clock:
+    """The boot-time clock of the death watch, put forward now and then."""
+
+    def __init__(self):
+        self.ahead = 0
+
+    def read(self):
+        return boot_time() + self.ahead
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = Clock()
+    monkeypatch.setattr(_deaths, 'boot_time', clock.read)
+    return clock
+
+
+@pytest.fixture
+def kill_one(daemon, wait_until, clock):
     """Let a target die of a request, and the daemon notice its death."""
-    target = DyingTarget()
-    await target.start()
-    daemon.configure(target.address)
-    noted = daemon.targets.deaths.deaths
-    answer = await ask(daemon.callers, *READ)
-    assert_that(target.requests, Equals(1))
-    await wait_until(lambda: noted)
-    # A death long after the last one is another death.
-    noted.clear()
-    return answer
+
+    async def kill(daemon=daemon, pause=2 * SAME_DEATH_S):
+        target = DyingTarget()
+        await target.start()
+        daemon.configure(target.address)
+        noted = len(daemon.relay.suspects)
+        answer = await ask(daemon.callers, *READ)
+        assert_that(target.requests, Equals(1))
+        await wait_until(lambda: len(daemon.relay.suspects) > noted)
+        # A death long after the last one is another death.
+        clock.ahead += pause
+        return answer
+
+    return kill
 
 
 @pytest.mark.anyio
 @pytest.mark.cell(step='send', fault='poison-request')
-async def test_the_second_death_quarantines_the_request(daemon, wait_until):
+async def test_the_second_death_quarantines_the_request(daemon, kill_one):
     for _ in range(2):
-        answer = await kill_one(daemon, wait_until)
+        answer = await kill_one()
         assert_that(answer.ran, Equals('unknown'))
     refused = await ask(daemon.callers, *READ)
     assert_that(refused.kind, Equals('quarantined'))
@@ -54,10 +79,10 @@
 @pytest.mark.anyio
 @pytest.mark.cell(step='retry', fault='poison-request')
 async def test_a_resend_through_another_daemon_is_refused(
-    daemon, wait_until, scripted
+    daemon, kill_one, scripted
 ):
     for _ in range(2):
-        await kill_one(daemon, wait_until)
+        await kill_one()
     async with scripted(None) as target, running('vm-2') as other:
         daemon.configure(target.address)
         other.configure(target.address)
@@ -68,6 +93,20 @@
         assert_that(target.received, Equals([]))
 
 
+@pytest.mark.anyio
+@pytest.mark.cell(step='send', fault='poison-request')
+async def test_one_death_that_two_daemons_notice_counts_once(daemon, kill_one):
+    """Both dispatch to a target while its role changes hands."""
+    async with running('vm-2') as other:
+        for each in (daemon, other):
+            await kill_one(each, pause=0)
+        daemon.quarantine.merge(other.relay.suspects, boot_time())
+        other.quarantine.merge(daemon.relay.suspects, boot_time())
+        for each in (daemon, other):
+            answer = await kill_one(each)
+            assert_that(answer.kind, Equals('target-broke-off'))
+
+
 @pytest.mark.anyio
 async def test_a_broken_connection_alone_is_no_death(daemon, scripted):
     async with scripted(None) as target:
