A target that reports or is listed as leaving is emptied

Now the manager's daemon hears a target's own report, in each answer to a seal, a grant or a renewal, or, of targets without fencing, in health, which it asks each 0.5 s; and each daemon takes the rows of targets' VMs from the platform's list.

Ruled out: the existing hint, which stands in the head. A manager that takes over could not tell a target's old report from an operator's order, and would either empty a replaced target for ever or undo the order. Reports are made again and again, so they need not be kept; operators' orders still stand in the head.

A bad flag in an answer counts as none, so that it costs no grant. The list is read more rarely as its rows, targets included, grow.

--- a/src/laburnumyard/core/membership/_inputs.py
+++ b/src/laburnumyard/core/membership/_inputs.py
@@ -36,9 +36,18 @@
 
 @dataclass(frozen=True, slots=True)
 class VmListRead:
-    """The platform's list was read. It lags both ways."""
+    """The platform's list was read. It lags both ways.
+
+    Parameters
+    ----------
+    vms
+        The VMs of daemons.
+    rows
+        How many VMs the list names, those of targets too.
+    """
 
     vms: tuple[ListedVm, ...]
+    rows: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/laburnumyard/core/membership/_reacting.py
+++ b/src/laburnumyard/core/membership/_reacting.py
@@ -45,6 +45,7 @@
     if not state.directory.is_listed:
         state.directory.is_listed = True
         state.directory.note_change()
+    state.schedule.listed_rows = event.rows
     listed = {vm.identity.daemon: vm for vm in event.vms}
     listed.pop(state.myself.daemon, None)
     for daemon, member in state.members.items():
--- a/src/laburnumyard/core/membership/_state.py
+++ b/src/laburnumyard/core/membership/_state.py
@@ -21,6 +21,8 @@
     ----------
     sync_pause_s
         The pause before the next comparison of tables.
+    listed_rows
+        How many VMs the platform's list named when it was last read.
     """
 
     deputies: float = 0
@@ -30,6 +32,7 @@
     sync: float = 0
     sync_pause_s: float = 0
     vm_list: float = 0
+    listed_rows: int = 0
     cleaning: float = 0
 
 
--- a/src/laburnumyard/core/membership/_ticking.py
+++ b/src/laburnumyard/core/membership/_ticking.py
@@ -64,7 +64,8 @@
     if state.now < state.schedule.vm_list:
         return
     settings = state.settings
-    answer_bytes = len(state.members) * VM_ENTRY_BYTES
+    rows = max(len(state.members), state.schedule.listed_rows)
+    answer_bytes = rows * VM_ENTRY_BYTES
     interval = max(
         settings.vm_list_interval_s,
         answer_bytes / settings.vm_list_bytes_per_s,
--- a/src/laburnumyard/core/ownership/__init__.py
+++ b/src/laburnumyard/core/ownership/__init__.py
@@ -34,8 +34,9 @@
      feeds ``TakeOver``. After ``Leave`` the daemon may stop when ``is_idle``.
    - ``LogDecision``: write one log line.
 
-4. Feed the hints as they come: ``TargetDraining``, ``TargetGone``,
-   ``TargetDown``, ``GuardCandidates``, ``MoveRequested``, ``MergeRequested``.
+4. Feed the hints as they come: ``TargetDraining``, ``TargetLeaving``,
+   ``TargetGone``, ``TargetDown``, ``GuardCandidates``, ``MoveRequested``,
+   ``MergeRequested``.
 
 A guard, and a target, hold their grants in a ``GrantHolder``.
 """
@@ -80,6 +81,7 @@
     TargetDown,
     TargetDraining,
     TargetGone,
+    TargetLeaving,
 )
 from laburnumyard.core.ownership._manager import LeaseManager
 from laburnumyard.core.ownership._messages import (
@@ -92,6 +94,7 @@
     GuardedTarget,
     KeyRangePlan,
     ServicePlan,
+    needs_guard,
     service_plan,
 )
 from laburnumyard.core.ownership._planner import (
@@ -155,6 +158,7 @@
     'TargetDown',
     'TargetDraining',
     'TargetGone',
+    'TargetLeaving',
     'Tick',
     'assemble',
     'decode_head',
@@ -162,6 +166,7 @@
     'encode_head',
     'hash_range',
     'initial_assignment',
+    'needs_guard',
     'needs_manager',
     'owner_of',
     'ranges_by_target',
--- a/src/laburnumyard/core/ownership/_hints.py
+++ b/src/laburnumyard/core/ownership/_hints.py
@@ -9,12 +9,26 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetDraining:
-    """A target is leaving, by its own word or the platform's list."""
+    """An operator wants a target to be emptied, or no longer.
+
+    The order stands in the head, for it is given once.
+    """
 
     target: TargetName
     draining: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLeaving:
+    """A target is leaving, by its own report or the platform's list.
+
+    It does not stand in the head, for it is reported again and again.
+    """
+
+    target: TargetName
+    is_leaving: bool = True
+
+
 @dataclass(frozen=True, slots=True)
 class TargetGone:
     """A target's VM was on the platform's list and no longer is."""
@@ -63,6 +77,7 @@
 # What others want of the manager, or know about its targets.
 Hint = (
     TargetDraining
+    | TargetLeaving
     | TargetGone
     | TargetDown
     | GuardCandidates
--- a/src/laburnumyard/core/ownership/_membership.py
+++ b/src/laburnumyard/core/ownership/_membership.py
@@ -12,7 +12,8 @@
     withdrawn: Iterable[TargetName] = (),
 ) -> set[TargetName]:
     """Return the targets that can take ranges, as far as is known here."""
-    unusable = {*withdrawn, *said_to_leave(state), *state.down}
+    drained = said_to_leave(state)
+    unusable = {*withdrawn, *drained, *state.leaving, *state.down}
     for lease in state.leases.values():
         if not lease.sealed or lease.is_lost(now):
             unusable.add(lease.name)
@@ -36,10 +37,11 @@
     """Tell whether a target's ranges are to move away."""
     kind = state.plan.targets.get(target)
     is_configured_away = kind is None or kind.draining
-    return is_configured_away or target in said_to_leave(state)
+    is_drained = target in said_to_leave(state)
+    return is_configured_away or is_drained or target in state.leaving
 
 
 def said_to_leave(state: ManagerState) -> frozenset[TargetName]:
-    """Return the targets that somebody has said to be leaving."""
+    """Return the targets that operators have ordered to be emptied."""
     stored = state.snapshot.head.draining if state.snapshot else ()
     return frozenset(state.draining.union(stored) - state.staying)
--- a/src/laburnumyard/core/ownership/_noting.py
+++ b/src/laburnumyard/core/ownership/_noting.py
@@ -38,6 +38,18 @@
         state.staying.add(event.target)
 
 
+@note.register
+def _leaving(
+    event: hints.TargetLeaving,
+    state: ManagerState,
+    now: Seconds,
+) -> None:
+    if event.is_leaving:
+        state.leaving.add(event.target)
+    else:
+        state.leaving.discard(event.target)
+
+
 @note.register
 def _gone(
     event: hints.TargetGone,
--- a/src/laburnumyard/core/ownership/_state.py
+++ b/src/laburnumyard/core/ownership/_state.py
@@ -226,9 +226,11 @@
     leases
         The targets of the scope, while it holds the term.
     draining
-        Targets that said, or are said by the platform, to leave.
+        Targets that operators have ordered to be emptied.
     staying
-        Targets that are said to leave no longer.
+        Targets whose order has been taken back.
+    leaving
+        Targets that report, or are listed by the platform, to be leaving.
     down
         Guarded targets that their guard cannot reach.
     guards
@@ -259,6 +261,7 @@
     leases: dict[TargetName, TargetLease] = field(default_factory=dict)
     draining: set[TargetName] = field(default_factory=set)
     staying: set[TargetName] = field(default_factory=set)
+    leaving: set[TargetName] = field(default_factory=set)
     down: set[TargetName] = field(default_factory=set)
     guards: dict[TargetName, tuple[DaemonName, ...]] = field(
         default_factory=dict,
--- /dev/null
+++ b/src/laburnumyard/daemon/_leaving.py
@@ -0,0 +1,71 @@
+"""Notices targets that are leaving, and tells the lease managers."""
+
+from collections.abc import Callable, Iterable
+
+from laburnumyard.core import leaving, ownership
+from laburnumyard.core.ids import TargetName
+from laburnumyard.daemon._clock import boot_time
+from laburnumyard.daemon._log import Event, log_event
+from laburnumyard.daemon._view import View
+from laburnumyard.platform import Vm, VmState
+
+
+class LeavingWatch:
+    """Hears who is leaving from targets and from the platform's list.
+
+    Parameters
+    ----------
+    view
+        The configuration, which names the targets.
+    follow
+        Told of each target that is leaving from now on, or staying again.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        follow: Callable[[ownership.TargetLeaving], None],
+    ) -> None:
+        """Start with every target staying."""
+        self.view = view
+        self.follow = follow
+        self.reports = leaving.LeavingReports()
+
+    def take_answer(self, target: TargetName, is_leaving: bool | None) -> None:
+        """Take what a target said of itself, None if it said nothing."""
+        if is_leaving is not None:
+            reporter = leaving.Reporter.TARGET
+            self._take(leaving.Report(target, reporter, is_leaving))
+
+    def take_vms(self, listed: Iterable[Vm]) -> None:
+        """Take the platform's list; a target's VM has the target's name."""
+        for vm in listed:
+            target = TargetName(vm.name)
+            # A VM that links to other daemons is a daemon's.
+            if not vm.peer_address and target in self._known():
+                is_leaving = vm.state is VmState.LEAVING
+                reporter = leaving.Reporter.VM_LIST
+                self._take(leaving.Report(target, reporter, is_leaving))
+
+    def forget_aged(self) -> None:
+        """Let targets stay of which nobody has said anything for long."""
+        for report in self.reports.forget(self._known(), boot_time()):
+            self._decide(report)
+
+    def _known(self) -> Iterable[TargetName]:
+        configuration = self.view.configuration
+        return configuration.targets.keys() if configuration else ()
+
+    def _take(self, report: leaving.Report) -> None:
+        decision = self.reports.take(report, boot_time())
+        if decision is not None:
+            self._decide(decision)
+
+    def _decide(self, report: leaving.Report) -> None:
+        log_event(
+            Event.PLACED,
+            action='empty' if report.is_leaving else 'use-again',
+            target=report.target,
+            reason=report.reporter.value,
+        )
+        self.follow(ownership.TargetLeaving(report.target, report.is_leaving))
--- a/src/laburnumyard/daemon/_members.py
+++ b/src/laburnumyard/daemon/_members.py
@@ -42,6 +42,8 @@
         Where probes and readings run.
     on_change
         Called after a member's state has changed.
+    on_list
+        Told the platform's list each time that it was read.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         vm_list: VmList,
         tasks: TaskGroup,
         on_change: Callable[[], None],
+        on_list: Callable[[tuple[Vm, ...]], None],
     ) -> None:
         """Start knowing nobody."""
         self.view = view
@@ -59,6 +62,7 @@
         self.vm_list = vm_list
         self.tasks = tasks
         self.on_change = on_change
+        self.on_list = on_list
         self.version = -1
         self.superseded = anyio.Event()
 
@@ -149,7 +153,8 @@
         found = await self.vm_list.read()
         if found.is_ok():
             listed = tuple(_listed(vm) for vm in found.ok if vm.peer_address)
-            self.feed(membership.VmListRead(listed))
+            self.feed(membership.VmListRead(listed, len(found.ok)))
+            self.on_list(found.ok)
         else:
             self.feed(membership.VmListUnavailable())
 
--- a/src/laburnumyard/daemon/_node.py
+++ b/src/laburnumyard/daemon/_node.py
@@ -147,6 +147,7 @@
             VmList(self.store),
             self.tasks,
             self.note_members,
+            self.ownership.leaving.take_vms,
         )
 
     def note_members(self) -> None:
--- a/src/laburnumyard/daemon/_orders.py
+++ b/src/laburnumyard/daemon/_orders.py
@@ -1,5 +1,6 @@
 """Carries seals, grants and renewals to targets or to their guards."""
 
+from collections.abc import Callable
 from typing import Any
 
 from expression import Result
@@ -43,6 +44,8 @@
         The grants that this daemon itself guards.
     pool
         The links to other daemons.
+    note_leaving
+        Told what a target says of its leaving, None if nothing.
     """
 
     def __init__(
@@ -51,12 +54,14 @@
         view: View,
         guards: Guards,
         pool: LinkPool,
+        note_leaving: Callable[[TargetName, bool | None], None],
     ) -> None:
         """Start without a connection."""
         self.service = service
         self.view = view
         self.guards = guards
         self.pool = pool
+        self.note_leaving = note_leaving
         self.controls: dict[TargetName, TargetControl] = {}
 
     async def seal(
@@ -69,7 +74,7 @@
             return await self._ask_guard(effect, message)
         order = SealOrder(self.service, effect.term)
         control = self._control(effect.target)
-        return await _answer(effect, control and control.seal, order)
+        return await self._ask(effect, control and control.seal, order)
 
     async def grant(
         self,
@@ -93,7 +98,7 @@
             effect.ranges,
         )
         control = self._control(effect.target)
-        return await _answer(effect, control and control.grant, order)
+        return await self._ask(effect, control and control.grant, order)
 
     async def renew(
         self,
@@ -112,7 +117,15 @@
             effect.lifetime_ms,
         )
         control = self._control(effect.target)
-        return await _answer(effect, control and control.renew, order)
+        return await self._ask(effect, control and control.renew, order)
+
+    async def ask_leaving(self, target: TargetName) -> None:
+        """Ask a target that is sent no grants whether it is leaving."""
+        control = self._control(target)
+        if control is not None:
+            answered = await control.health(ORDER_TIMEOUT_S)
+            if answered.is_ok():
+                self.note_leaving(target, answered.ok.leaving)
 
     def close(self) -> None:
         """Close the connections to targets."""
@@ -148,6 +161,21 @@
             replaces=replaces,
         )
 
+    async def _ask(
+        self,
+        effect: Sent,
+        call: Any,
+        order: SealOrder | RenewOrder,
+    ) -> ownership.TargetAnswer | None:
+        if call is None:
+            return None
+        answered: Result[ControlAnswer, Any]
+        answered = await call(order, ORDER_TIMEOUT_S)
+        if answered.is_error():
+            return None
+        self.note_leaving(effect.target, answered.ok.leaving)
+        return _from_target(effect, answered.ok)
+
     async def _ask_guard(
         self,
         effect: Sent,
@@ -164,17 +192,10 @@
         return _from_guard(effect, answer.ok)
 
 
-async def _answer(
+def _from_target(
     effect: Sent,
-    call: Any,
-    order: SealOrder | RenewOrder,
-) -> ownership.TargetAnswer | None:
-    if call is None:
-        return None
-    answered: Result[ControlAnswer, Any] = await call(order, ORDER_TIMEOUT_S)
-    if answered.is_error():
-        return None
-    found = answered.ok
+    found: ControlAnswer,
+) -> ownership.TargetAnswer:
     return ownership.TargetAnswer(
         target=effect.target,
         call=effect.call,
--- a/src/laburnumyard/daemon/_ownership.py
+++ b/src/laburnumyard/daemon/_ownership.py
@@ -16,6 +16,8 @@
 from laburnumyard.daemon._assignment_store import AssignmentStore
 from laburnumyard.daemon._guard_candidates import guard_candidates
 from laburnumyard.daemon._guards import TRANSFER_S, Guards
+from laburnumyard.daemon._leaving import LeavingWatch
+from laburnumyard.daemon._log import Event, log_event
 from laburnumyard.daemon._orders import OrderSender
 from laburnumyard.daemon._scope_id import ScopeId
 from laburnumyard.daemon._scope_runner import ScopeRunner, ScopeTools
@@ -25,6 +27,8 @@
 from laburnumyard.wire import LinkPool
 
 ASSESS_INTERVAL_S = 1.0
+# How often targets that are sent no grants are asked whether they leave.
+ASK_INTERVAL_S = 0.5
 
 
 class OwnershipRunner:
@@ -67,11 +71,13 @@
         self.runners: dict[ScopeId, ScopeRunner] = {}
         self.stores: dict[ServiceName, AssignmentStore] = {}
         self.drained: dict[TargetName, None] = {}
+        self.leaving = LeavingWatch(view, self._feed_all)
         self.has_looked_around = False
 
     def reconfigure(self) -> None:
         """Take a new configuration: new scopes start, all learn the plan."""
-        plans = {name: self.plan(name) for name in self._services()}
+        services = self.view.configuration.services
+        plans = {ServiceName(name): self.plan(name) for name in services}
         for service, plan in plans.items():
             for scope in _scopes(service, plan):
                 self._take_plan(scope, plan)
@@ -91,9 +97,11 @@
         """Assess now and then, whatever event was missed, until cancelled."""
         await anyio.sleep(self.view.settings.timing.suspect_after_s)
         self.has_looked_around = True
+        self.tasks.start_soon(self._ask_guarded)
         while True:
             if self.view.configuration is not None:
                 self.assess()
+                self.leaving.forget_aged()
             await anyio.sleep(ASSESS_INTERVAL_S)
 
     def assess(self) -> None:
@@ -142,14 +150,13 @@
         self.drained.pop(target, None)
         if draining:
             self.drained[target] = None
-        event = ownership.TargetDraining(target, draining)
-        for runner in self.runners.values():
-            runner.feed(event)
+        action = 'empty' if draining else 'use-again'
+        log_event(Event.PLACED, action=action, target=target, reason='operator')
+        self._feed_all(ownership.TargetDraining(target, draining))
 
     def leave(self) -> None:
         """Hand every scope over."""
-        for runner in self.runners.values():
-            runner.feed(ownership.Leave())
+        self._feed_all(ownership.Leave())
 
     @property
     def is_handed_over(self) -> bool:
@@ -159,8 +166,15 @@
             for scope, runner in self.runners.items()
         )
 
-    def _services(self) -> tuple[ServiceName, ...]:
-        return tuple(self.view.configuration.services)
+    def _feed_all(self, event: ownership.Event) -> None:
+        for runner in self.runners.values():
+            runner.feed(event)
+
+    async def _ask_guarded(self) -> None:
+        while True:
+            for runner in self.runners.values():
+                runner.ask_guarded()
+            await anyio.sleep(ASK_INTERVAL_S)
 
     def plan(self, service: ServiceName) -> ownership.ServicePlan:
         """Return what the configuration says about a service."""
@@ -185,6 +199,8 @@
         self.runners[scope] = runner
         for target in self.drained:
             runner.feed(ownership.TargetDraining(target))
+        for target in self.leaving.reports.leaving:
+            runner.feed(ownership.TargetLeaving(target))
         snapshot = self.view.snapshots.get(scope.service)
         if snapshot is not None:
             runner.feed(ownership.HeadRead(snapshot, asked_at=None))
@@ -205,7 +221,13 @@
             self.stores[service] = AssignmentStore(self.store, service)
         tools = ScopeTools(
             store=self.stores[service],
-            orders=OrderSender(service, self.view, self.guards, self.pool),
+            orders=OrderSender(
+                service,
+                self.view,
+                self.guards,
+                self.pool,
+                self.leaving.take_answer,
+            ),
             publish=lambda snapshot: self.publish(service, snapshot),
             offer=self._offer,
             tasks=self.tasks,
--- a/src/laburnumyard/daemon/_scope_runner.py
+++ b/src/laburnumyard/daemon/_scope_runner.py
@@ -76,6 +76,13 @@
             self.carry_out(effect)
         self._plan_tick()
 
+    def ask_guarded(self) -> None:
+        """Ask the targets that are sent no grants whether they are leaving."""
+        for lease in self.manager.state.leases.values():
+            if ownership.needs_guard(lease.kind):
+                ask = self.tools.orders.ask_leaving
+                self.tools.tasks.start_soon(ask, lease.name)
+
     def stop(self) -> None:
         """Plan no further tick."""
         if self.timer is not None:
--- a/src/laburnumyard/platform/_target_codec.py
+++ b/src/laburnumyard/platform/_target_codec.py
@@ -78,7 +78,7 @@
 
 def decode_health(
     response: TargetResponse,
-) -> Result[bool, messages.TargetError]:
+) -> Result[messages.TargetHealth, messages.TargetError]:
     """Return a target's word on its health."""
     return _decode(response, _read_health)
 
@@ -119,6 +119,7 @@
         read_count(fields, 'clock_ms'),
         _read_ranges(fields),
         read_count(fields, 'busy'),
+        _read_leaving(fields),
     )
 
 
@@ -127,8 +128,15 @@
     return messages.DrainAnswer(read_flag(fields, 'draining'), busy)
 
 
-def _read_health(fields: Fields) -> bool:
-    return read_flag(fields, 'healthy')
+def _read_health(fields: Fields) -> messages.TargetHealth:
+    healthy = read_flag(fields, 'healthy')
+    return messages.TargetHealth(healthy, _read_leaving(fields))
+
+
+def _read_leaving(fields: Fields) -> bool | None:
+    # A target with a bad word of leaving must still be able to hold its keys.
+    leaving = fields.get('leaving')
+    return leaving if isinstance(leaving, bool) else None
 
 
 def _read_load(fields: Fields) -> messages.TargetLoad:
--- a/src/laburnumyard/platform/_target_control.py
+++ b/src/laburnumyard/platform/_target_control.py
@@ -25,6 +25,7 @@
     SealOrder,
     TargetAnswer,
     TargetError,
+    TargetHealth,
     TargetLoad,
 )
 from laburnumyard.platform._target_types import TargetRequest
@@ -92,7 +93,10 @@
         answer = await self._post('drain', body, timeout_s)
         return answer.bind(decode_drain)
 
-    async def health(self, timeout_s: float) -> Result[bool, TargetError]:
+    async def health(
+        self,
+        timeout_s: float,
+    ) -> Result[TargetHealth, TargetError]:
         """Ask for the target's word on its health; it may mislead."""
         request = TargetRequest('GET', '/control/health')
         answer = await self._call(request, timeout_s)
--- a/src/laburnumyard/platform/_target_messages.py
+++ b/src/laburnumyard/platform/_target_messages.py
@@ -88,6 +88,8 @@
         What it holds now; None after a renewal, which leaves them as they are.
     busy
         How many requests it runs or queues.
+    leaving
+        Whether it is about to end; None where it does not say.
     """
 
     accepted: bool
@@ -96,6 +98,7 @@
     clock_ms: int
     ranges: tuple[HashRange, ...] | None
     busy: int
+    leaving: bool | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +109,22 @@
     busy: int
 
 
+@dataclass(frozen=True, slots=True)
+class TargetHealth:
+    """A target's word on its health.
+
+    Parameters
+    ----------
+    healthy
+        Whether it is well; it may lag or mislead.
+    leaving
+        Whether it is about to end; None where it does not say.
+    """
+
+    healthy: bool
+    leaving: bool | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class TargetLoad:
     """A target's word on its load; it may lag or mislead."""
--- a/src/standins/_target_control.py
+++ b/src/standins/_target_control.py
@@ -52,7 +52,11 @@
     is_misleading = state.faults.misleading_health
     match call.path:
         case '/control/health':
-            await answer_json(call, {'healthy': not is_misleading})
+            health = {
+                'healthy': not is_misleading,
+                'leaving': state.says_leaving,
+            }
+            await answer_json(call, health)
         case '/control/load':
             busy = 0 if is_misleading else state.slots.busy
             load = {'busy': busy, 'slots': state.settings.slots}
@@ -83,6 +87,7 @@
         'sequence': fence.sequence,
         'clock_ms': now_ms,
         'busy': state.busy_released,
+        'leaving': state.says_leaving,
     }
     if call.path != '/control/renew':
         reply['ranges'] = export_ranges(fence.held(now_ms))
--- a/src/standins/_target_state.py
+++ b/src/standins/_target_state.py
@@ -86,6 +86,7 @@
     fence: Fence = field(default_factory=Fence)
     faults: TargetFaults = field(default_factory=TargetFaults)
     is_draining: bool = False
+    is_leaving: bool = False
     clients: set[Any] = field(default_factory=set)
     silent_clients: set[Any] = field(default_factory=set)
     thawed: anyio.Event = field(default_factory=anyio.Event)
@@ -116,6 +117,17 @@
             return False
         return self.fence.owns(int(key_hash), int(read_clock_ms()))
 
+    @property
+    def says_leaving(self) -> bool:
+        """Whether the target tells those who ask that it is leaving."""
+        return self.is_leaving or self.is_draining
+
+    @property
+    def may_end(self) -> bool:
+        """Whether nothing runs and nobody counts on this target any more."""
+        holds = self.fence.held(int(read_clock_ms()))
+        return not holds and not self.slots.busy
+
     @property
     def busy_released(self) -> int:
         """How many requests run on keys that are no longer held."""
--- a/src/standins/observer.py
+++ b/src/standins/observer.py
@@ -47,10 +47,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Started:
-    """One line of a target's journal."""
+    """One line of a target's journal.
+
+    Parameters
+    ----------
+    ticket, echo
+        As the request carried them.
+    start_ms
+        The boot-time clock, in milliseconds.
+    """
 
     ticket: str
     echo: str
+    start_ms: float = 0
 
 
 def read_journals(paths: Iterable[Path]) -> tuple[Started, ...]:
@@ -129,4 +138,5 @@
 
 def _started(line: str) -> Started:
     pairs = dict(part.partition('=')[::2] for part in line.split())
-    return Started(pairs.get('ticket', ''), pairs.get('echo', ''))
+    start_ms = float(pairs.get('start_ms', 0))
+    return Started(pairs.get('ticket', ''), pairs.get('echo', ''), start_ms)
--- /dev/null
+++ b/tests/daemon/test_leaving.py
@@ -0,0 +1,131 @@
+import pytest
+from loguru import logger
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, Is
+
+from laburnumyard.core import ownership
+from laburnumyard.core.ids import Incarnation
+from laburnumyard.daemon._leaving import LeavingWatch
+from laburnumyard.daemon._orders import OrderSender
+from laburnumyard.platform import Vm, VmState
+from standins._serve import serving
+from standins.target import TargetApp, TargetSettings
+from tests.daemon.world import FixedView, configuration, make_settings
+
+LATER = float('inf')
+LEAVING = ownership.TargetLeaving('c1')
+
+
+def seal(target='c1'):
+    return ownership.SendSeal(
+        target=target, guard=None, call=1, term=1, not_after=LATER
+    )
+
+
+def vm(name='c1', state=VmState.LEAVING, peer_address=''):
+    return Vm(name, 'lima-a', 'lima', peer_address, state)
+
+
+@pytest.fixture
+def target_app():
+    return TargetApp(TargetSettings('c1', 'catalogue'))
+
+
+@pytest.fixture
+async def view(target_app):
+    known = FixedView(make_settings(), Incarnation(1), None)
+    async with serving(target_app) as address:
+        known.configuration = configuration(address)
+        yield known
+
+
+@pytest.fixture
+def written():
+    """Return the log lines, as they come."""
+    lines = []
+    sink = logger.add(lines.append)
+    yield lines
+    logger.remove(sink)
+
+
+@pytest.fixture
+def followed():
+    return []
+
+
+@pytest.fixture
+def watch(view, followed):
+    return LeavingWatch(view, followed.append)
+
+
+@pytest.fixture
+def orders(view, watch):
+    sender = OrderSender('catalogue', view, None, None, watch.take_answer)
+    yield sender
+    sender.close()
+
+
+@pytest.mark.anyio
+async def test_an_answer_to_an_order_tells_who_is_leaving(
+    orders, target_app, followed, written
+):
+    answer = await orders.seal(seal())
+    assert_that((answer.accepted, followed), Equals((True, [])))
+    target_app.state.is_leaving = True
+    answer = await orders.seal(seal())
+    await orders.seal(seal())
+    assert_that((answer.accepted, followed), Equals((True, [LEAVING])))
+    assert_that(''.join(written), Contains('reason=target'))
+
+
+@pytest.mark.anyio
+async def test_one_that_gets_no_orders_is_asked(orders, target_app, followed):
+    await orders.ask_leaving('c1')
+    assert_that(followed, Equals([]))
+    target_app.state.is_leaving = True
+    await orders.ask_leaving('c1')
+    await orders.ask_leaving('unknown')
+    assert_that(followed, Equals([LEAVING]))
+
+
+@pytest.mark.anyio
+async def test_one_that_cannot_be_asked_changes_nothing(
+    orders, target_app, followed
+):
+    target_app.state.is_leaving = True
+    orders.view.configuration = configuration('127.0.0.1:19')
+    await orders.ask_leaving('c1')
+    assert_that(await orders.seal(seal()), Is(None))
+    assert_that(followed, Equals([]))
+
+
+@pytest.mark.anyio
+async def test_the_list_tells_who_is_leaving(watch, followed, written):
+    watch.take_vms((vm(state=VmState.LIVE),))
+    assert_that(followed, Equals([]))
+    for _ in range(3):
+        watch.take_vms((vm(),))
+    assert_that(followed, Equals([LEAVING]))
+    assert_that(''.join(written), Contains('reason=vm-list'))
+
+
+@pytest.mark.anyio
+async def test_rows_of_daemons_and_of_unknown_vms_name_no_target(
+    watch, followed
+):
+    watch.take_vms((vm(peer_address='127.0.0.1:9'), vm('unknown'), vm('')))
+    assert_that(followed, Equals([]))
+    assert_that(watch.reports.leaving, Equals(()))
+
+
+@pytest.mark.anyio
+async def test_a_target_that_leaves_the_configuration_is_forgotten(
+    watch, followed
+):
+    watch.take_vms((vm(),))
+    watch.forget_aged()
+    assert_that(followed, Equals([LEAVING]))
+    watch.view.configuration = None
+    watch.forget_aged()
+    stays = ownership.TargetLeaving('c1', is_leaving=False)
+    assert_that(followed, Equals([LEAVING, stays]))
