A renewal says nothing that the target knows, and the answer likewise

Cause: 0.2 s apart, a renewal and its answer were 368 bytes of HTTP, of which JSON names, a content type on either side and repeated terms were the most.

Change: the order is a list without spaces and no content type is sent; 200 means accepted, with the clock and, where not 0 or false, busy and leaving. A refusal (409) still tells all that the target holds. The service stays in the order: terms are small numbers, and an address that was another service's target could accept a foreign renewal without it. Path and host stay, as the rest of the paths are callers'.

--- a/src/laburnumyard/platform/_target_control.py
+++ b/src/laburnumyard/platform/_target_control.py
@@ -8,16 +8,15 @@
 
 from laburnumyard.platform._target_codec import (
     decode_answer,
-    decode_drain,
-    decode_health,
-    decode_load,
+    decode_renewal,
     encode_order,
-    explain_failure,
+    encode_renewal,
 )
 from laburnumyard.platform._target_connection import (
     Answered,
     TargetConnection,
 )
+from laburnumyard.platform._target_decoding import explain_failure
 from laburnumyard.platform._target_messages import (
     DrainAnswer,
     GrantOrder,
@@ -28,11 +27,15 @@
     TargetHealth,
     TargetLoad,
 )
+from laburnumyard.platform._target_reports import (
+    decode_drain,
+    decode_health,
+    decode_load,
+)
 from laburnumyard.platform._target_types import TargetRequest
 
 MAX_ANSWER_BYTES = 1024 * 1024
 MAX_IDLE_CONNECTIONS = 2
-JSON_HEADERS = (('content-type', 'application/json'),)
 
 
 @dataclass(slots=True)
@@ -80,8 +83,8 @@
         timeout_s: float,
     ) -> Result[TargetAnswer, TargetError]:
         """Extend the life of what the target holds."""
-        answer = await self._post('renew', encode_order(order), timeout_s)
-        return answer.bind(decode_answer)
+        answer = await self._post('renew', encode_renewal(order), timeout_s)
+        return answer.bind(lambda response: decode_renewal(response, order))
 
     async def drain(
         self,
@@ -120,7 +123,7 @@
         timeout_s: float,
     ) -> Result[Any, TargetError]:
         path = f'/control/{call}'
-        request = TargetRequest('POST', path, JSON_HEADERS, body)
+        request = TargetRequest('POST', path, (), body)
         return await self._call(request, timeout_s)
 
     async def _call(
--- /dev/null
+++ b/src/laburnumyard/platform/_target_decoding.py
@@ -0,0 +1,75 @@
+"""Turns untrusted answers of targets into results."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any, TypeVar
+
+from expression import Error, Ok, Result
+
+from laburnumyard.platform import _target_messages as messages
+from laburnumyard.platform._target_types import (
+    FailureKind,
+    TargetFailure,
+    TargetResponse,
+)
+from laburnumyard.platform._untrusted import Fields, parse_json, read_object
+
+ANSWERED = frozenset((HTTPStatus.OK, HTTPStatus.CONFLICT))
+
+Read = TypeVar('Read')
+
+FAILURE_KINDS = MappingProxyType(
+    {
+        FailureKind.UNREACHABLE: messages.TargetErrorKind.UNREACHABLE,
+        FailureKind.TIMEOUT: messages.TargetErrorKind.TIMEOUT,
+        FailureKind.BROKE_OFF: messages.TargetErrorKind.BROKE_OFF,
+        FailureKind.NOT_REUSABLE: messages.TargetErrorKind.BROKE_OFF,
+        FailureKind.MALFORMED: messages.TargetErrorKind.MALFORMED,
+        FailureKind.TOO_LARGE: messages.TargetErrorKind.MALFORMED,
+        FailureKind.BAD_REQUEST: messages.TargetErrorKind.MALFORMED,
+    },
+)
+
+
+def explain_failure(failure: TargetFailure) -> messages.TargetError:
+    """Return the control error of a failed request."""
+    kind = FAILURE_KINDS[failure.kind]
+    return messages.TargetError(kind, failure.has_left, failure.detail)
+
+
+def decode(
+    response: TargetResponse,
+    read: Callable[[Fields], Read],
+) -> Result[Read, messages.TargetError]:
+    """Return what a function reads from the body of an answer.
+
+    Parameters
+    ----------
+    response
+        The answer.
+    read
+        Raises ``TypeError`` or ``ValueError`` where the body is malformed.
+    """
+    if response.status == HTTPStatus.NOT_FOUND:
+        return _refuse(messages.TargetErrorKind.UNSUPPORTED, 'answered 404')
+    if response.status not in ANSWERED:
+        detail = f'answered {response.status}'
+        return _refuse(messages.TargetErrorKind.MALFORMED, detail)
+    try:
+        return Ok(read(read_object(parse_json(response.body))))
+    except (TypeError, ValueError) as fault:
+        return _refuse(messages.TargetErrorKind.MALFORMED, str(fault))
+
+
+def read_leaving(fields: Fields) -> bool | None:
+    """Return whether a target is leaving, None if that is malformed."""
+    # A target with a bad word of leaving must still be able to hold its keys.
+    leaving = fields.get('leaving', False)
+    return leaving if isinstance(leaving, bool) else None
+
+
+def _refuse(
+    kind: messages.TargetErrorKind, detail: str
+) -> Result[Any, messages.TargetError]:
+    return Error(messages.TargetError(kind, has_left=True, detail=detail))
--- a/src/laburnumyard/platform/_target_messages.py
+++ b/src/laburnumyard/platform/_target_messages.py
@@ -89,7 +89,7 @@
     busy
         How many requests it runs or queues.
     leaving
-        Whether it is about to end; None where it does not say.
+        Whether it is about to end; None where that cannot be read.
     """
 
     accepted: bool
@@ -118,7 +118,7 @@
     healthy
         Whether it is well; it may lag or mislead.
     leaving
-        Whether it is about to end; None where it does not say.
+        Whether it is about to end; None where that cannot be read.
     """
 
     healthy: bool
--- /dev/null
+++ b/src/laburnumyard/platform/_target_reports.py
@@ -0,0 +1,45 @@
+"""Decodes what targets say of their health, their load and a drain."""
+
+from expression import Result
+
+from laburnumyard.platform import _target_messages as messages
+from laburnumyard.platform._target_decoding import decode, read_leaving
+from laburnumyard.platform._target_types import TargetResponse
+from laburnumyard.platform._untrusted import Fields, read_count, read_flag
+
+
+def decode_drain(
+    response: TargetResponse,
+) -> Result[messages.DrainAnswer, messages.TargetError]:
+    """Return the answer to a drain."""
+    return decode(response, _read_drain)
+
+
+def decode_health(
+    response: TargetResponse,
+) -> Result[messages.TargetHealth, messages.TargetError]:
+    """Return a target's word on its health."""
+    return decode(response, _read_health)
+
+
+def decode_load(
+    response: TargetResponse,
+) -> Result[messages.TargetLoad, messages.TargetError]:
+    """Return a target's word on its load."""
+    return decode(response, _read_load)
+
+
+def _read_drain(fields: Fields) -> messages.DrainAnswer:
+    busy = read_count(fields, 'busy')
+    return messages.DrainAnswer(read_flag(fields, 'draining'), busy)
+
+
+def _read_health(fields: Fields) -> messages.TargetHealth:
+    healthy = read_flag(fields, 'healthy')
+    return messages.TargetHealth(healthy, read_leaving(fields))
+
+
+def _read_load(fields: Fields) -> messages.TargetLoad:
+    return messages.TargetLoad(
+        read_count(fields, 'busy'), read_count(fields, 'slots')
+    )
--- a/src/standins/_answers.py
+++ b/src/standins/_answers.py
@@ -36,6 +36,16 @@
     await answer(call, status, json.dumps(content).encode(), [kind])
 
 
+async def answer_compact(
+    call: Call,
+    content: object,
+    status: int = HTTPStatus.OK,
+) -> None:
+    """Send JSON in few bytes, to a caller that expects nothing else."""
+    body = json.dumps(content, separators=(',', ':')).encode()
+    await answer(call, status, body)
+
+
 async def break_off(call: Call) -> None:
     """Close the connection without an answer.
 
--- a/src/standins/_target_control.py
+++ b/src/standins/_target_control.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from standins._answers import answer, answer_json
+from standins._answers import answer, answer_compact, answer_json
 from standins._asgi import Call
 from standins._faults import apply_faults
 from standins._grants import Lifetime, export_ranges, import_ranges
@@ -17,6 +17,7 @@
 )
 
 FENCED_CALLS = frozenset(('seal', 'grant', 'renew'))
+RENEWAL_FIELDS = ('service', 'term', 'sequence', 'clock_ms', 'lifetime_ms')
 
 
 async def answer_stand_in(state: TargetState, call: Call) -> None:
@@ -37,7 +38,10 @@
 async def answer_control(state: TargetState, call: Call) -> None:
     """Answer a call of the control API."""
     name = call.path.removeprefix('/control/')
-    message = await call.read_json()
+    decoded = await call.read_decoded()
+    message = decoded if isinstance(decoded, dict) else {}
+    if name == 'renew':
+        message = _name_fields(decoded)
     if name in FENCED_CALLS:
         await _answer_fenced(state, call, message)
     elif name == 'drain':
@@ -79,6 +83,9 @@
     except (KeyError, TypeError, ValueError):
         await answer(call, HTTPStatus.BAD_REQUEST)
         return
+    if is_accepted and call.path == '/control/renew':
+        await answer_compact(call, _renewed(state, now_ms))
+        return
     status = HTTPStatus.OK if is_accepted else HTTPStatus.CONFLICT
     fence = state.fence
     reply = {
@@ -91,7 +98,24 @@
     }
     if call.path != '/control/renew':
         reply['ranges'] = export_ranges(fence.held(now_ms))
-    await answer_json(call, reply, status)
+    await answer_compact(call, reply, status)
+
+
+def _name_fields(decoded: Any) -> dict[str, Any]:
+    """Return the fields of a renewal, none if it is malformed."""
+    if isinstance(decoded, list) and len(decoded) == len(RENEWAL_FIELDS):
+        return dict(zip(RENEWAL_FIELDS, decoded, strict=True))
+    return {}
+
+
+def _renewed(state: TargetState, now_ms: int) -> dict[str, Any]:
+    """Return what the sender of an accepted renewal cannot know."""
+    reply: dict[str, Any] = {'clock_ms': now_ms}
+    if state.busy_released:
+        reply['busy'] = state.busy_released
+    if state.says_leaving:
+        reply['leaving'] = True
+    return reply
 
 
 def _accept(
