TCP segments of renewals are counted, not assumed

Four segments a renewal were assumed: each message and its acknowledgement apart. The question to targets without fencing is counted likewise.

--- a/bench/control/renewals.py
+++ b/bench/control/renewals.py
@@ -2,15 +2,23 @@
 
 ``python -m bench.control.renewals`` counts the bytes of real renewals: of HTTP
 between the daemon's client and the stand-in of a target, and of the messages to
-a guard, for targets that hold 1, 10 and 100 ranges.
+a guard, for targets that hold 1, 10 and 100 ranges. It counts the TCP segments
+of renewals over HTTP at their real interval, with the kernel's own counters;
+those of a guard's link are assumed. It counts the questions to targets without
+fencing likewise.
 """
 
 import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 
 from bench.control.settings import PACKET_BYTES
 from laburnumyard.core.ids import Sequence, ServiceName, Term
 from laburnumyard.core.keys import HASH_SPACE, HashRange, split_evenly
+from laburnumyard.daemon._ownership import ASK_INTERVAL_S
 from laburnumyard.platform import (
     GrantOrder,
     RenewOrder,
@@ -32,6 +40,13 @@
 # From the design: what renewals may spend of the 12 KB/s of control.
 RENEWAL_BYTES_PER_S = 8000
 SERVICE = ServiceName('catalogue')
+# A message and its acknowledgement, both ways, as if none shared a packet.
+ASSUMED_SEGMENTS = 4
+# Of the kernel's struct tcp_info: how long it is, and where it counts the
+# segments sent and received.
+TCP_INFO_BYTES = 144
+SEGMENTS_OFFSET = 136
+SEGMENT_COUNTS = struct.Struct('=II')
 
 
 @dataclass(slots=True)
@@ -74,43 +89,91 @@
         writer.close()
 
 
-async def measure_http(count: int) -> float:
-    """Return the bytes of one renewal over HTTP and of its answer."""
+@dataclass(frozen=True, slots=True)
+class Renewed:
+    """What one renewal and its answer took.
+
+    Parameters
+    ----------
+    payload_bytes
+        The bytes of both, without TCP/IP.
+    segments
+        The TCP segments that carried and acknowledged both.
+    """
+
+    payload_bytes: float
+    segments: float
+
+
+Call = Callable[[TargetControl, Counter], Awaitable[int]]
+
+
+async def measure_http(call: Call) -> Renewed:
+    """Return what a control call over HTTP took.
+
+    Parameters
+    ----------
+    call
+        Makes the call again and again and returns the segments of all.
+    """
     app = TargetApp(TargetSettings('catalogue-1', SERVICE, 3))
     async with serving(app) as address:
         counter = Counter(address)
         relay = await asyncio.start_server(counter.accept, '127.0.0.1', 0)
         host, port = relay.sockets[0].getsockname()
         control = TargetControl(f'{host}:{port}')
-        await renew_often(control, counter, count)
+        segments = await call(control, counter)
         control.close()
         relay.close()
         await asyncio.sleep(SETTLE_S)
-    return counter.passed / RENEWALS
+    return Renewed(counter.passed / RENEWALS, segments / RENEWALS)
 
 
 async def renew_often(
+    count: int,
     control: TargetControl,
     counter: Counter,
-    count: int,
-) -> None:
-    """Grant ranges, then count renewals only."""
+) -> int:
+    """Grant ranges, then count bytes and return segments of renewals only."""
     ranges = split_evenly(HashRange(0, HASH_SPACE), count)
     sealed = await control.seal(SealOrder(SERVICE, Term(12)), TIMEOUT_S)
     clock = sealed.ok.clock_ms
     grant = (SERVICE, Term(12), Sequence(345), clock, LIFETIME_MS)
     granted = await control.grant(GrantOrder(*grant, ranges), TIMEOUT_S)
+    await asyncio.sleep(INTERVAL_S)
     counter.passed = 0
+    before = read_segments(control)
     for _ in range(RENEWALS):
         clock = granted.ok.clock_ms
         order = RenewOrder(SERVICE, Term(12), Sequence(345), clock, LIFETIME_MS)
         granted = await control.renew(order, TIMEOUT_S)
         if not granted.ok.accepted:
             raise RuntimeError(f'{order} was refused: {granted.ok}')
+        await asyncio.sleep(INTERVAL_S)
+    return read_segments(control) - before
 
 
-def measure_guard() -> int:
-    """Return the bytes of one renewal to a guard and of its answer."""
+async def ask_often(control: TargetControl, counter: Counter) -> int:
+    """Ask whether the target is leaving, as one without fencing is asked."""
+    await control.health(TIMEOUT_S)
+    counter.passed = 0
+    before = read_segments(control)
+    for _ in range(RENEWALS):
+        await asyncio.sleep(ASK_INTERVAL_S)
+        await control.health(TIMEOUT_S)
+    await asyncio.sleep(SETTLE_S)
+    return read_segments(control) - before
+
+
+def read_segments(control: TargetControl) -> int:
+    """Return how many TCP segments the one kept connection has carried."""
+    kept = control.idle[0].transport.get_extra_info('socket')
+    told = kept.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    return sum(SEGMENT_COUNTS.unpack_from(told, SEGMENTS_OFFSET))
+
+
+def measure_guard() -> Renewed:
+    """Return what one renewal to a guard takes."""
     renewal = messages.GuardGrant(
         number=1,
         service=SERVICE,
@@ -131,14 +194,22 @@
         ranges=(),
         busy=1,
     )
-    return len(encode_frame(renewal)) + len(encode_frame(answer))
+    payload_bytes = len(encode_frame(renewal)) + len(encode_frame(answer))
+    return Renewed(payload_bytes, ASSUMED_SEGMENTS)
+
+
+def rate_of(renewed: Renewed, interval_s: float) -> float:
+    """Return the bytes a second of a call that is made regularly."""
+    whole = renewed.payload_bytes + renewed.segments * PACKET_BYTES
+    return whole / interval_s
 
 
-def show(kind: str, count: int, size: float) -> None:
-    """Print the bytes of one renewal and what follows from them."""
-    whole = size + 4 * PACKET_BYTES
-    rate = whole / INTERVAL_S
+def show(kind: str, count: int, renewed: Renewed) -> None:
+    """Print what one renewal took and what follows from it."""
+    size = renewed.payload_bytes
+    rate = rate_of(renewed, INTERVAL_S)
     print(f'renewal.{kind}_payload_bytes.ranges_{count}={size:.0f}')
+    print(f'renewal.{kind}_segments.ranges_{count}={renewed.segments:.2f}')
     print(f'renewal.{kind}_bytes_per_s.ranges_{count}={rate:.0f}')
     targets = RENEWAL_BYTES_PER_S / rate
     print(f'renewal.{kind}_targets_a_daemon.ranges_{count}={targets:.2f}')
@@ -147,8 +218,13 @@
 async def main() -> None:
     """Measure each number of ranges."""
     for count in RANGES:
-        show('http', count, await measure_http(count))
+        renew = partial(renew_often, count)
+        show('http', count, await measure_http(renew))
         show('guard', count, measure_guard())
+    asked = await measure_http(ask_often)
+    print(f'health.payload_bytes={asked.payload_bytes:.0f}')
+    print(f'health.segments={asked.segments:.2f}')
+    print(f'health.bytes_per_s={rate_of(asked, ASK_INTERVAL_S):.0f}')
 
 
 if __name__ == '__main__':
--- a/src/standins/_target_control.py
+++ b/src/standins/_target_control.py
@@ -60,7 +60,7 @@
                 'healthy': not is_misleading,
                 'leaving': state.says_leaving,
             }
-            await answer_json(call, health)
+            await answer_compact(call, health)
         case '/control/load':
             busy = 0 if is_misleading else state.slots.busy
             load = {'busy': busy, 'slots': state.settings.slots}
