Unused chunks of assignments are deleted

Cause: each move leaves a chunk or two that no head refers to, for ever.

Change: writers write each chunk again that is older than the head that they replace; a chunk that a head does not refer to and that is older than that head can then be deleted by its revision, whoever is late.

--- a/src/laburnumyard/core/ownership/__init__.py
+++ b/src/laburnumyard/core/ownership/__init__.py
@@ -47,6 +47,7 @@
     assemble,
     split_assignment,
 )
+from laburnumyard.core.ownership._collecting import StoredChunk, UnusedChunks
 from laburnumyard.core.ownership._effects import (
     AssignmentChanged,
     Detail,
@@ -149,6 +150,7 @@
     'SendSeal',
     'ServicePlan',
     'Snapshot',
+    'StoredChunk',
     'SwapDone',
     'SwapHead',
     'SwapRefused',
@@ -160,6 +162,7 @@
     'TargetGone',
     'TargetLeaving',
     'Tick',
+    'UnusedChunks',
     'assemble',
     'decode_head',
     'destinations',
--- a/src/laburnumyard/core/ownership/_effects.py
+++ b/src/laburnumyard/core/ownership/_effects.py
@@ -21,8 +21,9 @@
 class SwapHead:
     """Write the chunks, then swap the head.
 
-    Chunks are written without a condition, also where they exist already: the
-    new revision keeps whoever deletes unused chunks from deleting them.
+    Chunks are written also where they exist already, unless that was done
+    after ``revision``: the new revision keeps whoever deletes unused chunks
+    from deleting them.
     Answer ``SwapDone``, ``SwapRefused`` or, where the store's answer to the
     swap did not come, ``SwapUnknown``. A chunk that could not be written means
     ``SwapRefused``: the head has not been touched.
--- a/src/laburnumyard/daemon/_assignment_store.py
+++ b/src/laburnumyard/daemon/_assignment_store.py
@@ -10,6 +10,9 @@
 from laburnumyard.daemon._clock import boot_time
 from laburnumyard.platform import StoreClient, StoreError, StoreErrorKind
 
+# How often a chunk is written that others write or delete at the same time.
+CHUNK_ATTEMPTS = 3
+
 
 def head_key(service: ServiceName) -> str:
     """Return the store's key of a service's head."""
@@ -103,9 +106,7 @@
     ) -> ownership.SwapDone | ownership.SwapRefused | ownership.SwapUnknown:
         """Write the chunks, then the head; return the event for the manager."""
         for chunk in effect.chunks:
-            key = chunk_key(self.service, chunk.digest)
-            written = await self.store.write(key, chunk.content, None)
-            if written.is_error() and not _exists(written.error):
+            if not await self._renew_chunk(chunk, effect.revision or 0):
                 return ownership.SwapRefused(effect.change)
             self.chunks[chunk.digest] = chunk.content
         head = ownership.encode_head(effect.head)
@@ -117,6 +118,49 @@
             return ownership.SwapUnknown(effect.change)
         return ownership.SwapRefused(effect.change)
 
+    async def list_chunks(
+        self,
+    ) -> Result[tuple[ownership.StoredChunk, ...], StoreError]:
+        """Return all chunks of the service, used and unused."""
+        prefix = chunk_key(self.service, '')
+        listed = await self.store.keys(prefix)
+        return listed.map(
+            lambda keys: tuple(
+                ownership.StoredChunk(
+                    found.key.removeprefix(prefix), found.revision
+                )
+                for found in keys
+            ),
+        )
+
+    async def delete_chunk(
+        self,
+        chunk: ownership.StoredChunk,
+    ) -> Result[None, StoreError]:
+        """Delete a chunk unless it has been written again meanwhile."""
+        key = chunk_key(self.service, chunk.digest)
+        return await self.store.delete(key, chunk.revision)
+
+    async def _renew_chunk(self, chunk: ownership.Chunk, after: int) -> bool:
+        """Write a chunk unless that was done after a revision of the head.
+
+        One that is there already is written again, so that its new revision
+        keeps whoever deletes unused chunks from deleting it.
+        """
+        key = chunk_key(self.service, chunk.digest)
+        expected: int | None = None
+        for _ in range(CHUNK_ATTEMPTS):
+            written = await self.store.write(key, chunk.content, expected)
+            if written.is_ok():
+                return True
+            if written.error.kind is not StoreErrorKind.CONFLICT:
+                return False
+            found = written.error.current
+            if found is not None and found.revision > after:
+                return True
+            expected = found.revision if found else None
+        return False
+
     async def _fetch_chunks(self, head: ownership.Head) -> None:
         known = {
             digest: self.chunks[digest]
@@ -130,8 +174,3 @@
             stored = await self.store.read(chunk_key(self.service, digest))
             if stored.is_ok() and stored.ok is not None:
                 self.chunks[digest] = stored.ok.content
-
-
-def _exists(error: StoreError) -> bool:
-    # A chunk's key is the digest of its content: whoever wrote it wrote this.
-    return error.kind is StoreErrorKind.CONFLICT
--- a/src/laburnumyard/daemon/_ownership.py
+++ b/src/laburnumyard/daemon/_ownership.py
@@ -14,6 +14,7 @@
     TargetName,
 )
 from laburnumyard.daemon._assignment_store import AssignmentStore
+from laburnumyard.daemon._chunk_collector import ChunkCollector
 from laburnumyard.daemon._guard_candidates import guard_candidates
 from laburnumyard.daemon._guards import TRANSFER_S, Guards
 from laburnumyard.daemon._leaving import LeavingWatch
@@ -72,6 +73,7 @@
         self.stores: dict[ServiceName, AssignmentStore] = {}
         self.drained: dict[TargetName, None] = {}
         self.leaving = LeavingWatch(view, self._feed_all)
+        self.collector = ChunkCollector(view, self.stores)
         self.has_looked_around = False
 
     def reconfigure(self) -> None:
@@ -98,6 +100,7 @@
         await anyio.sleep(self.view.settings.timing.suspect_after_s)
         self.has_looked_around = True
         self.tasks.start_soon(self._ask_guarded)
+        self.tasks.start_soon(self.collector.run)
         while True:
             if self.view.configuration is not None:
                 self.assess()
