--- a/tests/processes/test_leaving.py
+++ b/tests/processes/test_leaving.py
@@ -121,7 +121,15 @@
     return told_ms + NO_NEW_WORK_MS
 
 
-def test_target_that_says_it_leaves_gets_no_new_work(
+def withdrawn(trial):
+    """Return the targets that the store's heads give no further ranges."""
+    store = trial.cluster.places.store
+    keys = [f'assignment/{name}/head' for name in ('catalogue', 'orders')]
+    heads = [call(store, 'GET', f'/v1/keys/{key}')[1] for key in keys]
+    return {name for head in heads for name in json.loads(head)['withdrawn']}
+
+
+def test_target_that_says_it_leaves_gets_no_new_work_until_it_returns(
     trial,
     mixed_load,
     assert_intact,
@@ -131,6 +139,10 @@
     deadline_ms = make_leave(trial, LEAVING_TARGETS)
     trial.wait_served('catalogue', 'orders')
     assert_left(trial, assert_intact, LEAVING_TARGETS, deadline_ms)
+    assert_that(withdrawn(trial), Equals(set(LEAVING_TARGETS)))
+    for name in LEAVING_TARGETS:
+        trial.cluster.start_target(name)
+    trial.wait(lambda: not withdrawn(trial))
 
 
 def test_target_without_fencing_that_says_it_leaves_gets_no_new_work(
