The list ends the wait for a target whose VM is off it, where that is trusted

Cause: timing.removal_means_stopped was documented and decided on in the core (TargetGone), but no daemon fed it.

--- a/src/laburnumyard/daemon/_leaving.py
+++ b/src/laburnumyard/daemon/_leaving.py
@@ -1,4 +1,4 @@
-"""Notices targets that are leaving, and tells the lease managers."""
+"""Notices targets that leave or are gone, and tells the lease managers."""
 
 from collections.abc import Callable, Iterable
 
@@ -30,6 +30,8 @@
         self.view = view
         self.follow = follow
         self.reports = leaving.LeavingReports()
+        self.listed: frozenset[TargetName] = frozenset()
+        self.gone: frozenset[TargetName] = frozenset()
 
     def take_answer(self, target: TargetName, is_leaving: bool | None) -> None:
         """Take what a target said of itself, None if it said nothing."""
@@ -37,15 +39,20 @@
             reporter = leaving.Reporter.TARGET
             self._take(leaving.Report(target, reporter, is_leaving))
 
-    def take_vms(self, listed: Iterable[Vm]) -> None:
+    def take_vms(self, vms: Iterable[Vm]) -> None:
         """Take the platform's list; a target's VM has the target's name."""
-        for vm in listed:
-            target = TargetName(vm.name)
-            # A VM that links to other daemons is a daemon's.
-            if not vm.peer_address and target in self._known():
-                is_leaving = vm.state is VmState.LEAVING
-                reporter = leaving.Reporter.VM_LIST
-                self._take(leaving.Report(target, reporter, is_leaving))
+        # A VM that links to other daemons is a daemon's.
+        listed = {
+            TargetName(vm.name): vm.state is VmState.LEAVING
+            for vm in vms
+            if not vm.peer_address and vm.name in self._known()
+        }
+        for target, is_leaving in listed.items():
+            reporter = leaving.Reporter.VM_LIST
+            self._take(leaving.Report(target, reporter, is_leaving))
+        vanished = self.gone | self.listed
+        self.gone = vanished.intersection(self._known()) - listed.keys()
+        self.listed = frozenset(listed)
 
     def forget_aged(self) -> None:
         """Let targets stay of which nobody has said anything for long."""
--- a/src/laburnumyard/daemon/_ownership.py
+++ b/src/laburnumyard/daemon/_ownership.py
@@ -117,6 +117,7 @@
         if is_blind or self.view.is_draining:
             return
         for scope, runner in self.runners.items():
+            runner.note_gone(self.leaving.gone)
             for candidates in guard_candidates(self.view, scope):
                 runner.feed(candidates)
             if runner.manager.may_take_over and self._is_due(scope):
--- a/src/laburnumyard/daemon/_scope_runner.py
+++ b/src/laburnumyard/daemon/_scope_runner.py
@@ -1,7 +1,7 @@
 """Drives the lease manager of one scope."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from laburnumyard.core import ownership
+from laburnumyard.core.ids import TargetName
 from laburnumyard.daemon._assignment_store import AssignmentStore
 from laburnumyard.daemon._clock import boot_time, draw_fraction
 from laburnumyard.daemon._log import Event, log_event
@@ -83,6 +84,16 @@
                 ask = self.tools.orders.ask_leaving
                 self.tools.tasks.start_soon(ask, lease.name)
 
+    def note_gone(self, gone: Collection[TargetName]) -> None:
+        """Tell the manager of targets whose VMs are off the platform's list.
+
+        One that has answered this manager has not stopped, whatever the list
+        says; its lease ends by itself once it no longer answers.
+        """
+        for lease in tuple(self.manager.state.leases.values()):
+            if lease.name in gone and not lease.sealed:
+                self.feed(ownership.TargetGone(lease.name))
+
     def stop(self) -> None:
         """Plan no further tick."""
         if self.timer is not None:
--- a/tests/daemon/test_leaving.py
+++ b/tests/daemon/test_leaving.py
@@ -1,3 +1,5 @@
+from types import SimpleNamespace
+
 import pytest
 from loguru import logger
 from testtools.assertions import assert_that
@@ -5,8 +7,11 @@
 
 from laburnumyard.core import ownership
 from laburnumyard.core.ids import Incarnation
+from laburnumyard.core.ownership._lease import TargetLease
 from laburnumyard.daemon._leaving import LeavingWatch
 from laburnumyard.daemon._orders import OrderSender
+from laburnumyard.daemon._scope_id import ScopeId
+from laburnumyard.daemon._scope_runner import ScopeRunner
 from laburnumyard.platform import Vm, VmState
 from standins._serve import serving
 from standins.target import TargetApp, TargetSettings
@@ -118,6 +123,47 @@
     assert_that(watch.reports.leaving, Equals(()))
 
 
+@pytest.mark.anyio
+async def test_a_target_is_gone_from_when_its_row_is_until_it_returns(watch):
+    watch.take_vms(())
+    assert_that(watch.gone, Equals(frozenset()))
+    watch.take_vms((vm(),))
+    for _ in range(2):
+        watch.take_vms((vm('unknown'),))
+        assert_that(watch.gone, Equals({'c1'}))
+    watch.take_vms((vm(),))
+    assert_that(watch.gone, Equals(frozenset()))
+
+
+def lease(name, is_sealed):
+    kind = ownership.FencedTarget('lima-a')
+    return TargetLease(name, kind, None, LATER, sealed=is_sealed)
+
+
+class RecordingManager:
+    """Holds given leases and records what it is told."""
+
+    def __init__(self, *leases):
+        self.state = SimpleNamespace(leases={one.name: one for one in leases})
+        self.is_idle = True
+        self.events = []
+
+    def handle(self, event, now):
+        self.events.append(event)
+        return []
+
+
+def test_only_a_target_that_has_not_answered_is_believed_to_be_gone():
+    manager = RecordingManager(
+        lease('c1', is_sealed=False),
+        lease('c2', is_sealed=True),
+        lease('c3', is_sealed=False),
+    )
+    runner = ScopeRunner(ScopeId('catalogue', 'lima-a'), manager, None)
+    runner.note_gone({'c1', 'c2', 'unknown'})
+    assert_that(manager.events, Equals([ownership.TargetGone('c1')]))
+
+
 @pytest.mark.anyio
 async def test_a_target_that_leaves_the_configuration_is_forgotten(
     watch, followed
