--- a/src/laburnumyard/core/ownership/__init__.py
+++ b/src/laburnumyard/core/ownership/__init__.py
@@ -34,8 +34,9 @@
      feeds ``TakeOver``. After ``Leave`` the daemon may stop when ``is_idle``.
    - ``LogDecision``: write one log line.
 
-4. Feed the hints as they come: ``TargetDraining``, ``TargetGone``,
-   ``TargetDown``, ``GuardCandidates``, ``MoveRequested``, ``MergeRequested``.
+4. Feed the hints as they come: ``TargetDraining``, ``TargetLeaving``,
+   ``TargetGone``, ``TargetDown``, ``GuardCandidates``, ``MoveRequested``,
+   ``MergeRequested``.
 
 A guard, and a target, hold their grants in a ``GrantHolder``.
 """
@@ -46,6 +47,7 @@
     assemble,
     split_assignment,
 )
+from laburnumyard.core.ownership._collecting import StoredChunk, UnusedChunks
 from laburnumyard.core.ownership._effects import (
     AssignmentChanged,
     Detail,
@@ -80,6 +82,7 @@
     TargetDown,
     TargetDraining,
     TargetGone,
+    TargetLeaving,
 )
 from laburnumyard.core.ownership._manager import LeaseManager
 from laburnumyard.core.ownership._messages import (
@@ -92,6 +95,7 @@
     GuardedTarget,
     KeyRangePlan,
     ServicePlan,
+    needs_guard,
     service_plan,
 )
 from laburnumyard.core.ownership._planner import (
@@ -146,6 +150,7 @@
     'SendSeal',
     'ServicePlan',
     'Snapshot',
+    'StoredChunk',
     'SwapDone',
     'SwapHead',
     'SwapRefused',
@@ -155,13 +160,16 @@
     'TargetDown',
     'TargetDraining',
     'TargetGone',
+    'TargetLeaving',
     'Tick',
+    'UnusedChunks',
     'assemble',
     'decode_head',
     'destinations',
     'encode_head',
     'hash_range',
     'initial_assignment',
+    'needs_guard',
     'needs_manager',
     'owner_of',
     'ranges_by_target',
