Large services are reported and planned more rarely

Change: a service with more than 512 ranges is reported and planned in every k-th interval, so that a planner takes in at most 256 loads (10 KB) a second for each service; loads are smoothed over at least two rounds. The daemon runs the steps of a round with pauses, one round of a service at a time, and stops one that it is no longer the planner for. Nothing changes up to 512 ranges a service.

--- a/src/laburnumyard/core/ownership/_load.py
+++ b/src/laburnumyard/core/ownership/_load.py
@@ -14,6 +14,8 @@
 )
 
 HALF_LIFE = 10.0
+# Where rounds are rare, one report more or less in a round counts for little.
+ROUNDS_PER_HALF_LIFE = 2
 MS_PER_SECOND = 1000
 # Reports on more ranges than this at once are dropped.
 MAX_SUMS = 262_144
@@ -177,7 +179,8 @@
         if since is None or since >= now:
             return heat
         elapsed = now - since
-        weight = 1 - 2 ** (-elapsed / HALF_LIFE)
+        half_life = max(HALF_LIFE, ROUNDS_PER_HALF_LIFE * elapsed)
+        weight = 1 - 2 ** (-elapsed / half_life)
         busy_ms = total.busy_ms if total else 0
         heat.busy += weight * (busy_ms / MS_PER_SECOND / elapsed - heat.busy)
         if total:
--- a/src/laburnumyard/daemon/_balance.py
+++ b/src/laburnumyard/daemon/_balance.py
@@ -1,5 +1,9 @@
 """Reports load to the planner of each service, and runs planners."""
 
+import math
+from functools import partial
+from itertools import count
+
 import anyio
 
 from laburnumyard.core import ownership
@@ -14,7 +18,12 @@
 from laburnumyard.schema._generated.messages import LoadReport
 from laburnumyard.wire import LinkPool
 
-REPORT_INTERVAL_S = 2.0
+INTERVAL_S = 2.0
+# A service with more ranges is reported and planned in every second interval,
+# every third and so on, so that its planner takes in at most 10 KB/s.
+RANGES_PER_INTERVAL = 512
+# Between two steps of a planner's round.
+STEP_PAUSE_S = 0.05
 
 
 class BalanceRunner:
@@ -52,17 +61,27 @@
         self.relay = relay
         self.pool = pool
         self.planners: dict[ServiceName, ownership.LoadPlanner] = {}
+        self.planning: set[ServiceName] = set()
 
     async def run(self) -> None:
         """Report and propose until cancelled."""
-        while True:
-            await anyio.sleep(REPORT_INTERVAL_S)
-            self.report()
-            self.propose()
-
-    def report(self) -> None:
-        """Send what was metered to the planners."""
-        for report in self.meter.take_reports():
+        async with anyio.create_task_group() as tasks:
+            for number in count(1):
+                await anyio.sleep(INTERVAL_S)
+                self.report(number)
+                for service in self.planned(number):
+                    planning = self.begin(service)
+                    tasks.start_soon(self.advance, service, planning)
+
+    def report(self, number: int) -> None:
+        """Send what was metered to the planners.
+
+        Parameters
+        ----------
+        number
+            The number of the interval that has ended.
+        """
+        for report in self.meter.take_reports(partial(self._is_due, number)):
             planner = self._planner_of(ServiceName(report.service))
             if planner == self.view.name:
                 self.take_report(report)
@@ -77,32 +96,72 @@
         if planner is not None:
             planner.record(report)
 
-    def propose(self) -> None:
-        """Propose moves for each service that this daemon plans for."""
+    def _is_due(self, number: int, service: ServiceName) -> bool:
+        snapshot = self.view.snapshots.get(service)
+        ranges = len(snapshot.assignment.ranges) if snapshot else 0
+        intervals = max(1, math.ceil(ranges / RANGES_PER_INTERVAL))
+        return number % intervals == 0
+
+    def planned(self, number: int) -> list[ServiceName]:
+        """Return the services whose round is to begin at this daemon."""
         if self.view.configuration is None or self.view.is_draining:
-            return
+            return []
+        planned = []
         for service in self.view.configuration.services:
             if self._planner_of(service) != self.view.name:
                 self.planners.pop(service, None)
             elif service in self.view.snapshots:
-                self._propose(service)
-
-    def _propose(self, service: ServiceName) -> None:
-        planner = self.planners.get(service)
-        if planner is None:
-            planner = ownership.LoadPlanner()
-            self.planners[service] = planner
-        snapshot = self.view.snapshots[service]
-        plan = self.runner.plan(service)
-        for proposal in planner.propose(snapshot, plan, boot_time()):
-            is_carried = self.relay.carry(service, proposal)
-            log_event(
-                Event.PLACED,
-                action='propose',
-                service=service,
-                proposal=proposal,
-                carried=is_carried,
-            )
+                self.planners.setdefault(service, ownership.LoadPlanner())
+                planned.append(service)
+        return [
+            service
+            for service in planned
+            if self._is_due(number, service) and service not in self.planning
+        ]
+
+    def begin(self, service: ServiceName) -> ownership.PlanningRound:
+        """Begin a round of the planner of a service."""
+        return ownership.PlanningRound(
+            self.planners[service],
+            self.view.snapshots[service],
+            self.runner.plan(service),
+            boot_time(),
+        )
+
+    async def advance(
+        self,
+        service: ServiceName,
+        planning: ownership.PlanningRound,
+    ) -> None:
+        """Go through a round while this daemon is the planner."""
+        self.planning.add(service)
+        while not planning.is_done and self._is_wanted(service, planning):
+            for proposal in planning.advance(boot_time()):
+                self._propose(service, proposal)
+            await anyio.sleep(STEP_PAUSE_S)
+        self.planning.discard(service)
+
+    def _is_wanted(
+        self,
+        service: ServiceName,
+        planning: ownership.PlanningRound,
+    ) -> bool:
+        is_planner = self.planners.get(service) is planning.planner
+        return is_planner and not self.view.is_draining
+
+    def _propose(
+        self,
+        service: ServiceName,
+        proposal: ownership.MoveRequested | ownership.MergeRequested,
+    ) -> None:
+        is_carried = self.relay.carry(service, proposal)
+        log_event(
+            Event.PLACED,
+            action='propose',
+            service=service,
+            proposal=proposal,
+            carried=is_carried,
+        )
 
     def _planner_of(self, service: ServiceName) -> DaemonName:
         names = [each.daemon for each in self.view.members.live()]
--- a/src/laburnumyard/daemon/_load_meter.py
+++ b/src/laburnumyard/daemon/_load_meter.py
@@ -1,6 +1,7 @@
 """Meters what targets were busy with, for the planner's load reports."""
 
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from laburnumyard.core.ids import KeyHash, Seconds, ServiceName
@@ -88,13 +89,28 @@
             meters[owned.start] = meter
         meter.note(key_hash, busy)
 
-    def take_reports(self) -> tuple[LoadReport, ...]:
-        """Return a report for each service that was busy, and start anew."""
-        reports = tuple(
+    def take_reports(
+        self,
+        is_due: Callable[[ServiceName], bool] | None = None,
+    ) -> tuple[LoadReport, ...]:
+        """Return a report for each busy service, and start these anew.
+
+        Parameters
+        ----------
+        is_due
+            Tells of which services a report is due; of all without it.
+        """
+        due = [
+            service
+            for service in self.ranges
+            if is_due is None or is_due(service)
+        ]
+        return tuple(
             LoadReport(
-                service, tuple(meter.load() for meter in meters.values())
+                service,
+                tuple(
+                    meter.load() for meter in self.ranges.pop(service).values()
+                ),
             )
-            for service, meters in self.ranges.items()
+            for service in due
         )
-        self.ranges.clear()
-        return reports
--- /dev/null
+++ b/tests/daemon/test_balance.py
@@ -0,0 +1,96 @@
+from types import SimpleNamespace
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan
+
+from laburnumyard.core import ownership
+from laburnumyard.core.keys import HASH_SPACE, HashRange
+from laburnumyard.core.routing import RoutingTable
+from laburnumyard.daemon import _balance as balance
+from laburnumyard.daemon._load_meter import LoadMeter
+
+SERVICE = 'catalogue'
+TARGETS = ('c1', 'c2')
+
+
+def plan_of(ranges):
+    kinds = {name: ownership.FencedTarget('lima-1') for name in TARGETS}
+    span = ownership.KeyRangePlan(HashRange(0, HASH_SPACE), TARGETS)
+    each = ranges // len(TARGETS)
+    return ownership.ServicePlan(SERVICE, (span,), kinds, each)
+
+
+@pytest.fixture
+def make_runner(monkeypatch):
+    """Return a builder of the planner of a service with so many ranges."""
+    monkeypatch.setattr(balance, 'STEP_PAUSE_S', 0)
+
+    def build(ranges):
+        plan = plan_of(ranges)
+        assignment = ownership.initial_assignment(plan)
+        head = ownership.Head(1, 'c', ())
+        view = SimpleNamespace(
+            name='vm-1',
+            members=SimpleNamespace(live=tuple),
+            configuration=SimpleNamespace(services=(SERVICE,)),
+            snapshots={SERVICE: ownership.Snapshot(head, assignment, 1)},
+            is_draining=False,
+        )
+        runner = SimpleNamespace(plan=lambda service: plan)
+        relay = SimpleNamespace(carry=lambda service, proposal: True)
+        meter = LoadMeter()
+        return balance.BalanceRunner(view, meter, runner, relay, pool=None)
+
+    return build
+
+
+def meter_one_run(runner):
+    assignment = runner.view.snapshots[SERVICE].assignment
+    runner.meter.note(RoutingTable(assignment, 1), 1, 0.01)
+
+
+@pytest.mark.parametrize(
+    ('ranges', 'reported'),
+    [
+        (balance.RANGES_PER_INTERVAL, [1, 2, 3, 4, 5, 6]),
+        (3 * balance.RANGES_PER_INTERVAL, [3, 6]),
+    ],
+)
+def test_a_large_service_is_reported_rarely(make_runner, ranges, reported):
+    runner = make_runner(ranges)
+    seen = []
+    for number in range(1, 7):
+        meter_one_run(runner)
+        runner.report(number)
+        if not runner.meter.ranges:
+            seen.append(number)
+    assert_that(seen, Equals(reported))
+
+
+@pytest.mark.parametrize('is_draining', [False, True])
+def test_a_round_goes_on_in_steps_while_it_is_wanted(make_runner, is_draining):
+    runner = make_runner(4 * balance.RANGES_PER_INTERVAL)
+    service = runner.planned(4)[0]
+    planning = runner.begin(service)
+    planning.advance(1)
+    assert_that(planning.is_done, Equals(False))
+    runner.view.is_draining = is_draining
+    anyio.run(runner.advance, service, planning)
+    assert_that(planning.is_done, Equals(not is_draining))
+
+
+def test_a_round_that_goes_on_is_not_begun_again(make_runner):
+    runner = make_runner(2)
+    runner.planning.add(SERVICE)
+    assert_that(runner.planned(1), Equals([]))
+
+
+def test_a_planner_that_is_replaced_forgets(make_runner):
+    runner = make_runner(2)
+    runner.planned(1)
+    assert_that(len(runner.planners), GreaterThan(0))
+    runner.view.members.live = lambda: [SimpleNamespace(daemon='vm-2')]
+    assert_that(runner.planned(2), Equals([]))
+    assert_that(runner.planners, Equals({}))
