--- a/src/laburnumyard/core/ownership/__init__.py
+++ b/src/laburnumyard/core/ownership/__init__.py
@@ -23,6 +23,8 @@
      ``if-match: revision`` (``if-none-match: *`` for ``None``). Answer with one
      of ``SwapDone``, ``SwapRefused`` (412, or the swap was surely not sent) and
      ``SwapUnknown`` (no answer). Do not try a swap again: the manager does.
+   - ``PrepareChunks``: write the chunks, and wait for them in a ``SwapHead``
+     that names them too. Needs no answer; a failure does no harm.
    - ``SendSeal``, ``SendGrant``, ``SendRenew``: one call of the target API, or
      a message to ``effect.guard`` for a target without fencing; not after
      ``not_after``. Answer ``TargetAnswer`` with ``call`` and ``guard`` copied;
@@ -41,7 +43,8 @@
 A guard, and a target, hold their grants in a ``GrantHolder``.
 """
 
-from laburnumyard.core.ownership._balancing import BalanceSettings, LoadPlanner
+from laburnumyard.core.ownership._balance_settings import BalanceSettings
+from laburnumyard.core.ownership._balancing import LoadPlanner, PlanningRound
 from laburnumyard.core.ownership._chunks import (
     Chunk,
     assemble,
@@ -54,6 +57,7 @@
     Effect,
     LogDecision,
     OfferScope,
+    PrepareChunks,
     ReadHead,
     SwapHead,
 )
@@ -85,6 +89,7 @@
     TargetLeaving,
 )
 from laburnumyard.core.ownership._manager import LeaseManager
+from laburnumyard.core.ownership._manager_settings import ManagerSettings
 from laburnumyard.core.ownership._messages import (
     SendGrant,
     SendRenew,
@@ -107,7 +112,7 @@
     owner_of,
     ranges_by_target,
 )
-from laburnumyard.core.ownership._state import ManagerSettings, Phase
+from laburnumyard.core.ownership._state import Phase
 from laburnumyard.core.ownership._store_events import (
     HeadRead,
     HeadUnreadable,
@@ -143,6 +148,8 @@
     'OfferScope',
     'Phase',
     'PlanChanged',
+    'PlanningRound',
+    'PrepareChunks',
     'ReadHead',
     'Scope',
     'SendGrant',
--- a/src/laburnumyard/core/ownership/_effects.py
+++ b/src/laburnumyard/core/ownership/_effects.py
@@ -17,13 +17,30 @@
     """Read the head and its chunks; answer HeadRead or HeadUnreadable."""
 
 
+@dataclass(frozen=True, slots=True)
+class PrepareChunks:
+    """Write chunks that a later swap will most likely need; needs no answer.
+
+    Parameters
+    ----------
+    chunks
+        The chunks that the present head does not refer to.
+    revision
+        The revision of that head.
+    """
+
+    chunks: tuple[Chunk, ...]
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class SwapHead:
     """Write the chunks, then swap the head.
 
     Chunks are written also where they exist already, unless that was done
-    after ``revision``: the new revision keeps whoever deletes unused chunks
-    from deleting them.
+    after ``revision``, for example because of ``PrepareChunks``: the new
+    revision keeps whoever deletes unused chunks from deleting them. One that
+    is being written is waited for.
     Answer ``SwapDone``, ``SwapRefused`` or, where the store's answer to the
     swap did not come, ``SwapUnknown``. A chunk that could not be written means
     ``SwapRefused``: the head has not been touched.
@@ -84,6 +101,7 @@
 
 Effect = (
     ReadHead
+    | PrepareChunks
     | SwapHead
     | SendSeal
     | SendGrant
--- a/src/laburnumyard/daemon/_assignment_store.py
+++ b/src/laburnumyard/daemon/_assignment_store.py
@@ -7,23 +7,16 @@
 
 from laburnumyard.core import ownership
 from laburnumyard.core.ids import Seconds, ServiceName
+from laburnumyard.daemon._chunk_writer import ChunkWriter, chunk_key
 from laburnumyard.daemon._clock import boot_time
 from laburnumyard.platform import StoreClient, StoreError, StoreErrorKind
 
-# How often a chunk is written that others write or delete at the same time.
-CHUNK_ATTEMPTS = 3
-
 
 def head_key(service: ServiceName) -> str:
     """Return the store's key of a service's head."""
     return f'assignment/{service}/head'
 
 
-def chunk_key(service: ServiceName, digest: str) -> str:
-    """Return the store's key of one chunk."""
-    return f'assignment/{service}/chunk/{digest}'
-
-
 @dataclass(slots=True)
 class SharedReading:
     """One reading of the store, for everyone who asked meanwhile.
@@ -59,6 +52,7 @@
         self.store = store
         self.service = service
         self.chunks: dict[str, bytes] = {}
+        self.writer = ChunkWriter(store, service)
         self.reading: SharedReading | None = None
 
     async def read(self) -> SharedReading:
@@ -105,9 +99,9 @@
         effect: ownership.SwapHead,
     ) -> ownership.SwapDone | ownership.SwapRefused | ownership.SwapUnknown:
         """Write the chunks, then the head; return the event for the manager."""
+        if not await self.writer.write_all(effect.chunks, effect.revision or 0):
+            return ownership.SwapRefused(effect.change)
         for chunk in effect.chunks:
-            if not await self._renew_chunk(chunk, effect.revision or 0):
-                return ownership.SwapRefused(effect.change)
             self.chunks[chunk.digest] = chunk.content
         head = ownership.encode_head(effect.head)
         key = head_key(self.service)
@@ -141,26 +135,6 @@
         key = chunk_key(self.service, chunk.digest)
         return await self.store.delete(key, chunk.revision)
 
-    async def _renew_chunk(self, chunk: ownership.Chunk, after: int) -> bool:
-        """Write a chunk unless that was done after a revision of the head.
-
-        One that is there already is written again, so that its new revision
-        keeps whoever deletes unused chunks from deleting it.
-        """
-        key = chunk_key(self.service, chunk.digest)
-        expected: int | None = None
-        for _ in range(CHUNK_ATTEMPTS):
-            written = await self.store.write(key, chunk.content, expected)
-            if written.is_ok():
-                return True
-            if written.error.kind is not StoreErrorKind.CONFLICT:
-                return False
-            found = written.error.current
-            if found is not None and found.revision > after:
-                return True
-            expected = found.revision if found else None
-        return False
-
     async def _fetch_chunks(self, head: ownership.Head) -> None:
         known = {
             digest: self.chunks[digest]
--- /dev/null
+++ b/src/laburnumyard/daemon/_chunk_writer.py
@@ -0,0 +1,111 @@
+"""Writes the chunks of one service's assignments."""
+
+from collections.abc import Iterable
+from functools import partial
+
+import anyio
+
+from laburnumyard.core.ids import ServiceName
+from laburnumyard.core.ownership import Chunk
+from laburnumyard.platform import StoreClient, StoreErrorKind
+
+# How often a chunk is written that others write or delete at the same time.
+CHUNK_ATTEMPTS = 3
+
+
+def chunk_key(service: ServiceName, digest: str) -> str:
+    """Return the store's key of one chunk."""
+    return f'assignment/{service}/chunk/{digest}'
+
+
+class ChunkWriter:
+    """Writes chunks, and waits for those that are being written already.
+
+    A chunk that is there already is written again unless that was done after
+    the head that is to be replaced: its new revision keeps whoever deletes
+    unused chunks from deleting it.
+
+    Parameters
+    ----------
+    store
+        The platform's store.
+    service
+        The service.
+
+    Attributes
+    ----------
+    written
+        The revision of each chunk that this writer has written or found.
+    """
+
+    def __init__(self, store: StoreClient, service: ServiceName) -> None:
+        """Start with nothing written."""
+        self.store = store
+        self.service = service
+        self.written: dict[str, int] = {}
+        self.under_way: dict[str, anyio.Event] = {}
+
+    async def write_all(self, chunks: Iterable[Chunk], after: int) -> bool:
+        """Write chunks at once.
+
+        Parameters
+        ----------
+        chunks
+            The chunks that the head to be replaced does not refer to.
+        after
+            The revision of that head; 0 if there is none.
+
+        Returns
+        -------
+        bool
+            Whether the store has each of them at a later revision.
+        """
+        wanted = tuple(chunks)
+        self._forget_until(after)
+        async with anyio.create_task_group() as tasks:
+            for chunk in wanted:
+                tasks.start_soon(partial(self._ensure, chunk, after))
+        return all(self._is_written(chunk, after) for chunk in wanted)
+
+    def _forget_until(self, revision: int) -> None:
+        self.written = {
+            digest: written
+            for digest, written in self.written.items()
+            if written > revision
+        }
+
+    def _is_written(self, chunk: Chunk, after: int) -> bool:
+        return self.written.get(chunk.digest, 0) > after
+
+    async def _ensure(self, chunk: Chunk, after: int) -> None:
+        under_way = self.under_way.get(chunk.digest)
+        if under_way is not None:
+            await under_way.wait()
+        if not self._is_written(chunk, after):
+            await self._write(chunk, after)
+
+    async def _write(self, chunk: Chunk, after: int) -> None:
+        done = anyio.Event()
+        self.under_way[chunk.digest] = done
+        try:
+            await self.put(chunk, after)
+        finally:
+            self.under_way.pop(chunk.digest, None)
+            done.set()
+
+    async def put(self, chunk: Chunk, after: int) -> None:
+        """Write one chunk unless it is there at a revision after another."""
+        key = chunk_key(self.service, chunk.digest)
+        expected: int | None = None
+        for _ in range(CHUNK_ATTEMPTS):
+            written = await self.store.write(key, chunk.content, expected)
+            if written.is_ok():
+                self.written[chunk.digest] = written.ok.revision
+                return
+            if written.error.kind is not StoreErrorKind.CONFLICT:
+                return
+            found = written.error.current
+            if found is not None and found.revision > after:
+                self.written[chunk.digest] = found.revision
+                return
+            expected = found.revision if found else None
--- a/tests/daemon/interleaving.py
+++ b/tests/daemon/interleaving.py
@@ -6,7 +6,8 @@
 from expression import Error, Ok
 
 from laburnumyard.core.ownership import decode_head
-from laburnumyard.daemon._assignment_store import chunk_key, head_key
+from laburnumyard.daemon._assignment_store import head_key
+from laburnumyard.daemon._chunk_writer import chunk_key
 from laburnumyard.platform import (
     KeyRevision,
     Stored,
