A queue looks for the next turn only while a request waits

Cause: TargetQueue.handle went through next_turn and the count of long operations three times a request, twice with nothing waiting.

--- a/src/laburnumyard/core/requests/_fairness.py
+++ b/src/laburnumyard/core/requests/_fairness.py
@@ -54,6 +54,11 @@
         self.waiting = 0
         self.waiting_deferred = 0
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any request waits."""
+        return bool(self.waiting or self.waiting_deferred)
+
     def flow_of(self, customer: CustomerName) -> Flow:
         """Give the flow of a customer."""
         flow = self.known.get(customer)
--- a/src/laburnumyard/core/requests/_target_queue.py
+++ b/src/laburnumyard/core/requests/_target_queue.py
@@ -150,7 +150,7 @@
 
     def _dispatch(self, now: Seconds) -> None:
         limit = self.throttle.limit(now)
-        while len(self.running) < limit and self.entries:
+        while len(self.running) < limit and self.flows.has_waiting:
             turn = self.flows.next_turn(
                 now,
                 is_long_allowed=self._is_long_allowed(limit),
