A link looks at all its idle connections only now and then

Cause: each request listed and judged every idle connection. Now the one kept last is asked for first, by the same policy; all are looked at each 0.1 s, or when that one may not be used. What is stale is closed up to 0.1 s later and is never used, as before; a test shows the closing.

--- a/src/laburnumyard/daemon/_target_link.py
+++ b/src/laburnumyard/daemon/_target_link.py
@@ -27,6 +27,8 @@
 
 Outcome = Result[Response, Failure]
 CONNECT_TIMEOUT_S = 0.25
+# How often connections that are no longer used are looked for.
+SWEEP_INTERVAL_S = 0.1
 # Headers that the daemon answers for itself.
 OWN_HEADERS = frozenset(('server', 'date'))
 OWN_PREFIX = 'laburnumyard-'
@@ -99,6 +101,7 @@
         self.on_broken_off = on_broken_off
         self.policy = requests.ConnectionPolicy()
         self.idle: dict[requests.ConnectionId, _Kept] = {}
+        self.next_sweep = Seconds(0)
         self.numbers = count(1)
         self.clock: TargetClock | None = None
 
@@ -146,8 +149,8 @@
         return None
 
     def _reuse(self, job: Job) -> _Kept | None:
-        notes = [kept.note for kept in self.idle.values()]
-        choice = self.policy.choose(notes, job.repeatable, boot_time())
+        now = boot_time()
+        choice = self._choose(job, now)
         for connection_id in choice.close:
             self.idle.pop(connection_id).connection.close()
         if choice.reuse is None:
@@ -158,6 +161,17 @@
         kept.connection.close()
         return None
 
+    def _choose(self, job: Job, now: Seconds) -> requests.Choice:
+        """Look at the connection that was kept last, and seldom at all."""
+        if self.idle and now < self.next_sweep:
+            latest = next(reversed(self.idle.values())).note
+            choice = self.policy.choose((latest,), job.repeatable, now)
+            if choice.reuse is not None:
+                return choice
+        self.next_sweep = Seconds(now + SWEEP_INTERVAL_S)
+        notes = [kept.note for kept in self.idle.values()]
+        return self.policy.choose(notes, job.repeatable, now)
+
     async def _open(self, job: Job) -> Result[_Kept, Failure]:
         timeout = min(CONNECT_TIMEOUT_S, job.deadline - boot_time())
         if timeout <= 0:
--- a/tests/daemon/test_target_link.py
+++ b/tests/daemon/test_target_link.py
@@ -9,7 +9,10 @@
 
 from laburnumyard.core.errors import ErrorKind
 from laburnumyard.core.keys import hash_key
-from laburnumyard.core.requests._connections import UNREPEATABLE_IDLE_LIMIT_S
+from laburnumyard.core.requests._connections import (
+    IDLE_LIMIT_S,
+    UNREPEATABLE_IDLE_LIMIT_S,
+)
 from laburnumyard.daemon._clock import boot_time
 from laburnumyard.daemon._jobs import Job
 from tests.daemon.http import ask
@@ -141,6 +144,21 @@
         assert_that(target.connections, Equals(2))
 
 
+@pytest.mark.anyio
+async def test_connections_that_none_needs_any_more_are_closed(
+    scripted, link_to
+):
+    async with scripted(EMPTY, EMPTY, EMPTY) as target:
+        link = link_to(target.address)
+        await asyncio.gather(link.run(job('a')), link.run(job('b')))
+        older = next(iter(link.idle.values()))
+        older.note.last_answer = boot_time() - IDLE_LIMIT_S - 0.01
+        link.next_sweep = boot_time()
+        assert_that((await link.run(job('c'))).is_ok(), Is(True))
+        assert_that(older.connection.transport.is_closing(), Is(True))
+        assert_that(len(link.idle), Equals(1))
+
+
 @pytest.mark.anyio
 @pytest.mark.cell(step='answer', fault='pause')
 async def test_a_half_read_answer_reaches_no_other_caller(scripted, link_to):
