--- a/bench/entry.py
+++ b/bench/entry.py
@@ -24,6 +24,10 @@
 USER_TICKS = 11
 CHILD_TICKS = 13
 WARM_UP_S = 1
+# 1.9 million requests/s over 690 daemons.
+RATE_PER_DAEMON = 2754
+P99_LIMIT_MS = 19
+STEADY_S = 10
 Figures = Mapping[str, float]
 
 
@@ -112,8 +116,28 @@
     check_whole(f'{name}.half_load', routed)
 
 
+def steady(cluster: Cluster, address: str, duration_s: float) -> None:
+    """Measure the way over a hop at the rate of the size to design for."""
+    target = cluster.places.targets[0].address
+    bare = measure(target, duration_s, RATE_PER_DAEMON, is_bare=True)
+    spent_s = processor_s(cluster)
+    routed = measure(address, duration_s, RATE_PER_DAEMON)
+    spent_s = processor_s(cluster) - spent_s
+    spent_us = spent_s * US_PER_S / routed['callers.sent']
+    print_figure('hop_steady.per_s', routed['callers.whole_per_s'])
+    print_figure('hop_steady.processor_us', spent_us)
+    for name in ('p50_ms', 'p99_ms', 'p99.9_ms'):
+        print_figure(f'hop_steady.{name}', routed[f'callers.{name}'])
+        print_figure(f'hop_steady.bare_{name}', bare[f'callers.{name}'])
+    print_figure('hop_steady.p99_limit_ms', P99_LIMIT_MS)
+    check_whole('hop_steady', routed)
+
+
 def main(
-    duration_s: float = 4, decisions: bool = True, hop: bool = True
+    duration_s: float = 4,
+    decisions: bool = True,
+    hop: bool = True,
+    steady_s: float = STEADY_S,
 ) -> None:
     """Print the figures of the daemon and, with a hop, of two daemons.
 
@@ -125,6 +149,8 @@
         Whether the daemons log each routing decision.
     hop
         Whether the way over two daemons is measured, too.
+    steady_s
+        The length of the steady load over a hop, in seconds.
     """
     print_figure('load_average_start', os.getloadavg()[0])
     with tempfile.TemporaryDirectory() as folder:
@@ -133,6 +159,7 @@
             compare('entry', cluster, near, duration_s)
             if hop:
                 compare('hop', cluster, far, duration_s)
+                steady(cluster, far, steady_s)
     print_figure('load_average_end', os.getloadavg()[0])
 
 
