bench.crossing: two daemons that are each other's entry and dispatcher

Why: hop_steady loads one daemon as the entry and the other as the dispatcher. At the size to design for, each daemon is both at 2,754 requests/s.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     'control.links',
     'roles',
     'entry',
+    'crossing',
     'recovery',
     'idle',
 )
--- /dev/null
+++ b/bench/crossing.py
@@ -0,0 +1,108 @@
+"""Two daemons that are each other's entry and dispatcher, on loopback.
+
+Run with ``python -m bench.crossing``. Every request takes one hop, and each
+daemon takes in the whole rate of the size to design for and dispatches as
+much for the other: what each of many daemons does. Targets, daemons, platform
+and the two loads are processes of their own.
+"""
+
+import json
+import os
+import tempfile
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+from itertools import count
+from pathlib import Path
+from urllib.parse import urlencode
+from urllib.request import urlopen
+
+import fire
+
+from bench import entry
+from standins.cluster import Cluster, ClusterPlan, ServiceShape, running
+
+SERVICE = 'catalogue'
+TIMEOUT_S = 5
+
+
+def plan_cluster() -> ClusterPlan:
+    """Return a target and a daemon in each of two data centres."""
+    shape = ServiceShape(SERVICE, targets=2, slots=entry.CONNECTIONS, work_ms=0)
+    return ClusterPlan((shape,), daemons=2, data_centres=('lima-a', 'lima-b'))
+
+
+def far_key(admin: str, name: str) -> str:
+    """Return what a key that another daemon dispatches begins with.
+
+    Parameters
+    ----------
+    admin, name
+        The admin address and the name of the daemon that is asked.
+    """
+    for prefix in map('cross-{}-'.format, count()):
+        # The load's only key.
+        query = urlencode({'service': SERVICE, 'key': f'{prefix}0'})
+        url = f'http://{admin}/owner?{query}'
+        with urlopen(url, timeout=TIMEOUT_S) as answer:
+            found = json.load(answer)
+        if found['dispatcher'] != name:
+            return prefix
+    raise AssertionError('numbers do not end')
+
+
+def worst(figures: Sequence[entry.Figures], name: str) -> float:
+    """Return the largest of a figure of both loads."""
+    return max(each[f'callers.{name}'] for each in figures)
+
+
+def cross(cluster: Cluster, duration_s: float) -> None:
+    """Send both loads at once, first to the bare targets."""
+    daemons = cluster.places.daemons
+    keys = [far_key(each.admin, each.name) for each in daemons]
+    targets = [each.address for each in cluster.places.targets]
+    for address, key in zip(cluster.caller_addresses, keys, strict=True):
+        entry.measure(address, entry.WARM_UP_S, key=key)
+    send = partial(
+        entry.measure, duration_s=duration_s, rate=entry.RATE_PER_DAEMON
+    )
+    with ThreadPoolExecutor() as pool:
+        bare = tuple(pool.map(partial(send, is_bare=True), targets))
+        spent_s = entry.processor_s(cluster)
+        sending = [
+            pool.submit(send, address, key=key)
+            for address, key in zip(cluster.caller_addresses, keys, strict=True)
+        ]
+        routed = [each.result() for each in sending]
+    spent_s = entry.processor_s(cluster) - spent_s
+    sent = sum(each['callers.sent'] for each in routed)
+    entry.print_figure('crossing.per_s_each', sent / duration_s / len(daemons))
+    entry.print_figure('crossing.processor_us', spent_s * entry.US_PER_S / sent)
+    entry.print_figure(
+        'crossing.cores_each', spent_s / duration_s / len(daemons)
+    )
+    for name in ('p50_ms', 'p99_ms', 'p99.9_ms'):
+        entry.print_figure(f'crossing.{name}', worst(routed, name))
+        entry.print_figure(f'crossing.bare_{name}', worst(bare, name))
+    entry.print_figure('crossing.p99_limit_ms', entry.P99_LIMIT_MS)
+    for each in routed:
+        entry.check_whole('crossing', each)
+
+
+def main(duration_s: float = entry.STEADY_S) -> None:
+    """Print the tail and the cost of the rate of the size to design for.
+
+    Parameters
+    ----------
+    duration_s
+        The length of the load, in seconds.
+    """
+    entry.print_figure('load_average_start', os.getloadavg()[0])
+    with tempfile.TemporaryDirectory() as folder:
+        with running(Cluster(plan_cluster(), Path(folder))) as cluster:
+            cross(cluster, duration_s)
+    entry.print_figure('load_average_end', os.getloadavg()[0])
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/bench/entry.py
+++ b/bench/entry.py
@@ -44,7 +44,11 @@
 
 
 def measure(
-    address: str, duration_s: float, rate: float = 0, is_bare: bool = False
+    address: str,
+    duration_s: float,
+    rate: float = 0,
+    is_bare: bool = False,
+    key: str = '',
 ) -> Figures:
     """Send a load from another process and return its figures."""
     options = {
@@ -56,6 +60,8 @@
     }
     if is_bare:
         options['key_hash'] = KEY_HASH
+    if key:
+        options |= {'key_prefix': key, 'keys': 1}
     flags = [f'--{name}={options[name]}' for name in options]
     command = (sys.executable, '-m', 'standins.load', *flags)
     done = subprocess.run(command, capture_output=True, text=True, check=True)
