--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     'control.links',
     'roles',
     'entry',
+    'crossing',
     'recovery',
     'idle',
 )
