Poison that waits in a queue, or outlives its deadline, is quarantined too

Cause (both found by tests/daemon/test_deaths_missed.py, which failed first): the quarantine was asked when a request came to a dispatcher, not when its turn had come, so that each copy in the queue killed a target (2 to 5 targets in a trial with copies 4 ms apart); and a death was held only against requests whose connection broke off, not against one that was cancelled at its deadline a moment before its target died. Change: the run asks the quarantine last. A link remembers what it has cancelled for 5 s, and holds it to account when the target refuses a connection (a connection that is only not answered proves no death) or breaks one off. A daemon now tells its deaths apart by whether the connection was opened after the last one; only names of two daemons within 0.25 s are taken for one death. After: tests/core/requests (faults, pairs, poison at moves, quarantine) and tests/daemon pass, tests/processes/test_poison.py passes.

--- a/src/laburnumyard/core/requests/__init__.py
+++ b/src/laburnumyard/core/requests/__init__.py
@@ -101,7 +101,6 @@
 from laburnumyard.core.requests._flow_control import refusal_delay
 from laburnumyard.core.requests._ledger import TicketLedger
 from laburnumyard.core.requests._quarantine import (
-    SAME_DEATH_S,
     DeathId,
     Fingerprint,
     Quarantine,
@@ -133,7 +132,6 @@
 
 __all__ = (
     'HOPS_LIMIT',
-    'SAME_DEATH_S',
     'Arrive',
     'CallerGone',
     'CancelRunning',
--- a/src/laburnumyard/core/requests/_quarantine.py
+++ b/src/laburnumyard/core/requests/_quarantine.py
@@ -7,7 +7,12 @@
 import xxhash
 
 from laburnumyard.core.errors import ErrorKind, Failure
-from laburnumyard.core.ids import Seconds, ServiceName, TargetName
+from laburnumyard.core.ids import (
+    DaemonName,
+    Seconds,
+    ServiceName,
+    TargetName,
+)
 
 # A digest of what makes a request the same one when it is sent again.
 Fingerprint = NewType('Fingerprint', bytes)
@@ -16,9 +21,10 @@
 
 # Deaths after which a request is refused.
 DEATHS_LIMIT = 2
-# All daemons notice a death within this time. Deaths of one target that are
-# closer together are taken for one.
-SAME_DEATH_S = 1.0
+# Daemons notice a death by connections that end with it. Deaths of one target
+# that two daemons notice closer together are taken for one; a target takes
+# longer to start and die again.
+SAME_DEATH_S = 0.25
 # How long a death is held against a request.
 QUARANTINE_TIME_S = 300
 # Suspects that are remembered; the oldest make room.
@@ -45,6 +51,12 @@
     remaining: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class _Notice:
+    target: str
+    daemon: str
+
+
 @dataclass(slots=True)
 class _Record:
     deaths: frozenset[DeathId]
@@ -56,7 +68,9 @@
             return False
         if abs(self.until - other.until) > SAME_DEATH_S:
             return False
-        return _targets(self.deaths) == _targets(other.deaths)
+        mine, news = (_notice(*each.deaths) for each in (self, other))
+        # A daemon gives two names only to two deaths.
+        return mine.target == news.target and mine.daemon != news.daemon
 
     def unite(self, other: '_Record') -> None:
         """Take over the deaths that are new."""
@@ -71,17 +85,19 @@
         self.until = max(self.until, other.until)
 
 
-def death_id(target: TargetName, token: str) -> DeathId:
+def death_id(target: TargetName, daemon: DaemonName, token: str) -> DeathId:
     """Name a death of a target.
 
     Parameters
     ----------
     target
         The target.
+    daemon
+        Who has noticed it.
     token
-        Tells this death from others.
+        Tells this death from others that the daemon has noticed.
     """
-    return DeathId(f'{target}/{token}')
+    return DeathId(f'{target}/{daemon}/{token}')
 
 
 def fingerprint_of(
@@ -230,8 +246,10 @@
         self.records.pop(oldest)
 
 
-def _targets(deaths: frozenset[DeathId]) -> set[str]:
-    return {death.rpartition('/')[0] or death for death in deaths}
+def _notice(death: DeathId) -> _Notice:
+    """Take a name of a death apart; it may come from any peer."""
+    target, *rest = death.split('/', 1)
+    return _Notice(target, rest[0].partition('/')[0] if rest else '')
 
 
 def _bounded(deaths: frozenset[DeathId]) -> frozenset[DeathId]:
--- a/src/laburnumyard/daemon/_deaths.py
+++ b/src/laburnumyard/daemon/_deaths.py
@@ -1,14 +1,15 @@
 """Notices targets that die while they run a request."""
 
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 import anyio
 from anyio.abc import TaskGroup
 
 from laburnumyard.core.errors import Failure
-from laburnumyard.core.ids import TargetName
+from laburnumyard.core.ids import DaemonName, Seconds, TargetName
 from laburnumyard.core.requests import (
-    SAME_DEATH_S,
     DeathId,
     Fingerprint,
     Quarantine,
@@ -23,6 +24,9 @@
 from laburnumyard.schema._generated.objects import Target
 
 CONNECT_TIMEOUT_S = 0.25
+# How long a cancelled job is suspected of running on, and how many are.
+ABANDONED_S = 5.0
+ABANDONED_LIMIT = 64
 PROBE_BYTES = 1024
 # The pauses before each probe. The kernel of a dead process closes its
 # connections and its listener one by one, so that one probe proves no life.
@@ -41,11 +45,32 @@
     return quarantine.refusal(fingerprint(job), boot_time())
 
 
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """A job that a target may have died of.
+
+    Parameters
+    ----------
+    fingerprint
+        The job.
+    opened
+        When its connection was opened, on the boot-time clock.
+    since
+        When the daemon stopped to wait for its answer.
+    """
+
+    fingerprint: Fingerprint
+    opened: Seconds
+    since: Seconds
+
+
 class DeathWatch:
     """Holds the death of a target against the requests that it ran.
 
     Parameters
     ----------
+    name
+        This daemon.
     quarantine
         Where suspects are kept.
     tell_peers
@@ -56,45 +81,103 @@
 
     def __init__(
         self,
+        name: DaemonName,
         quarantine: Quarantine,
         tell_peers: Callable[[tuple[Suspect, ...]], None],
         tasks: TaskGroup,
     ) -> None:
         """Start without a death."""
+        self.name = name
         self.quarantine = quarantine
         self.tell_peers = tell_peers
         self.tasks = tasks
-        self.deaths: dict[TargetName, tuple[DeathId, float]] = {}
+        self.deaths: dict[TargetName, tuple[DeathId, Seconds]] = {}
+
+    def suspect(self, target: Target, suspicions: Iterable[Suspicion]) -> None:
+        """Find out whether a target died, and hold it against jobs."""
+        self.tasks.start_soon(self._probe, target, tuple(suspicions))
 
-    def note_broken_off(self, target: Target, job: Job) -> None:
-        """Find out whether a target died when a connection to it ended."""
-        self.tasks.start_soon(self._probe, target, fingerprint(job))
+    async def _probe(
+        self,
+        target: Target,
+        suspicions: tuple[Suspicion, ...],
+    ) -> None:
+        if await _has_died(target):
+            for suspicion in suspicions:
+                self._blame(TargetName(target.name), suspicion)
 
-    async def _probe(self, target: Target, suspect: Fingerprint) -> None:
-        if not await _has_died(target):
-            return
+    def _blame(self, target: TargetName, suspicion: Suspicion) -> None:
         now = boot_time()
-        name = TargetName(target.name)
-        death = self._death(name, now)
-        suspects = self.quarantine.note_death(death, (suspect,), now)
+        death = self._death(target, suspicion.opened, now)
+        blamed = (suspicion.fingerprint,)
+        suspects = self.quarantine.note_death(death, blamed, now)
         log_event(
             Event.QUARANTINED,
             'WARNING',
-            target=name,
+            target=target,
             death=death,
-            fingerprint=suspect.hex(),
+            fingerprint=suspicion.fingerprint.hex(),
             reason='target-died',
         )
         self.tell_peers(suspects)
 
-    def _death(self, target: TargetName, now: float) -> DeathId:
+    def _death(
+        self,
+        target: TargetName,
+        opened: Seconds,
+        now: Seconds,
+    ) -> DeathId:
+        """Name a death: a new one if the target has lived since the last."""
         known = self.deaths.get(target)
-        if known is None or now - known[1] > SAME_DEATH_S:
-            known = (death_id(target, draw_token()), now)
+        if known is None or opened > known[1]:
+            known = (death_id(target, self.name, draw_token()), now)
             self.deaths[target] = known
         return known[0]
 
 
+class TargetWatch:
+    """What one target may die of: the jobs that it runs or has just run.
+
+    A job that was cancelled may run on for a while, at a target that has not
+    noticed it yet, so that it is suspected like those that still run.
+
+    Parameters
+    ----------
+    target
+        Where it is.
+    deaths
+        Finds out whether it has died.
+    """
+
+    def __init__(self, target: Target, deaths: DeathWatch) -> None:
+        """Start without a suspicion."""
+        self.target = target
+        self.deaths = deaths
+        self.abandoned: deque[Suspicion] = deque(maxlen=ABANDONED_LIMIT)
+
+    def note_abandoned(self, job: Job, opened: Seconds) -> None:
+        """Note that nobody waits any longer for the answer of a job."""
+        found = Suspicion(fingerprint(job), opened, boot_time())
+        self.abandoned.append(found)
+
+    def note_broken_off(self, job: Job, opened: Seconds) -> None:
+        """Take in that a connection ended before the answer of its job."""
+        broken = Suspicion(fingerprint(job), opened, boot_time())
+        self.deaths.suspect(self.target, (broken, *self._take_abandoned()))
+
+    def note_refused(self) -> None:
+        """Take in that the target accepts no connection."""
+        abandoned = self._take_abandoned()
+        if abandoned:
+            self.deaths.suspect(self.target, abandoned)
+
+    def _take_abandoned(self) -> tuple[Suspicion, ...]:
+        oldest = boot_time() - ABANDONED_S
+        taken = tuple(each for each in self.abandoned if each.since > oldest)
+        self.abandoned.clear()
+        return taken
+
+
 async def _has_died(target: Target) -> bool:
     for pause in PROBE_PAUSES_S:
         await anyio.sleep(pause)
--- a/src/laburnumyard/daemon/_dispatcher.py
+++ b/src/laburnumyard/daemon/_dispatcher.py
@@ -27,6 +27,7 @@
         ErrorKind.NOT_OWNER: requests.Outcome.CANCELLED,
         ErrorKind.NO_OWNER: requests.Outcome.CANCELLED,
         ErrorKind.TARGET_UNREACHABLE: requests.Outcome.UNREACHABLE,
+        ErrorKind.QUARANTINED: requests.Outcome.CANCELLED,
     }
 )
 
--- a/src/laburnumyard/daemon/_node.py
+++ b/src/laburnumyard/daemon/_node.py
@@ -93,6 +93,7 @@
         """Build what serves requests."""
         quarantine = requests.Quarantine()
         deaths = DeathWatch(
+            self.view.name,
             quarantine,
             lambda suspects: self.relay.tell_suspects(suspects),
             self.tasks,
--- a/src/laburnumyard/daemon/_target_link.py
+++ b/src/laburnumyard/daemon/_target_link.py
@@ -14,6 +14,7 @@
 from laburnumyard.core.ids import Seconds
 from laburnumyard.daemon._answers import STATUSES, Response
 from laburnumyard.daemon._clock import MILLISECONDS_PER_SECOND, boot_time
+from laburnumyard.daemon._deaths import TargetWatch
 from laburnumyard.daemon._guards import TargetGuard
 from laburnumyard.daemon._jobs import Job
 from laburnumyard.platform import (
@@ -84,8 +85,8 @@
         The largest body of an answer.
     guard
         Holds the grants of a target that checks nothing itself.
-    on_broken_off
-        Called after a connection ended before its answer.
+    watch
+        Told of what the target may die of.
     on_unreachable
         Called when fresh connections, too, are silent.
     """
@@ -95,14 +96,14 @@
         target: Target,
         body_bytes: int,
         guard: TargetGuard,
-        on_broken_off: Callable[[Job], None],
+        watch: TargetWatch,
         on_unreachable: Callable[[], None],
     ) -> None:
         """Start without a connection."""
         self.target = target
         self.body_bytes = body_bytes
         self.guard = guard
-        self.on_broken_off = on_broken_off
+        self.watch = watch
         self.on_unreachable = on_unreachable
         self.policy = requests.ConnectionPolicy()
         self.idle: dict[requests.ConnectionId, _Kept] = {}
@@ -134,6 +135,7 @@
         try:
             answer = await kept.connection.send(request, deadline - sent)
         except asyncio.CancelledError:
+            self.watch.note_abandoned(job, kept.note.opened)
             # The queue watches the deadline as well, and may be the first.
             if boot_time() >= deadline:
                 self._note_silence(kept, sent)
@@ -194,6 +196,8 @@
         )
         if opened.is_error():
             self.policy.on_connect_failure()
+            if opened.error.kind is FailureKind.UNREACHABLE:
+                self.watch.note_refused()
             detail = opened.error.detail
             return Error(Failure(ErrorKind.TARGET_UNREACHABLE, detail))
         connection_id = requests.ConnectionId(next(self.numbers))
@@ -251,9 +255,10 @@
         if not failure.has_left:
             return Failure(ErrorKind.TARGET_UNREACHABLE, failure.detail)
         if failure.kind is FailureKind.TIMEOUT:
+            self.watch.note_abandoned(job, kept.note.opened)
             self._note_silence(kept, sent)
         if failure.kind is FailureKind.BROKE_OFF:
-            self.on_broken_off(job)
+            self.watch.note_broken_off(job, kept.note.opened)
         kind = _LEFT_KINDS.get(failure.kind, ErrorKind.TARGET_BROKE_OFF)
         return Failure(kind, failure.detail)
 
--- a/src/laburnumyard/daemon/_targets.py
+++ b/src/laburnumyard/daemon/_targets.py
@@ -9,7 +9,11 @@
 from laburnumyard.core.routing import RoutingTable
 from laburnumyard.daemon._answers import Response
 from laburnumyard.daemon._clock import boot_time
-from laburnumyard.daemon._deaths import DeathWatch, quarantine_refusal
+from laburnumyard.daemon._deaths import (
+    DeathWatch,
+    TargetWatch,
+    quarantine_refusal,
+)
 from laburnumyard.daemon._dispatcher import Dispatcher
 from laburnumyard.daemon._guards import Guards, TargetGuard
 from laburnumyard.daemon._jobs import Job
@@ -32,16 +36,28 @@
         Where runs are summed.
     link
         Runs the jobs.
+    quarantine
+        Asked last: targets may have died of a job while it waited.
     """
 
-    def __init__(self, view: View, meter: LoadMeter, link: TargetLink) -> None:
+    def __init__(
+        self,
+        view: View,
+        meter: LoadMeter,
+        link: TargetLink,
+        quarantine: requests.Quarantine,
+    ) -> None:
         """Keep the link."""
         self.view = view
         self.meter = meter
         self.link = link
+        self.quarantine = quarantine
 
     async def __call__(self, job: Job) -> Outcome:
-        """Run a job."""
+        """Run a job, unless it was quarantined while it waited."""
+        refusal = quarantine_refusal(self.quarantine, job)
+        if refusal is not None:
+            return Error(refusal)
         started = boot_time()
         try:
             return await self.link.run(job)
@@ -147,7 +163,8 @@
         link = self._link(name, target)
         queue = requests.TargetQueue(settings, times)
         self.links[name] = link
-        run = MeteredRun(self.view, self.meter, link)
+        quarantine = self.deaths.quarantine
+        run = MeteredRun(self.view, self.meter, link, quarantine)
         self.dispatchers[name] = Dispatcher(queue, run)
         return self.dispatchers[name]
 
@@ -161,6 +178,6 @@
             target,
             self.view.settings.limits.body_bytes,
             TargetGuard(self.guards, name),
-            lambda job: self.deaths.note_broken_off(target, job),
+            TargetWatch(target, self.deaths),
             lambda: self._note_unreachable(name),
         )
