A paying customer far ahead of its share lets those within theirs go first

Change: among those within their paid shares, one that has used up over half of its burst goes last. It still gets its share (test).

--- a/src/laburnumyard/core/requests/_fairness.py
+++ b/src/laburnumyard/core/requests/_fairness.py
@@ -6,11 +6,17 @@
 
 from laburnumyard.core.ids import CustomerName, Seconds
 from laburnumyard.core.requests._entries import Entry, State
-from laburnumyard.core.requests._flows import Flow, Line, Rank, class_lines
+from laburnumyard.core.requests._flows import (
+    Flow,
+    Line,
+    Place,
+    Rank,
+    class_lines,
+)
 from laburnumyard.core.requests._settings import QueueSettings
 
 # Comes after the place of every waiting request.
-LAST_PLACE = (Rank(True, inf, True), inf)
+LAST_PLACE = Place(Rank(True, inf, True), True, inf)
 
 
 class Turn(NamedTuple):
@@ -100,7 +106,8 @@
         """Choose the request that starts next.
 
         A class that has had less than its least share goes first, then the
-        classes by rank; within a class, the customer that was served least.
+        classes by rank; within a class, customers far ahead of their paid
+        shares go last, and the one that was served least goes first.
 
         Parameters
         ----------
@@ -204,12 +211,12 @@
         lines: Collection[Line],
     ) -> Turn | None:
         best = None
-        best_place: tuple[Rank, float] = LAST_PLACE
+        best_place = LAST_PLACE
         for flow in flows:
             line = self.line_of(flow, now)
             if line not in lines:
                 continue
-            place = (line.rank, flow.turn_in(line))
+            place = flow.place_in(line, now)
             if place >= best_place:
                 continue
             entry = flow.head(is_long_allowed)
--- a/src/laburnumyard/core/requests/_flows.py
+++ b/src/laburnumyard/core/requests/_flows.py
@@ -23,6 +23,14 @@
     is_unpaid: bool
 
 
+class Place(NamedTuple):
+    """The order of service among customers; the lowest is served first."""
+
+    rank: Rank
+    is_ahead: bool
+    turn: float
+
+
 class Line:
     """Those of one priority class at one target who stand equal.
 
@@ -121,6 +129,15 @@
         """Tell whether one more run would be within the paid share."""
         return self.meter is not None and self.meter.is_within(now)
 
+    def place_in(self, line: Line, now: Seconds) -> Place:
+        """Give the place of the customer's next request; the least is next.
+
+        Where all took fair turns, a customer that uses up its whole burst
+        at once would hold up those who keep to their shares.
+        """
+        is_ahead = line.is_paid and self.meter.is_ahead(now)
+        return Place(line.rank, is_ahead, self.turn_in(line))
+
     def append(self, entry: Entry) -> None:
         """Let a request wait behind the others of the customer."""
         self.waiting += 1
--- a/src/laburnumyard/core/requests/_shares.py
+++ b/src/laburnumyard/core/requests/_shares.py
@@ -2,6 +2,9 @@
 
 from laburnumyard.core.ids import Seconds
 
+# Use is far ahead of the grant past this part of the burst.
+AHEAD_PART = 0.5
+
 
 class ShareMeter:
     """A rate meter (GCRA) over the time that slots were occupied.
@@ -30,6 +33,10 @@
         """Tell whether use is within the grant."""
         return self.earned_at <= now + self.burst
 
+    def is_ahead(self, now: Seconds) -> bool:
+        """Tell whether use is far ahead of the grant, though within it."""
+        return self.earned_at > now + AHEAD_PART * self.burst
+
     def charge(self, slot_seconds: float, now: Seconds) -> None:
         """Count use from now on.
 
--- a/tests/core/requests/test_target_queue.py
+++ b/tests/core/requests/test_target_queue.py
@@ -103,6 +103,30 @@
     assert_that(late.count('trujillo'), GreaterThan(15))
 
 
+def test_customer_that_is_ahead_of_its_share_lets_others_go_first(new_world):
+    """Taking turns, a flood within its advance would delay the steady one."""
+    world = new_world(slots=1, shares={'clinic': 0.4, 'flood': 0.4})
+    flood = [world.arrive('flood', length=0.5, within=30) for _ in range(7)]
+    world.advance(2.1)
+    steady = [world.arrive('clinic', length=0.5, within=30) for _ in range(3)]
+    world.advance(8)
+    expected = [*flood[:5], *steady, *flood[5:]]
+    assert_that(world.run_log, Equals(expected))
+
+
+def test_customer_that_is_ahead_of_its_share_still_gets_it(new_world):
+    world = new_world(slots=1, shares={'clinic': 0.4, 'flood': 0.4})
+    for _ in range(100):
+        world.arrive('clinic', length=0.2, within=30)
+        for customer in ('flood', 'trujillo'):
+            world.arrive(customer, length=0.5, within=30)
+        world.advance(0.5)
+    customers = [world.requests[each].customer for each in world.run_log]
+    # 0.4 of 50 s, half a second each.
+    assert_that(customers.count('flood'), GreaterThan(39))
+    assert_that(customers.count('clinic'), GreaterThan(97))
+
+
 def test_deferrable_work_waits_for_idle_slots(new_world):
     world = new_world(slots=1)
     first = world.arrive('trujillo')
