--- a/src/laburnumyard/core/ownership/_chunks.py
+++ b/src/laburnumyard/core/ownership/_chunks.py
@@ -23,6 +23,10 @@
 )
 
 RANGES_PER_CHUNK = 256
+# The loss of one target can touch every chunk, and each is a call within the
+# budget of the daemon: there are more only where chunks would grow too large.
+PREFERRED_CHUNKS = 32
+MAX_RANGES_PER_CHUNK = 8192
 MAX_CHUNK_BYTES = 1_048_576
 
 
@@ -108,8 +112,9 @@
 
 
 def _segment_bits(count: int) -> int:
-    chunks = -(-count // RANGES_PER_CHUNK)
-    return max(chunks - 1, 0).bit_length()
+    preferred = min(-(-count // RANGES_PER_CHUNK), PREFERRED_CHUNKS)
+    needed = -(-count // MAX_RANGES_PER_CHUNK)
+    return max(preferred - 1, needed - 1, 0).bit_length()
 
 
 def _chunk(part: Assignment) -> Chunk:
--- a/src/laburnumyard/core/ownership/_planner.py
+++ b/src/laburnumyard/core/ownership/_planner.py
@@ -5,7 +5,7 @@
 from laburnumyard.core.ids import TargetName
 from laburnumyard.core.keys import HashRange, split_evenly
 from laburnumyard.core.ownership._plan import KeyRangePlan, ServicePlan
-from laburnumyard.core.ownership._ranges import hash_range, owned_range
+from laburnumyard.core.ownership._ranges import owned_range
 from laburnumyard.schema._generated.messages import Assignment, OwnedRange
 
 
@@ -97,7 +97,6 @@
 def _sizes(assignment: Assignment) -> dict[TargetName, int]:
     sizes: dict[TargetName, int] = {}
     for owned in assignment.ranges:
-        part = hash_range(owned)
         name = TargetName(owned.target)
-        sizes[name] = sizes.get(name, 0) + part.stop - part.start
+        sizes[name] = sizes.get(name, 0) + owned.last + 1 - owned.start
     return sizes
--- a/src/laburnumyard/core/ownership/_ranges.py
+++ b/src/laburnumyard/core/ownership/_ranges.py
@@ -1,5 +1,6 @@
 """Questions to an assignment and changes of it, without a decision."""
 
+from bisect import bisect_left, bisect_right
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from operator import attrgetter
@@ -58,9 +59,15 @@
     """
     if not owners:
         return assignment
-    ranges = [owned_range(part, to) for part, to in owners.items()]
-    for owned in assignment.ranges:
-        ranges.extend(_remainders(hash_range(owned), owned.target, owners))
+    removed = _removed(assignment, owners)
+    ranges = [
+        owned
+        for place, owned in enumerate(assignment.ranges)
+        if place not in removed
+    ]
+    ranges.extend(owned_range(part, to) for part, to in owners.items())
+    for place, parts in removed.items():
+        ranges.extend(_remainders(assignment.ranges[place], parts))
     ranges.sort(key=attrgetter('start'))
     return replace(assignment, ranges=tuple(ranges))
 
@@ -123,16 +130,26 @@
     return replace(assignment, ranges=tuple(ranges))
 
 
+def _removed(
+    assignment: Assignment,
+    parts: Iterable[HashRange],
+) -> dict[int, list[HashRange]]:
+    """Return what each entry loses, by the entry's place."""
+    starts = [owned.start for owned in assignment.ranges]
+    removed: dict[int, list[HashRange]] = {}
+    for part in parts:
+        first = max(bisect_right(starts, part.start) - 1, 0)
+        for place in range(first, bisect_left(starts, part.stop)):
+            removed.setdefault(place, []).append(part)
+    return removed
+
+
 def _remainders(
-    whole: HashRange,
-    target: str,
-    owners: Mapping[HashRange, TargetName],
+    owned: OwnedRange,
+    removed: Iterable[HashRange],
 ) -> list[OwnedRange]:
-    touched = [part for part in owners if part.overlaps(whole)]
-    return [
-        owned_range(piece, TargetName(target))
-        for piece in subtract([whole], touched)
-    ]
+    pieces = subtract([hash_range(owned)], removed)
+    return [owned_range(piece, TargetName(owned.target)) for piece in pieces]
 
 
 def _without(whole: HashRange, part: HashRange) -> list[HashRange]:
--- a/tests/core/ownership/test_head.py
+++ b/tests/core/ownership/test_head.py
@@ -18,9 +18,12 @@
 from laburnumyard.core.ownership._chunks import MAX_CHUNK_BYTES, new_chunks
 from laburnumyard.core.ownership._ranges import owned_range, reassigned
 from laburnumyard.schema._generated.messages import Assignment
+from laburnumyard.schema._generated.settings import StoreSettings
 
 WHOLE = HashRange(0, HASH_SPACE)
 PARTS = split_evenly(WHOLE, 3000)
+# A change is made at once within a daemon's budget of calls to the store.
+MAX_WRITES = StoreSettings(address='127.0.0.1:1').call_burst - 8
 
 
 @pytest.fixture
@@ -104,6 +107,19 @@
     assert_that(fresh, HasLength(1))
 
 
+@pytest.mark.parametrize(
+    ('count', 'writes'),
+    [(3000, MAX_WRITES), (25_600, MAX_WRITES), (262_144, MAX_WRITES)],
+)
+def test_a_change_of_every_part_takes_few_writes(count, writes):
+    parts = split_evenly(WHOLE, count)
+    ranges = tuple(owned_range(part, 'target-1') for part in parts)
+    chunks = split_assignment(Assignment('orders', ranges))
+    largest = max(len(chunk.content) for chunk in chunks)
+    assert_that(len(chunks), LessThan(writes + 1))
+    assert_that(largest, LessThan(MAX_CHUNK_BYTES))
+
+
 @pytest.mark.parametrize('damage', ['missing', 'changed', 'other', 'long'])
 def test_damaged_chunks_are_refused(assignment, damage):
     chunks = split_assignment(assignment)
