--- a/src/laburnumyard/core/callers.py
+++ b/src/laburnumyard/core/callers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 from urllib.parse import unquote
 
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from laburnumyard.core.errors import ErrorKind, Failure
 from laburnumyard.core.ids import (
@@ -17,6 +17,7 @@
     TicketId,
 )
 from laburnumyard.core.keys import hash_key
+from laburnumyard.core.results import ok
 from laburnumyard.schema._generated.settings import LimitSettings
 
 MILLISECONDS_PER_SECOND = 1000
@@ -149,7 +150,7 @@
         names the bad value and the remedy.
     """
     try:
-        return Ok(_parse(head, request_id, limits))
+        return ok(_parse(head, request_id, limits))
     except _RefusedError as refused:
         return Error(refused.failure)
 
--- a/src/laburnumyard/daemon/_submits.py
+++ b/src/laburnumyard/daemon/_submits.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from laburnumyard.core.errors import ErrorKind, Failure
 from laburnumyard.core.ids import (
@@ -17,6 +17,7 @@
 )
 from laburnumyard.core.keys import hash_key
 from laburnumyard.core.requests import HOPS_LIMIT, Ticket
+from laburnumyard.core.results import ok
 from laburnumyard.daemon._answers import Response, is_tellable
 from laburnumyard.daemon._clock import MILLISECONDS_PER_SECOND, boot_time
 from laburnumyard.daemon._jobs import Job
@@ -263,7 +264,7 @@
         headers = _pairs(answer.headers)
         response = Response(answer.status, headers, answer.body)
         if is_tellable(response):
-            return Ok(response)
+            return ok(response)
         detail = 'a daemon passed on a malformed answer'
         return Error(Failure(ErrorKind.PEER_BROKE_OFF, detail))
     try:
--- a/src/laburnumyard/daemon/_target_link.py
+++ b/src/laburnumyard/daemon/_target_link.py
@@ -11,6 +11,7 @@
 from laburnumyard.core import requests
 from laburnumyard.core.errors import ErrorKind, Failure
 from laburnumyard.core.ids import Seconds
+from laburnumyard.core.results import ok
 from laburnumyard.daemon._answers import STATUSES, Response
 from laburnumyard.daemon._clock import MILLISECONDS_PER_SECOND, boot_time
 from laburnumyard.daemon._guards import TargetGuard
@@ -225,7 +226,7 @@
         if answer.status not in STATUSES:
             detail = f'the target answered {answer.status}'
             return Error(Failure(ErrorKind.TARGET_BROKE_OFF, detail))
-        return Ok(Response(answer.status, _passed_on(answer), answer.body))
+        return ok(Response(answer.status, _passed_on(answer), answer.body))
 
     def _take_failure(
         self,
--- a/src/laburnumyard/platform/_target_connection.py
+++ b/src/laburnumyard/platform/_target_connection.py
@@ -5,6 +5,7 @@
 
 from expression import Error, Ok, Result
 
+from laburnumyard.core.results import ok
 from laburnumyard.platform._address import split_address
 from laburnumyard.platform._target_encoder import encode_request
 from laburnumyard.platform._target_parser import AnswerParser, ReadState
@@ -160,7 +161,7 @@
         """Take received bytes."""
         state = self.parser.feed(data)
         if state is ReadState.WHOLE:
-            self._end(Ok(self.parser.take()))
+            self._end(ok(self.parser.take()))
         elif state is ReadState.FAILED:
             self._end(self.fail(self.parser.failure, has_left=True))
         if not self.parser.is_reusable:
--- a/src/laburnumyard/wire/_outgoing.py
+++ b/src/laburnumyard/wire/_outgoing.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from laburnumyard.core.ids import DaemonName, Incarnation
+from laburnumyard.core.results import ok
 from laburnumyard.schema._generated import messages
 from laburnumyard.wire._connection import Connection
 from laburnumyard.wire._errors import LinkError, LinkErrorKind
@@ -176,7 +177,7 @@
         if pending is None:
             self.dropped_answers += number != PROBE_NUMBER
         elif not pending.answer.done():
-            pending.answer.set_result(Ok(message))
+            pending.answer.set_result(ok(message))
 
     @staticmethod
     def fail_pending(link: 'OutgoingLink') -> None:
--- a/src/laburnumyard/wire/_writer.py
+++ b/src/laburnumyard/wire/_writer.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
-from expression import Error, Ok, Result
+from expression import Error, Result
 
+from laburnumyard.core.results import ok
 from laburnumyard.schema._generated import messages
 from laburnumyard.wire._errors import LinkError, LinkErrorKind
 from laburnumyard.wire._queue import Outgoing, SendQueue
@@ -51,7 +52,7 @@
                 LinkError(LinkErrorKind.QUEUE_FULL, 'the link is congested'),
             )
         self.schedule_flush()
-        return Ok(None)
+        return ok(None)
 
     def resume(self, transport: asyncio.Transport) -> None:
         """Write what waits, and go on writing."""
