Effects and messages find their handler without a new function each

Cause: in Python 3.11 a singledispatchmethod binds by making a function and updating its wrapper at each call; a dispatcher did so twice a request over a hop, an entry once. Inbox.take makes the same gain once more; members, documents and ownership, which are called seldom, stay as they are.

--- a/src/laburnumyard/daemon/_dispatcher.py
+++ b/src/laburnumyard/daemon/_dispatcher.py
@@ -110,7 +110,7 @@
     def feed(self, event: requests.Event) -> None:
         """Hand an event to the queue and carry out its effects."""
         for effect in self.queue.handle(event, boot_time()):
-            self.carry_out(effect)
+            CARRY_OUT.dispatch(type(effect))(self, effect)
 
     def release(self, target: TargetName, table: RoutingTable) -> None:
         """Give back the jobs whose key the target no longer owns.
@@ -218,6 +218,10 @@
         self.timer = loop.call_later(delay, self.feed, requests.Tick())
 
 
+# A singledispatchmethod makes a new function for each call.
+CARRY_OUT = Dispatcher.__dict__['carry_out'].dispatcher
+
+
 def _moved(waiting: _Waiting) -> Failure:
     if waiting.has_begun:
         return Failure(ErrorKind.TARGET_BROKE_OFF, 'the key moved meanwhile')
--- a/src/laburnumyard/daemon/_inbox.py
+++ b/src/laburnumyard/daemon/_inbox.py
@@ -50,7 +50,7 @@
         message: messages.Message,
     ) -> Awaitable[None] | None:
         """Take one message; return the rest of the work, if any."""
-        return self.route(message, link)
+        return ROUTES.dispatch(type(message))(self, message, link)
 
     @singledispatchmethod
     def route(
@@ -178,3 +178,7 @@
         link: IncomingLink,
     ) -> None:
         link.send(self.guards.answer(message))
+
+
+# A singledispatchmethod makes a new function for each call.
+ROUTES = Inbox.__dict__['route'].dispatcher
