--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -999,11 +999,22 @@
 }
 
 
-def encode(message: Message) -> bytes:
-    """Return the bytes of a message in its envelope."""
+def encode(message: Message, number: int | None = None) -> bytes:
+    """Return the bytes of a message in its envelope.
+
+    Parameters
+    ----------
+    message
+        Any message.
+    number
+        Goes in place of the message's own number, where it is given.
+    """
     wire, write = _WRITERS[type(message)]
     envelope = _schema.Envelope.new_message()
-    write(message, envelope.init(wire))
+    part = envelope.init(wire)
+    write(message, part)
+    if number is not None:
+        part.number = number
     return envelope.to_bytes()
 
 
--- a/src/laburnumyard/wire/_framing.py
+++ b/src/laburnumyard/wire/_framing.py
@@ -30,13 +30,18 @@
         self.detail = detail
 
 
-def encode_frame(message: messages.Message) -> bytes:
+def encode_frame(
+    message: messages.Message,
+    number: int | None = None,
+) -> bytes:
     """Return the frame of a message.
 
     Parameters
     ----------
     message
         Any message of the schema.
+    number
+        Goes in place of the message's own number, where it is given.
 
     Returns
     -------
@@ -48,7 +53,7 @@
     >>> len(encode_frame(messages.Ping(number=1))) > LENGTH_BYTES
     True
     """
-    envelope = messages.encode(message)
+    envelope = messages.encode(message, number)
     return LENGTH.pack(len(envelope)) + envelope
 
 
--- a/src/laburnumyard/wire/_outgoing.py
+++ b/src/laburnumyard/wire/_outgoing.py
@@ -1,7 +1,7 @@
 """A link that this daemon opened, and the requests that wait on it."""
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Protocol
 
 from expression import Error, Result
@@ -114,7 +114,7 @@
         number = self.last_number
         pending = Pending(
             number,
-            Outgoing(encode_frame(replace(message, number=number))),
+            Outgoing(encode_frame(message, number)),
             isinstance(message, messages.Submit),
             self.loop.create_future(),
         )
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
@@ -27,6 +29,8 @@
 
 def test_message_survives_the_wire(submit):
     assert_that(messages.decode(messages.encode(submit)), Equals(submit))
+    numbered = messages.decode(messages.encode(submit, 2**64 - 1))
+    assert_that(numbered, Equals(replace(submit, number=2**64 - 1)))
 
 
 def test_assignment_survives_the_store():
