--- a/src/laburnumyard/core/requests/_target_queue.py
+++ b/src/laburnumyard/core/requests/_target_queue.py
@@ -177,8 +177,11 @@
         self.effects.append(Send(request.request_id))
 
     def _is_long_allowed(self, limit: int) -> bool:
-        longs = sum(entry.is_long for entry in self.running.values())
-        return longs < max(limit - 1, 1)
+        most = max(limit - 1, 1)
+        # Where few run at all, none need be counted.
+        return len(self.running) < most or (
+            sum(entry.is_long for entry in self.running.values()) < most
+        )
 
     def _reclaim(self, limit: int, now: Seconds) -> None:
         is_long_allowed = self._is_long_allowed(limit)
