No retry is waited for past a request's deadline

Change: the pause ends when the time left would not allow another try, and the caller is told the failure that was seen. The new test counts tries: 2 before, 1 after.

--- a/src/laburnumyard/core/requests/__init__.py
+++ b/src/laburnumyard/core/requests/__init__.py
@@ -117,6 +117,7 @@
 )
 from laburnumyard.core.requests._retries import (
     HOPS_LIMIT,
+    LEAST_REMAINING_S,
     RetryBudget,
     costs_budget,
     may_retry,
@@ -132,6 +133,7 @@
 
 __all__ = (
     'HOPS_LIMIT',
+    'LEAST_REMAINING_S',
     'Arrive',
     'CallerGone',
     'CancelRunning',
--- a/src/laburnumyard/daemon/_router.py
+++ b/src/laburnumyard/daemon/_router.py
@@ -11,6 +11,7 @@
 from laburnumyard.core.errors import ErrorKind, Failure, Ran
 from laburnumyard.core.ids import DaemonName, Seconds, ServiceName, TargetName
 from laburnumyard.core.requests import (
+    LEAST_REMAINING_S,
     Quarantine,
     RetryBudget,
     costs_budget,
@@ -178,7 +179,10 @@
             return False
         if costs_budget(kind):
             budget.spend()
-        await self._pause(attempt, kind)
+        with anyio.move_on_after(remaining - LEAST_REMAINING_S) as waiting:
+            await self._pause(attempt, kind)
+        if waiting.cancelled_caught:
+            return False
         # Asked last: it takes a moment to find out that a target died.
         return not self._is_suspect(job)
 
--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -123,3 +123,11 @@
     outcome = await router.route(job('a'))
     assert_that(outcome.error.kind, Is(ErrorKind.NO_CONFIGURATION))
     assert_that(tries.asked, Equals([]))
+
+
+@pytest.mark.anyio
+async def test_no_retry_is_waited_for_past_the_deadline(router, tries):
+    tries.fail(ErrorKind.TARGET_UNREACHABLE)
+    outcome = await router.route(job('one', seconds=0.1))
+    assert_that(outcome.error.kind, Is(ErrorKind.TARGET_UNREACHABLE))
+    assert_that(tries.asked, HasLength(1))
