--- a/src/laburnumyard/core/ownership/_reading.py
+++ b/src/laburnumyard/core/ownership/_reading.py
@@ -15,6 +15,7 @@
 )
 from laburnumyard.core.ownership._state import (
     FIRST_RETRY_INTERVAL,
+    URGENT_INTERVAL,
     ManagerState,
     Phase,
 )
@@ -25,8 +26,6 @@
 READS_PER_HOLD = 4
 # In an outage each failure doubles the interval, up to this.
 LONGEST_RETRY_INTERVAL = 2.0
-# Between two urgent reads, so that a crowd of targets shares one.
-URGENT_INTERVAL = 0.02
 
 
 def due_reading(state: ManagerState, now: Seconds) -> list[Effect]:
--- a/src/laburnumyard/core/ownership/_settling.py
+++ b/src/laburnumyard/core/ownership/_settling.py
@@ -13,7 +13,12 @@
 from laburnumyard.core.ownership._leases import sync_leases
 from laburnumyard.core.ownership._ranges import ranges_by_target
 from laburnumyard.core.ownership._releasing import end_releases
-from laburnumyard.core.ownership._state import Change, ManagerState, Phase
+from laburnumyard.core.ownership._state import (
+    URGENT_INTERVAL,
+    Change,
+    ManagerState,
+    Phase,
+)
 
 
 def adopt(
@@ -173,6 +178,8 @@
     state.authority.phase = Phase.HOLDING
     state.authority.taken_at = now
     state.may_be_misplaced = True
+    # One read for all targets that are about to be met.
+    state.reading.retry_at = Seconds(now + URGENT_INTERVAL)
     state.leases.clear()
     sync_leases(state, now)
     for lease in state.leases.values():
--- a/src/laburnumyard/core/ownership/_state.py
+++ b/src/laburnumyard/core/ownership/_state.py
@@ -27,6 +27,8 @@
 
 NO_TERM = Term(0)
 FIRST_RETRY_INTERVAL = 0.2
+# Between two urgent reads, so that a crowd of targets shares one.
+URGENT_INTERVAL = 0.02
 
 
 class Phase(Enum):
