A daemon whose link breaks is probed at once by everyone who had the link

Cause: LinkLost was only fed by the router, when a request did not reach its dispatcher. The pool, which sees each link end, told nobody.

Change: the pool tells of links that broke or went silent after the peer had answered there; the node feeds LinkLost, and a live member is probed. A link that is closed here, or that never was answered, is not told of: probing a peer in its backoff would fail without asking it.

The process tests of losses, cuts, outages and leaving pass.

Not measured: the probes and the rumours after a loss among 690 daemons; a daemon sends one ping for each link that it lost.

--- a/src/laburnumyard/daemon/_node.py
+++ b/src/laburnumyard/daemon/_node.py
@@ -3,7 +3,7 @@
 from anyio.abc import TaskGroup
 
 from laburnumyard.core import membership, requests
-from laburnumyard.core.ids import ServiceName
+from laburnumyard.core.ids import DaemonName, ServiceName
 from laburnumyard.core.ownership import Snapshot
 from laburnumyard.daemon._balance import BalanceRunner
 from laburnumyard.daemon._clock import (
@@ -80,6 +80,7 @@
         )
         links = LinkSettings(body_bytes=settings.limits.body_bytes)
         self.pool = LinkPool(hello, links, draw_fraction)
+        self.pool.on_lost.append(self.note_lost_peer)
         self.server = LinkServer(
             settings.listen.peers,
             hello,
@@ -108,7 +109,7 @@
             sender.run_at,
             quarantine,
             self.metrics,
-            lambda daemon: self.members.feed(membership.LinkLost(daemon)),
+            self.note_lost_peer,
         )
         ledger = requests.TicketLedger(
             self.view.name, self.view.incarnation, self.settings.limits
@@ -156,6 +157,10 @@
             self.ownership.assess()
             self.tell_scopes()
 
+    def note_lost_peer(self, daemon: DaemonName) -> None:
+        """Take in that the link to another daemon has broken."""
+        self.members.feed(membership.LinkLost(daemon))
+
     def note_configuration(self) -> None:
         """Take in a new configuration."""
         self.targets.reconfigure(self.view.configuration)
--- a/src/laburnumyard/wire/_pool.py
+++ b/src/laburnumyard/wire/_pool.py
@@ -14,6 +14,8 @@
 from laburnumyard.wire._settings import DEFAULT_LINK_SETTINGS, LinkSettings
 from laburnumyard.wire._writer import Sent
 
+# Ways in which a link ends that may be the end of the peer.
+LOST_KINDS = frozenset((LinkErrorKind.BROKEN, LinkErrorKind.SILENT))
 # Keeps the power of two within a float.
 MAX_DOUBLINGS = 16
 
@@ -76,6 +78,8 @@
         self.draw = draw
         self.slots: dict[DaemonName, _Slot] = {}
         self.dropped_answers = 0
+        # Called with a peer that had answered on the link that was lost.
+        self.on_lost: list[Callable[[DaemonName], None]] = []
 
     async def __aenter__(self) -> 'LinkPool':
         """Start to watch over the links."""
@@ -188,6 +192,8 @@
         if link.has_heard or link.closed_by.kind is LinkErrorKind.IDLE:
             slot.failures = 0
             slot.retry_at = self.loop.time()
+            if link.closed_by.kind in LOST_KINDS:
+                self.note_lost(slot.peer.daemon)
             return
         slot.failures += 1
         pause = self.settings.backoff_first_s * 2 ** min(
@@ -196,6 +202,11 @@
         pause = min(pause, self.settings.backoff_max_s)
         slot.retry_at = self.loop.time() + pause * (1 + self.draw()) / 2
 
+    def note_lost(self, daemon: DaemonName) -> None:
+        """Tell that the link to a peer has broken."""
+        for tell in self.on_lost:
+            tell(daemon)
+
     async def sweep(self) -> None:
         """Check the links now and then."""
         while True:
--- a/tests/daemon/test_submits.py
+++ b/tests/daemon/test_submits.py
@@ -5,6 +5,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
 
+from laburnumyard.core import membership
 from laburnumyard.core.errors import ErrorKind
 from laburnumyard.core.requests import HOPS_LIMIT
 from laburnumyard.daemon._submits import _outcome
@@ -198,3 +199,16 @@
         caller.send(encode(x_work_ms=5000))
         await wait_until(lambda: target_app.state.log.runs)
     await wait_until(lambda: target_app.state.log.runs[0].cancelled)
+
+
+@pytest.mark.anyio
+async def test_peer_whose_link_breaks_is_probed(daemon, target, wait_until):
+    """Also where no request is on its way to it."""
+    async with running('vm-2') as other:
+        other.configure(target)
+        daemon.know(other)
+        daemon.view.dispatchers['c1'] = 'vm-2'
+        assert_that((await ask(daemon.callers)).status, Equals(200))
+    await wait_until(lambda: daemon.members.events)
+    expected = [membership.LinkLost('vm-2')]
+    assert_that(daemon.members.events, Equals(expected))
