--- a/src/laburnumyard/daemon/_log.py
+++ b/src/laburnumyard/daemon/_log.py
@@ -17,7 +17,6 @@
 MS_PER_SECOND = 1000
 # Values that need no quotes.
 PLAIN = re.compile('[!#-<>-~]+')
-PAIR = '{}={}'.format
 
 
 class Event(Enum):
@@ -123,15 +122,16 @@
 
 
 def _fields(pairs: dict[str, object]) -> str:
-    texts = [_text(pairs[name]) for name in pairs]
+    texts = [
+        str(part.value) if isinstance(part, Enum) else str(part)
+        for part in pairs.values()
+    ]
     # One look at all of them: most lines have nothing to quote.
     if '' in texts or not PLAIN.fullmatch(''.join(texts)):
         texts = [_quote(text) for text in texts]
-    return ' '.join(map(PAIR, pairs, texts))
-
-
-def _text(part: object) -> str:
-    return str(part.value) if isinstance(part, Enum) else str(part)
+    return ' '.join(
+        [f'{name}={text}' for name, text in zip(pairs, texts, strict=True)]
+    )
 
 
 def _quote(text: str) -> str:
