An answer that a daemon passes on cannot set its own framing

Failure found: a SubmitAnswer with a header content-length or transfer-encoding reached the caller with both it and the daemon's own length, so that the caller could take another end of the body than the daemon. Targets' answers lose such headers before they are passed on, so only a faulty daemon could do it.

--- a/src/laburnumyard/daemon/_answers.py
+++ b/src/laburnumyard/daemon/_answers.py
@@ -21,6 +21,8 @@
 FIRST_UNKNOWN_STATUS = 600
 # Statuses that end a request; the rest cannot be told to a caller.
 STATUSES = range(HTTPStatus.OK, FIRST_UNKNOWN_STATUS)
+# Headers that the daemon writes for itself.
+FRAMING = frozenset(('connection', 'content-length', 'transfer-encoding'))
 HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 HEADER_TEXT = re.compile('[\t -~\x80-\xff]*')
 
@@ -47,7 +49,9 @@
 def is_tellable(response: Response) -> bool:
     """Tell whether an answer can stand in HTTP; it may come from a peer."""
     return response.status in STATUSES and all(
-        HEADER_NAME.fullmatch(name) and HEADER_TEXT.fullmatch(text)
+        HEADER_NAME.fullmatch(name)
+        and HEADER_TEXT.fullmatch(text)
+        and name.lower() not in FRAMING
         for name, text in response.headers
     )
 
