Tries are not used up by assignments that follow one another

Cause: tests/processes/test_leaving.py lost 1 of 800 requests to targets without fencing: a request sent just after /ready ended as no-owner at its deadline of 1 s. The log of a trial shows it: each new assignment (four within 20 ms while a service starts) woke the router's wait and used up a try; the last try waited for a fifth assignment (up to 1.6 s), while the guard had its grant by then. Ruled out: the guards' grants (there within 0.3 s); readiness (the same keys are served by retries). Change: after no-owner the router gives the grants of a new assignment 20 ms before it tries again, and waits for assignments for 0.15 s times the tries (1.5 s in all, more than a grant's life), no longer 0.4 s. The new test fails on the old router.

--- a/src/laburnumyard/daemon/_router.py
+++ b/src/laburnumyard/daemon/_router.py
@@ -33,12 +33,15 @@
 # target that is not yet the owner is about to get its grant.
 OWNER_WAITS_S = MappingProxyType(
     {
-        ErrorKind.NO_OWNER: 0.4,
+        ErrorKind.NO_OWNER: 0.15,
         ErrorKind.NOT_OWNER: 0.05,
         ErrorKind.TARGET_UNREACHABLE: 0.4,
         ErrorKind.TARGET_BROKE_OFF: 0.1,
     }
 )
+# What a new assignment leaves to its grants, in seconds: while a service
+# starts, assignments follow one another faster than tries may.
+GRANT_DELAY_S = 0.02
 NOBODY: frozenset[DaemonName] = frozenset()
 
 
@@ -249,6 +252,8 @@
         if wait is not None:
             with anyio.move_on_after(wait * attempt.tries):
                 await self.view.wait_snapshot(job.service)
+            if kind is ErrorKind.NO_OWNER:
+                await anyio.sleep(GRANT_DELAY_S)
         elif kind not in PEER_KINDS:
             await anyio.sleep(retry_delay(attempt.tries, draw_fraction()))
         attempt.tries += 1
--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -1,3 +1,4 @@
+import anyio
 import pytest
 from expression import Error, Ok
 from testtools.assertions import assert_that
@@ -14,6 +15,10 @@
 WHOLE = Ok(Response(200, (), b''))
 
 
+NEWS = 10
+NEWS_PAUSE_S = 0.002
+
+
 class Tries:
     """Ends each try as told; the last outcome goes to the rest."""
 
@@ -131,3 +136,24 @@
     outcome = await router.route(job('one', seconds=0.1))
     assert_that(outcome.error.kind, Is(ErrorKind.TARGET_UNREACHABLE))
     assert_that(tries.asked, HasLength(1))
+
+
+@pytest.mark.anyio
+async def test_assignments_in_quick_succession_use_up_no_tries(
+    router, tries, view
+):
+    """As while a service starts: the grants follow the last assignment."""
+    tries.fail(ErrorKind.NO_OWNER)
+
+    async def assign():
+        for _ in range(NEWS):
+            await anyio.sleep(NEWS_PAUSE_S)
+            waiting = view.changes.pop('catalogue', None)
+            if waiting is not None:
+                waiting.set()
+        tries.outcomes = [WHOLE]
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(assign)
+        outcome = await router.route(job('one'))
+    assert_that(outcome.is_ok(), Is(True))
