One function makes the entry of a range in messages

Cause: daemon/_guards.py and daemon/_orders.py built OwnedRange from a HashRange by hand, and _control_relay.py built one only to take it apart again. Change: core.ownership exports owned_range; the relay makes its HashRange. tests/daemon and tests/core/ownership pass.

--- a/src/laburnumyard/core/ownership/__init__.py
+++ b/src/laburnumyard/core/ownership/__init__.py
@@ -109,6 +109,7 @@
 )
 from laburnumyard.core.ownership._ranges import (
     hash_range,
+    owned_range,
     owner_of,
     ranges_by_target,
 )
@@ -178,6 +179,7 @@
     'initial_assignment',
     'needs_guard',
     'needs_manager',
+    'owned_range',
     'owner_of',
     'ranges_by_target',
     'service_plan',
--- a/src/laburnumyard/core/ownership/_ranges.py
+++ b/src/laburnumyard/core/ownership/_ranges.py
@@ -9,14 +9,22 @@
 from laburnumyard.core.keys import HashRange
 from laburnumyard.schema._generated.messages import Assignment, OwnedRange
 
+NO_TARGET = TargetName('')
+
 
 def hash_range(owned: OwnedRange) -> HashRange:
     """Return the part of the hash space that an entry covers."""
     return HashRange(owned.start, owned.last + 1)
 
 
-def owned_range(part: HashRange, target: TargetName) -> OwnedRange:
-    """Return the entry that gives a part of the hash space to a target."""
+def owned_range(
+    part: HashRange,
+    target: TargetName = NO_TARGET,
+) -> OwnedRange:
+    """Return the entry that gives a part of the hash space to a target.
+
+    A message to or from one target leaves the target out.
+    """
     return OwnedRange(part.start, part.stop - 1, target)
 
 
--- a/src/laburnumyard/daemon/_control_relay.py
+++ b/src/laburnumyard/daemon/_control_relay.py
@@ -13,6 +13,7 @@
     ServiceName,
     TargetName,
 )
+from laburnumyard.core.keys import HashRange
 from laburnumyard.daemon._clock import MILLISECONDS_PER_SECOND, boot_time
 from laburnumyard.daemon._ownership import OwnershipRunner
 from laburnumyard.daemon._view import View
@@ -97,16 +98,14 @@
 
     @take.register
     def _take_move(self, order: messages.MoveRange) -> None:
-        owned = messages.OwnedRange(order.start, order.last, order.target)
-        proposal = ownership.MoveRequested(
-            ownership.hash_range(owned), TargetName(order.target)
-        )
+        part = HashRange(order.start, order.last + 1)
+        proposal = ownership.MoveRequested(part, TargetName(order.target))
         self.ownership.feed_service(ServiceName(order.service), proposal)
 
     @take.register
     def _take_merge(self, order: messages.MergeRanges) -> None:
-        owned = messages.OwnedRange(order.start, order.last, '')
-        proposal = ownership.MergeRequested(ownership.hash_range(owned))
+        span = HashRange(order.start, order.last + 1)
+        proposal = ownership.MergeRequested(span)
         self.ownership.feed_service(ServiceName(order.service), proposal)
 
     def drain(self, target: TargetName, *, draining: bool) -> None:
--- a/src/laburnumyard/daemon/_guards.py
+++ b/src/laburnumyard/daemon/_guards.py
@@ -5,14 +5,18 @@
 from functools import singledispatchmethod
 
 from laburnumyard.core.ids import KeyHash, Seconds, Sequence, TargetName, Term
-from laburnumyard.core.ownership import GrantHolder, HolderAnswer, hash_range
+from laburnumyard.core.ownership import (
+    GrantHolder,
+    HolderAnswer,
+    hash_range,
+    owned_range,
+)
 from laburnumyard.daemon._clock import boot_time
 from laburnumyard.daemon._view import View
 from laburnumyard.schema._generated.messages import (
     GuardAnswer,
     GuardGrant,
     GuardSeal,
-    OwnedRange,
 )
 from laburnumyard.schema._generated.objects import Fencing
 
@@ -140,9 +144,7 @@
         term=answer.term,
         sequence=answer.sequence,
         clock_ms=answer.clock_ms,
-        ranges=tuple(
-            OwnedRange(part.start, part.stop - 1, '') for part in answer.ranges
-        ),
+        ranges=tuple(map(owned_range, answer.ranges)),
         busy=busy,
     )
 
--- a/src/laburnumyard/daemon/_orders.py
+++ b/src/laburnumyard/daemon/_orders.py
@@ -82,10 +82,7 @@
     ) -> ownership.TargetAnswer | None:
         """Send a grant; return the answer, or None if none came."""
         if effect.guard is not None:
-            owned = tuple(
-                OwnedRange(part.start, part.stop - 1, '')
-                for part in effect.ranges
-            )
+            owned = tuple(map(ownership.owned_range, effect.ranges))
             return await self._ask_guard(
                 effect, self._guard_grant(effect, owned, replaces=True)
             )
