--- a/src/laburnumyard/core/ownership/__init__.py
+++ b/src/laburnumyard/core/ownership/__init__.py
@@ -104,7 +104,6 @@
     service_plan,
 )
 from laburnumyard.core.ownership._planner import (
-    destinations,
     initial_assignment,
 )
 from laburnumyard.core.ownership._ranges import (
@@ -173,7 +172,6 @@
     'UnusedChunks',
     'assemble',
     'decode_head',
-    'destinations',
     'encode_head',
     'hash_range',
     'initial_assignment',
