--- a/src/laburnumyard/core/membership/_directory.py
+++ b/src/laburnumyard/core/membership/_directory.py
@@ -76,6 +76,17 @@
         )
         return others if self.is_leaving else (self.myself, *others)
 
+    def leaving(self) -> tuple[DaemonName, ...]:
+        """Return the members that have said that they leave."""
+        return self.recall(
+            'leaving',
+            lambda: tuple(
+                member.identity.daemon
+                for member in self.members.values()
+                if member.state is MemberState.LEAVING
+            ),
+        )
+
     def in_data_centre(self, data_centre: DataCentre) -> tuple[Identity, ...]:
         """Return the live members in a data centre."""
         return self.recall(
--- a/src/laburnumyard/core/ownership/_drafting.py
+++ b/src/laburnumyard/core/ownership/_drafting.py
@@ -1,11 +1,12 @@
 """The parts of the next head that a change of the assignment touches."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
 from functools import partial
 
 from laburnumyard.core.ids import DaemonName, Seconds, TargetName
 from laburnumyard.core.keys import HashRange
+from laburnumyard.core.ownership._handing_over import is_handed_over
 from laburnumyard.core.ownership._lease import TargetLease
 from laburnumyard.core.ownership._membership import (
     available_targets,
@@ -106,7 +107,7 @@
 
 
 def replace_guards(state: ManagerState, draft: Draft, now: Seconds) -> None:
-    """Give each guarded target a guard, and another where its own is lost."""
+    """Give each guarded target a guard, and another if its own is gone."""
     guarded = [
         lease for lease in state.leases.values() if needs_guard(lease.kind)
     ]
@@ -114,7 +115,9 @@
         if now >= lease.work_until:
             draft.settling -= {lease.name}
         others = other_guards(state, lease)
-        if others and (not lease.guard or _is_free(state, lease, now)):
+        is_parted = is_handed_over(state, lease, now)
+        is_free = not lease.guard or is_parted or _is_free(state, lease, now)
+        if others and is_free:
             _replace_guard(draft, lease, others[0])
 
 
@@ -155,20 +158,29 @@
     available = available_targets(state, now, draft.withdrawn)
     owners: dict[HashRange, TargetName] = {}
     unplaced: list[HashRange] = []
-    for lease in state.leases.values():
-        if not is_released(state, lease, now):
-            continue
-        for part, to in lease.released.items():
-            if to in available:
-                owners[part] = to
-            elif to is None:
-                unplaced.append(part)
+    for part, to in _released_parts(state, now):
+        if to in available:
+            owners[part] = to
+        elif to is None:
+            unplaced.append(part)
     draft.assignment = reassigned(draft.assignment, owners)
     chosen = destinations(draft.assignment, unplaced, state.plan, available)
     draft.assignment = reassigned(draft.assignment, chosen)
     return owners | chosen
 
 
+def _released_parts(
+    state: ManagerState,
+    now: Seconds,
+) -> Iterator[tuple[HashRange, TargetName | None]]:
+    """Yield what can move, and where to; a change of guard moves nothing."""
+    for lease in state.leases.values():
+        if is_released(state, lease, now):
+            for part, to in lease.released.items():
+                if to != lease.name:
+                    yield part, to
+
+
 def merge_ranges(state: ManagerState, draft: Draft) -> None:
     """Make one range of neighbours that the planner wants merged."""
     if not state.merges:
--- /dev/null
+++ b/src/laburnumyard/core/ownership/_handing_over.py
@@ -0,0 +1,38 @@
+"""Graceful change of a guard: the target stays the owner of its ranges.
+
+The guard that is leaving is asked to release all ranges of the target, as for
+a move. Once its work on them has ended, the head names the next guard.
+"""
+
+from laburnumyard.core.ids import Seconds
+from laburnumyard.core.ownership._lease import Release, TargetLease
+from laburnumyard.core.ownership._membership import has_leaving_guard
+from laburnumyard.core.ownership._releasing import can_release, is_released
+from laburnumyard.core.ownership._state import ManagerState
+
+# After work in flight took too long, the guard is asked again.
+HANDOVER_PAUSE = 1.0
+
+
+def start_handovers(state: ManagerState, now: Seconds) -> None:
+    """Ask guards that are leaving to hand over to those that are met."""
+    for lease in state.leases.values():
+        owned = state.owned_by(lease.name)
+        is_due = has_leaving_guard(state, lease) and now >= lease.handover_at
+        is_held = lease.sealed and not lease.is_lost(now)
+        is_wanted = is_due and is_held and lease.meeting is not None
+        if owned and is_wanted and can_release(state, lease, now):
+            lease.release = Release(dict.fromkeys(owned, lease.name), now)
+            lease.handover_at = Seconds(now + HANDOVER_PAUSE)
+
+
+def is_handed_over(
+    state: ManagerState,
+    lease: TargetLease,
+    now: Seconds,
+) -> bool:
+    """Tell whether a guard has released all ranges for the next one."""
+    is_handover = bool(lease.released) and all(
+        to == lease.name for to in lease.released.values()
+    )
+    return is_handover and is_released(state, lease, now)
--- a/src/laburnumyard/core/ownership/_hints.py
+++ b/src/laburnumyard/core/ownership/_hints.py
@@ -46,10 +46,21 @@
 
 @dataclass(frozen=True, slots=True)
 class GuardCandidates:
-    """The daemons that may guard a target, the preferred one first."""
+    """The daemons that may guard a target, the preferred one first.
+
+    Parameters
+    ----------
+    target
+        The target.
+    daemons
+        Who may.
+    leaving
+        Daemons that are leaving: a guard among them hands over to another.
+    """
 
     target: TargetName
     daemons: tuple[DaemonName, ...]
+    leaving: frozenset[DaemonName] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/laburnumyard/core/ownership/_lease.py
+++ b/src/laburnumyard/core/ownership/_lease.py
@@ -160,7 +160,9 @@
         The number of the newest message answered; answers to older ones are
         late and count for nothing.
     meeting
-        What the daemon answered that is to be its guard if its own is lost.
+        What the daemon answered that is to be its next guard.
+    handover_at
+        When a guard that is leaving may next be asked to hand over.
     """
 
     name: TargetName
@@ -181,6 +183,7 @@
     send_at: Seconds = NEVER
     answered: int = 0
     meeting: GuardMeeting | None = None
+    handover_at: Seconds = NEVER
 
     @property
     def released(self) -> Mapping[HashRange, TargetName | None]:
--- a/src/laburnumyard/core/ownership/_leases.py
+++ b/src/laburnumyard/core/ownership/_leases.py
@@ -85,6 +85,7 @@
         lease.work_until = work_ends_by(lease.kind, lease.expires_by)
     lease.guard = guard
     lease.forget()
+    lease.release = None
     lease.inherited = ()
     lease.expires_by = Seconds(now + state.settings.longest_grant)
     lease.send_at = NEVER
--- a/src/laburnumyard/core/ownership/_manager.py
+++ b/src/laburnumyard/core/ownership/_manager.py
@@ -13,6 +13,7 @@
     is_gathering,
     prepare,
 )
+from laburnumyard.core.ownership._handing_over import start_handovers
 from laburnumyard.core.ownership._lease import LATER
 from laburnumyard.core.ownership._leases import resume
 from laburnumyard.core.ownership._plan import ServicePlan
@@ -151,6 +152,7 @@
             return [due.log, swap_effect(due.change)]
         if state.authority.offer_at == LATER:
             start_releases(state, now)
+            start_handovers(state, now)
         return prepare(state, now)
 
     def _offer(self, now: Seconds) -> list[Effect]:
--- a/src/laburnumyard/core/ownership/_meeting.py
+++ b/src/laburnumyard/core/ownership/_meeting.py
@@ -1,4 +1,4 @@
-"""Seals of the daemon that is to guard a target if its guard is lost.
+"""Seals of the daemon that is to guard a target if its guard is lost or leaves.
 
 A manager grants to a holder only what a head proves that was asked for after
 they have met. Met before the swap that names it, a new guard gets its grant
@@ -9,7 +9,11 @@
 from laburnumyard.core.ownership._effects import Effect
 from laburnumyard.core.ownership._events import TargetAnswer
 from laburnumyard.core.ownership._lease import GuardMeeting, TargetLease
-from laburnumyard.core.ownership._membership import is_silent, other_guards
+from laburnumyard.core.ownership._membership import (
+    has_leaving_guard,
+    is_silent,
+    other_guards,
+)
 from laburnumyard.core.ownership._messages import SendSeal
 from laburnumyard.core.ownership._plan import needs_guard
 from laburnumyard.core.ownership._state import ManagerState
@@ -20,12 +24,13 @@
     lease: TargetLease,
     now: Seconds,
 ) -> list[Effect]:
-    """Return a seal for the daemon that is to replace a silent guard."""
+    """Return a seal for the daemon that is to replace a guard."""
     others = other_guards(state, lease)
     is_wanted = (
         needs_guard(lease.kind) and others and not _is_frozen(state, lease)
     )
-    if not is_wanted or not is_silent(state, lease, now):
+    is_parting = is_silent(state, lease, now) or has_leaving_guard(state, lease)
+    if not is_wanted or not is_parting:
         return []
     state.call_count += 1
     seal = SendSeal(
--- a/src/laburnumyard/core/ownership/_membership.py
+++ b/src/laburnumyard/core/ownership/_membership.py
@@ -24,8 +24,16 @@
     lease: TargetLease,
 ) -> list[DaemonName]:
     """Return the daemons that could take a guard's place."""
-    candidates = state.guards.get(lease.name, ())
-    return [name for name in candidates if name != lease.guard]
+    candidates = state.guards.get(lease.name)
+    if candidates is None:
+        return []
+    return [name for name in candidates.daemons if name != lease.guard]
+
+
+def has_leaving_guard(state: ManagerState, lease: TargetLease) -> bool:
+    """Tell whether a guard is to hand over to another daemon."""
+    candidates = state.guards.get(lease.name)
+    return candidates is not None and lease.guard in candidates.leaving
 
 
 def available_targets(
--- a/src/laburnumyard/core/ownership/_noting.py
+++ b/src/laburnumyard/core/ownership/_noting.py
@@ -81,7 +81,7 @@
     state: ManagerState,
     now: Seconds,
 ) -> None:
-    state.guards[event.target] = event.daemons
+    state.guards[event.target] = event
 
 
 @note.register
--- a/src/laburnumyard/core/ownership/_releasing.py
+++ b/src/laburnumyard/core/ownership/_releasing.py
@@ -8,6 +8,7 @@
 from laburnumyard.core.ownership._lease import Release, TargetLease
 from laburnumyard.core.ownership._membership import (
     available_targets,
+    has_leaving_guard,
     leaving_targets,
 )
 from laburnumyard.core.ownership._planner import destinations, may_own
@@ -108,7 +109,7 @@
     is_late = now >= lease.drain_since + DRAIN_ALL_AFTER
     if is_late or lease.name in state.down:
         _release_all(lease, owned, now)
-    elif _can_release(state, lease, now):
+    elif can_release(state, lease, now):
         open_parts = [part for part in owned if part not in lease.passed_over]
         chosen = _placeable(state, open_parts, available)
         if chosen:
@@ -132,7 +133,7 @@
     available: Collection[TargetName],
     now: Seconds,
 ) -> None:
-    if not _can_release(state, lease, now):
+    if not can_release(state, lease, now):
         return
     owned = state.owned_by(lease.name)
     mine = [
@@ -162,16 +163,17 @@
         state.may_be_misplaced |= bool(parts)
         chosen = _placeable(state, parts, available)
         is_held = lease.sealed and not lease.is_lost(now)
-        if chosen and is_held and _can_release(state, lease, now):
+        if chosen and is_held and can_release(state, lease, now):
             part = min(chosen)
             lease.release = Release({part: chosen[part]}, now)
 
 
-def _can_release(
+def can_release(
     state: ManagerState,
     lease: TargetLease,
     now: Seconds,
 ) -> bool:
+    """Tell whether a target may be asked to stop serving ranges."""
     # A release whose swap meets a store that is down leaves keys without an
     # owner until the store is back, so the store must have answered just now.
     is_free = lease.release is None and lease.holding.is_acknowledged
@@ -199,6 +201,8 @@
     """Tell whether a release waits for a fresh contact to the store."""
     if state.moves or state.may_be_misplaced:
         return True
+    if any(has_leaving_guard(state, one) for one in state.leases.values()):
+        return True
     leases = [state.leases[name] for name in leaving_targets(state)]
     return any(
         state.owned_by(lease.name) and lease.release is None for lease in leases
--- a/src/laburnumyard/core/ownership/_state.py
+++ b/src/laburnumyard/core/ownership/_state.py
@@ -6,7 +6,6 @@
 
 from laburnumyard.core.ids import (
     ChangeId,
-    DaemonName,
     Seconds,
     TargetName,
     Term,
@@ -15,6 +14,7 @@
 from laburnumyard.core.keys import HashRange
 from laburnumyard.core.ownership._chunks import Chunk
 from laburnumyard.core.ownership._head import Head, Scope, Snapshot
+from laburnumyard.core.ownership._hints import GuardCandidates
 from laburnumyard.core.ownership._lease import (
     LATER,
     NEVER,
@@ -235,9 +235,7 @@
     staying: set[TargetName] = field(default_factory=set)
     leaving: set[TargetName] = field(default_factory=set)
     down: set[TargetName] = field(default_factory=set)
-    guards: dict[TargetName, tuple[DaemonName, ...]] = field(
-        default_factory=dict,
-    )
+    guards: dict[TargetName, GuardCandidates] = field(default_factory=dict)
     moves: dict[HashRange, WantedMove] = field(default_factory=dict)
     conformed: ConformedTo | None = None
     may_be_misplaced: bool = True
--- a/tests/core/ownership/fleet.py
+++ b/tests/core/ownership/fleet.py
@@ -228,10 +228,15 @@
 
     def _name_guards(self, place: str) -> None:
         homes = self.fleet.homes
-        near = [name for name in self.live() if homes[name] == place]
+        parting = self.fleet.parting
+        near = [
+            name
+            for name in self.live()
+            if homes[name] == place and name not in parting
+        ]
         for target in self.fleet.targets_in(place):
             order = rank(f'guard/{target.name}', near)
-            hint = ownership.GuardCandidates(target.name, order)
+            hint = ownership.GuardCandidates(target.name, order, parting)
             self.feed(place, hint)
 
     def _should_take_over(self, place: str) -> bool:
@@ -369,6 +374,8 @@
         self.holder_class = holder_class
         self.timing = timing
         self.is_guarded = target_kind is ownership.GuardedTarget
+        # Daemons that have said that they leave.
+        self.parting = frozenset()
         self.store = Store(self.world)
         names = [(f'target-{number}', number % 3) for number in range(6)]
         kinds = {
--- a/tests/core/ownership/test_guards.py
+++ b/tests/core/ownership/test_guards.py
@@ -12,6 +12,7 @@
 LONGEST_DEADLINE_S = 30
 SLOW_CALL_S = 0.4
 SEEDS = range(1, 7)
+HANDED_OVER_S = 0.1
 
 
 @pytest.fixture
@@ -122,3 +123,42 @@
     fleet.run(10)
     assert_that('target-0' in fleet.owners, Equals(False))
     assert_that(fleet.head.settling, Equals(()))
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_a_guard_that_leaves_hands_over_before_it_stops(make_scene, seed):
+    scene = make_scene(seed, target_kind=ownership.GuardedTarget)
+    fleet = scene.fleet
+    leaver = guard_of(scene)
+    owners = fleet.owners
+    fleet.run(seed / 30)
+    fleet.parting = frozenset((leaver.name,))
+    fleet.run(1)
+    leaver.kill()
+    fleet.run(5)
+    assert_that(scene.observer.worst, LessThan(HANDED_OVER_S))
+    assert_that(guard_of(scene).name, Not(Equals(leaver.name)))
+    assert_that(fleet.owners, Equals(owners))
+
+
+@pytest.mark.cell(step='leave', fault='kill')
+@pytest.mark.parametrize('died_s', [0.2, 0.21, 0.22, 0.23, 0.3])
+def test_a_guard_that_dies_while_it_hands_over(guarded, died_s):
+    leaver = guard_of(guarded)
+    guarded.fleet.parting = frozenset((leaver.name,))
+    guarded.fleet.run(died_s)
+    leaver.kill()
+    guarded.fleet.run(5)
+    assert_that(guarded.observer.worst, LessThan(SERVED_AGAIN_S))
+    assert_that(guard_of(guarded).name, Not(Equals(leaver.name)))
+
+
+@pytest.mark.cell(step='leave', fault='store-down')
+def test_a_guard_that_leaves_while_the_store_is_down_stays_guard(guarded):
+    leaver = guard_of(guarded)
+    guarded.fleet.store.pause()
+    guarded.fleet.run(3)
+    guarded.fleet.parting = frozenset((leaver.name,))
+    guarded.fleet.run(5)
+    assert_that(guard_of(guarded).name, Equals(leaver.name))
+    assert_that(guarded.observer.worst, Equals(0))
--- a/tests/processes/test_rolling_restart.py
+++ b/tests/processes/test_rolling_restart.py
@@ -3,6 +3,7 @@
 import time
 from dataclasses import replace
 
+import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan
 
@@ -14,12 +15,17 @@
 # Within it a balancer that polls each second has looked twice.
 NOTICED = replace(PLAN, timing=('leave_notice_s = 2.5',))
 LONG_NOTICE = replace(PLAN, timing=('leave_notice_s = 60',))
+UNFENCED = replace(
+    NOTICED,
+    services=tuple(replace(each, fencing='none') for each in PLAN.services),
+)
 SETTLED_S = 1.5
 LEAST_WHOLE = 500
 
 
-def test_rolling_restart_loses_and_refuses_nothing(tmp_path):
-    with running(Cluster(NOTICED, tmp_path)) as cluster:
+@pytest.mark.parametrize('plan', [NOTICED, UNFENCED], ids=['token', 'none'])
+def test_rolling_restart_loses_and_refuses_nothing(tmp_path, plan):
+    with running(Cluster(plan, tmp_path)) as cluster:
         daemons = cluster.places.daemons
         with balanced(daemons, CALLERS) as balancer:
             for daemon in daemons:
