--- a/bench/entry.py
+++ b/bench/entry.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 from collections.abc import Mapping
+from functools import partial
 from pathlib import Path
 
 import fire
@@ -28,6 +29,7 @@
 RATE_PER_DAEMON = 2754
 P99_LIMIT_MS = 19
 STEADY_S = 10
+STEADY_LOAD = 'bench.steady_load'
 Figures = Mapping[str, float]
 
 
@@ -47,10 +49,14 @@
     address: str,
     duration_s: float,
     rate: float = 0,
-    is_bare: bool = False,
     key: str = '',
+    program: str = 'standins.load',
+    key_hash: int | None = None,
 ) -> Figures:
-    """Send a load from another process and return its figures."""
+    """Send a load from another process and return its figures.
+
+    A bare target is sent a hash in place of a key.
+    """
     options = {
         'addresses': address,
         'connections': CONNECTIONS,
@@ -58,12 +64,12 @@
         'rate': rate,
         'path': '/catalogue/read',
     }
-    if is_bare:
-        options['key_hash'] = KEY_HASH
+    if key_hash is not None:
+        options['key_hash'] = key_hash
     if key:
         options |= {'key_prefix': key, 'keys': 1}
     flags = [f'--{name}={options[name]}' for name in options]
-    command = (sys.executable, '-m', 'standins.load', *flags)
+    command = (sys.executable, '-m', program, *flags)
     done = subprocess.run(command, capture_output=True, text=True, check=True)
     pairs = (line.partition('=') for line in done.stdout.splitlines())
     return {name: float(figure) for name, _, figure in pairs}
@@ -97,7 +103,7 @@
     target = cluster.places.targets[0].address
     # Daemons that have just started are still busy with each other.
     measure(address, WARM_UP_S)
-    bare = measure(target, duration_s, is_bare=True)
+    bare = measure(target, duration_s, key_hash=KEY_HASH)
     spent_s = processor_s(cluster)
     routed = measure(address, duration_s)
     spent_s = processor_s(cluster) - spent_s
@@ -111,7 +117,7 @@
     print_figure(f'{name}.p99_ms', routed['callers.p99_ms'])
     check_whole(name, routed)
     half = limit / 2
-    bare = measure(target, duration_s, half, is_bare=True)
+    bare = measure(target, duration_s, half, key_hash=KEY_HASH)
     routed = measure(address, duration_s, half)
     added = routed['callers.p50_ms'] - bare['callers.p50_ms']
     print_figure(f'{name}.half_load_per_s', routed['callers.whole_per_s'])
@@ -125,13 +131,15 @@
 def steady(cluster: Cluster, address: str, duration_s: float) -> None:
     """Measure the way over a hop at the rate of the size to design for."""
     target = cluster.places.targets[0].address
-    bare = measure(target, duration_s, RATE_PER_DAEMON, is_bare=True)
-    spent_s = processor_s(cluster)
-    routed = measure(address, duration_s, RATE_PER_DAEMON)
-    spent_s = processor_s(cluster) - spent_s
-    spent_us = spent_s * US_PER_S / routed['callers.sent']
+    send = partial(
+        measure,
+        duration_s=duration_s,
+        rate=RATE_PER_DAEMON,
+        program=STEADY_LOAD,
+    )
+    bare = send(target, key_hash=KEY_HASH)
+    routed = send(address)
     print_figure('hop_steady.per_s', routed['callers.whole_per_s'])
-    print_figure('hop_steady.processor_us', spent_us)
     for name in ('p50_ms', 'p99_ms', 'p99.9_ms'):
         print_figure(f'hop_steady.{name}', routed[f'callers.{name}'])
         print_figure(f'hop_steady.bare_{name}', bare[f'callers.{name}'])
