The schema loses a message and a field that nobody sends

Cause: Document and Versions.members stood in messages.capnp since the first design of dissemination; patches and the member table replaced them. Change: both are gone, the numbers of the messages after it moved down by one (no daemon of another version runs anywhere yet). tests/test_messages.py, tests/wire, tests/core/dissemination and tests/daemon pass; generated code is current.

--- a/src/laburnumyard/core/dissemination/_adopting.py
+++ b/src/laburnumyard/core/dissemination/_adopting.py
@@ -41,7 +41,6 @@
     chosen |= draw_peers(state, state.peers.far, settings.far_fanout)
     versions = messages.Versions(
         documents=(version_of(state, document),),
-        members=(),
         reply=False,
     )
     for daemon in sorted(chosen):
@@ -90,7 +89,7 @@
         for entry in state.entries.values()
         if entry.newest
     )
-    versions = messages.Versions(documents=documents, members=(), reply=reply)
+    versions = messages.Versions(documents=documents, reply=reply)
     for daemon in daemons:
         state.effects.append(Send(daemon, versions))
 
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -96,30 +96,6 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
-class Document:
-    """The message ``Document`` of messages.capnp."""
-
-    name: str
-    version: int
-    content: bytes
-
-
-def _write_document(message: Document, builder: Any) -> None:
-    builder.name = message.name
-    builder.version = message.version
-    builder.content = message.content
-
-
-def _read_document(reader: Any) -> Document:
-    get = reader._get
-    return Document(
-        name=get('name'),
-        version=get('version'),
-        content=get('content'),
-    )
-
-
 @dataclass(frozen=True, slots=True)
 class DocumentPart:
     """The message ``DocumentPart`` of messages.capnp."""
@@ -893,7 +869,6 @@
     """The message ``Versions`` of messages.capnp."""
 
     documents: tuple[DocumentVersion, ...]
-    members: tuple[Member, ...]
     reply: bool
 
 
@@ -902,10 +877,6 @@
     slots = builder.init('documents', len(parts))
     for slot, part in zip(slots, parts, strict=True):
         _write_document_version(part, slot)
-    parts = message.members
-    slots = builder.init('members', len(parts))
-    for slot, part in zip(slots, parts, strict=True):
-        _write_member(part, slot)
     builder.reply = message.reply
 
 
@@ -913,7 +884,6 @@
     get = reader._get
     return Versions(
         documents=tuple(map(_read_document_version, get('documents'))),
-        members=tuple(map(_read_member, get('members'))),
         reply=get('reply'),
     )
 
@@ -926,7 +896,6 @@
     | Heartbeat
     | Versions
     | FetchDocument
-    | Document
     | LoadReport
     | HandOver
     | GuardSeal
@@ -953,7 +922,6 @@
     Heartbeat: ('heartbeat', _write_heartbeat),
     Versions: ('versions', _write_versions),
     FetchDocument: ('fetchDocument', _write_fetch_document),
-    Document: ('document', _write_document),
     LoadReport: ('loadReport', _write_load_report),
     HandOver: ('handOver', _write_hand_over),
     GuardSeal: ('guardSeal', _write_guard_seal),
@@ -979,7 +947,6 @@
     'heartbeat': _read_heartbeat,
     'versions': _read_versions,
     'fetchDocument': _read_fetch_document,
-    'document': _read_document,
     'loadReport': _read_load_report,
     'handOver': _read_hand_over,
     'guardSeal': _read_guard_seal,
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -107,8 +107,7 @@
 # The versions that the sender holds; asks for nothing by itself.
 struct Versions {
   documents @0 :List(DocumentVersion);
-  members @1 :List(Member);
-  reply @2 :Bool;
+  reply @1 :Bool;
 }
 
 struct DocumentVersion {
@@ -154,13 +153,6 @@
   content @1 :Data;
 }
 
-# A whole document, such as the configuration or a service's assignment.
-struct Document {
-  name @0 :Text;
-  version @1 :UInt64;
-  content @2 :Data;
-}
-
 struct OwnedRange {
   start @0 :UInt64;
   # The last hash in the range, inclusive, so that it fits 64 bits.
@@ -274,22 +266,21 @@
     heartbeat @4 :Heartbeat;
     versions @5 :Versions;
     fetchDocument @6 :FetchDocument;
-    document @7 :Document;
-    loadReport @8 :LoadReport;
-    handOver @9 :HandOver;
-    guardSeal @10 :GuardSeal;
-    guardGrant @11 :GuardGrant;
-    guardAnswer @12 :GuardAnswer;
-    ping @13 :Ping;
-    pong @14 :Pong;
-    gossip @15 :Gossip;
-    memberDigests @16 :MemberDigests;
-    members @17 :Members;
-    documentPart @18 :DocumentPart;
-    documentPatch @19 :DocumentPatch;
-    moveRange @20 :MoveRange;
-    drainTarget @21 :DrainTarget;
-    suspects @22 :Suspects;
-    mergeRanges @23 :MergeRanges;
+    loadReport @7 :LoadReport;
+    handOver @8 :HandOver;
+    guardSeal @9 :GuardSeal;
+    guardGrant @10 :GuardGrant;
+    guardAnswer @11 :GuardAnswer;
+    ping @12 :Ping;
+    pong @13 :Pong;
+    gossip @14 :Gossip;
+    memberDigests @15 :MemberDigests;
+    members @16 :Members;
+    documentPart @17 :DocumentPart;
+    documentPatch @18 :DocumentPatch;
+    moveRange @19 :MoveRange;
+    drainTarget @20 :DrainTarget;
+    suspects @21 :Suspects;
+    mergeRanges @22 :MergeRanges;
   }
 }
--- a/src/laburnumyard/wire/_queue.py
+++ b/src/laburnumyard/wire/_queue.py
@@ -9,7 +9,6 @@
 BULK_MESSAGES = (
     messages.Submit,
     messages.SubmitAnswer,
-    messages.Document,
     messages.DocumentPart,
 )
 
--- a/tests/core/dissemination/test_fetching.py
+++ b/tests/core/dissemination/test_fetching.py
@@ -27,7 +27,6 @@
 def told(version, confirmed=False):
     return messages.Versions(
         documents=(messages.DocumentVersion(NAME, version, confirmed, 5),),
-        members=(),
         reply=False,
     )
 
