--- a/bench/churn.py
+++ b/bench/churn.py
@@ -121,7 +121,7 @@
         )
         self.assignment = ownership.initial_assignment(self.plan)
         self.planner = ownership.LoadPlanner(settings) if settings else None
-        self.moved: list[tuple[int, ownership.MoveRequested]] = []
+        self.moves = 0
         self.left_at: dict[tuple[HashRange, TargetName], int] = {}
         self.returns = 0
         self.moved_slots = float(0)
@@ -195,7 +195,7 @@
         left = self.left_at.get((hint.part, hint.to), -HOUR_S)
         self.returns += now - left < RETURN_S
         self.left_at[hint.part, owner] = now
-        self.moved.append((now, hint))
+        self.moves += 1
         self.moved_slots += sum(
             busy for key, busy in demand.items() if key in hint.part
         )
@@ -216,7 +216,7 @@
         late = ranked[int(len(ranked) * 0.99)]
         yield f'imbalance_median.{name}={middle:.3f}'
         yield f'imbalance_p99.{name}={late:.3f}'
-        yield f'churn_moves_per_hour.{name}={len(self.moved)}'
+        yield f'churn_moves_per_hour.{name}={self.moves}'
         yield f'churn_returns_per_hour.{name}={self.returns}'
         capacity = self.site.targets * self.site.slots
         share = self.moved_slots / capacity
--- a/src/laburnumyard/core/membership/_directory.py
+++ b/src/laburnumyard/core/membership/_directory.py
@@ -76,11 +76,11 @@
         )
         return others if self.is_leaving else (self.myself, *others)
 
-    def leaving(self) -> tuple[DaemonName, ...]:
+    def leaving(self) -> frozenset[DaemonName]:
         """Return the members that have said that they leave."""
         return self.recall(
             'leaving',
-            lambda: tuple(
+            lambda: frozenset(
                 member.identity.daemon
                 for member in self.members.values()
                 if member.state is MemberState.LEAVING
--- a/src/laburnumyard/daemon/_chunk_writer.py
+++ b/src/laburnumyard/daemon/_chunk_writer.py
@@ -1,7 +1,6 @@
 """Writes the chunks of one service's assignments."""
 
 from collections.abc import Iterable
-from functools import partial
 
 import anyio
 
@@ -64,7 +63,7 @@
         self._forget_until(after)
         async with anyio.create_task_group() as tasks:
             for chunk in wanted:
-                tasks.start_soon(partial(self._ensure, chunk, after))
+                tasks.start_soon(self._ensure, chunk, after)
         return all(self._is_written(chunk, after) for chunk in wanted)
 
     def _forget_until(self, revision: int) -> None:
--- a/src/laburnumyard/daemon/_deaths.py
+++ b/src/laburnumyard/daemon/_deaths.py
@@ -162,20 +162,16 @@
 
     def note_broken_off(self, job: Job, opened: Seconds) -> None:
         """Take in that a connection ended before the answer of its job."""
-        broken = Suspicion(fingerprint(job), opened, boot_time())
-        self.deaths.suspect(self.target, (broken, *self._take_abandoned()))
+        self.note_abandoned(job, opened)
+        self.note_refused()
 
     def note_refused(self) -> None:
-        """Take in that the target accepts no connection."""
-        abandoned = self._take_abandoned()
-        if abandoned:
-            self.deaths.suspect(self.target, abandoned)
-
-    def _take_abandoned(self) -> tuple[Suspicion, ...]:
+        """Take in that the target may have died of what was abandoned."""
         oldest = boot_time() - ABANDONED_S
-        taken = tuple(each for each in self.abandoned if each.since > oldest)
+        recent = [each for each in self.abandoned if each.since > oldest]
         self.abandoned.clear()
-        return taken
+        if recent:
+            self.deaths.suspect(self.target, recent)
 
 
 async def _has_died(target: Target) -> bool:
--- a/src/laburnumyard/daemon/_guard_candidates.py
+++ b/src/laburnumyard/daemon/_guard_candidates.py
@@ -27,7 +27,7 @@
     GuardCandidates
         The daemons of the target's data centre, else any, the first first.
     """
-    leaving = frozenset(view.members.directory.leaving())
+    leaving = view.members.directory.leaving()
     for target in view.configuration.service_targets(scope.service):
         is_here = target.data_centre == scope.data_centre
         if is_here and target.fencing is Fencing.none:
