The clients of the store, the VM list and the targets are the package clients

Change: renamed, with its tests; no line of behaviour changes. Checked: import contracts, lint, tests/clients and tests/daemon.

--- a/bench/control/renewals.py
+++ b/bench/control/renewals.py
@@ -16,15 +16,15 @@
 from functools import partial
 
 from bench.control.settings import PACKET_BYTES
-from laburnumyard.core.ids import Sequence, ServiceName, Term
-from laburnumyard.core.keys import HASH_SPACE, HashRange, split_evenly
-from laburnumyard.daemon._ownership import ASK_INTERVAL_S
-from laburnumyard.platform import (
+from laburnumyard.clients import (
     GrantOrder,
     RenewOrder,
     SealOrder,
     TargetControl,
 )
+from laburnumyard.core.ids import Sequence, ServiceName, Term
+from laburnumyard.core.keys import HASH_SPACE, HashRange, split_evenly
+from laburnumyard.daemon._ownership import ASK_INTERVAL_S
 from laburnumyard.schema._generated import messages
 from laburnumyard.schema._generated.settings import TimingSettings
 from laburnumyard.wire import encode_frame
--- a/bench/http_senders.py
+++ b/bench/http_senders.py
@@ -6,11 +6,11 @@
 import anyio
 import httpcore
 
-from laburnumyard.platform import TargetConnection, TargetRequest
-from laburnumyard.platform._address import split_address
-from laburnumyard.platform._endpoint import Endpoint, HttpRequest
-from laburnumyard.platform._target_encoder import encode_request
-from laburnumyard.platform._target_parser import AnswerParser, ReadState
+from laburnumyard.clients import TargetConnection, TargetRequest
+from laburnumyard.clients._address import split_address
+from laburnumyard.clients._endpoint import Endpoint, HttpRequest
+from laburnumyard.clients._target_encoder import encode_request
+from laburnumyard.clients._target_parser import AnswerParser, ReadState
 
 REQUEST = TargetRequest('GET', '/catalogue/read?echo=bench')
 MAX_BODY_BYTES = 262_144
--- a/src/laburnumyard/cli/_environment.py
+++ b/src/laburnumyard/cli/_environment.py
@@ -8,8 +8,8 @@
 from datetime import UTC, datetime
 
 from laburnumyard.cli._store import open_store
+from laburnumyard.clients.publication import Store
 from laburnumyard.core.ids import ChangeId
-from laburnumyard.platform.publication import Store
 
 STORE_VARIABLE = 'LABURNUMYARD_STORE'
 ADMIN_VARIABLE = 'LABURNUMYARD_ADMIN'
--- a/src/laburnumyard/cli/_publication.py
+++ b/src/laburnumyard/cli/_publication.py
@@ -13,14 +13,7 @@
 from laburnumyard.cli._files import read_files
 from laburnumyard.cli._local import list_problems
 from laburnumyard.cli._report import Report, fail
-from laburnumyard.core.configuration import (
-    Change,
-    Configuration,
-    ConfigurationHead,
-    difference,
-    parse_objects,
-)
-from laburnumyard.platform.publication import (
+from laburnumyard.clients.publication import (
     Conflict,
     Proposal,
     PublishError,
@@ -29,6 +22,13 @@
     read_current,
     read_history,
 )
+from laburnumyard.core.configuration import (
+    Change,
+    Configuration,
+    ConfigurationHead,
+    difference,
+    parse_objects,
+)
 
 _EXIT_CODES = MappingProxyType(
     {
--- a/src/laburnumyard/cli/_store.py
+++ b/src/laburnumyard/cli/_store.py
@@ -5,8 +5,8 @@
 from contextlib import asynccontextmanager
 from random import SystemRandom
 
-from laburnumyard.platform import StoreClient
-from laburnumyard.platform.publication import Store
+from laburnumyard.clients import StoreClient
+from laburnumyard.clients.publication import Store
 from laburnumyard.schema._generated.settings import StoreSettings
 
 # A command makes its calls at once and ends.
--- a/src/laburnumyard/platform/__init__.py
+++ b/src/laburnumyard/clients/__init__.py
@@ -1,15 +1,15 @@
 """Clients of the platform: store, VM list and targets."""
 
-from laburnumyard.platform._store import StoreClient
-from laburnumyard.platform._store_types import (
+from laburnumyard.clients._store import StoreClient
+from laburnumyard.clients._store_types import (
     KeyRevision,
     Stored,
     StoreError,
     StoreErrorKind,
 )
-from laburnumyard.platform._target_connection import TargetConnection
-from laburnumyard.platform._target_control import TargetControl
-from laburnumyard.platform._target_messages import (
+from laburnumyard.clients._target_connection import TargetConnection
+from laburnumyard.clients._target_control import TargetControl
+from laburnumyard.clients._target_messages import (
     DrainAnswer,
     GrantOrder,
     RenewOrder,
@@ -19,14 +19,14 @@
     TargetErrorKind,
     TargetLoad,
 )
-from laburnumyard.platform._target_types import (
+from laburnumyard.clients._target_types import (
     FailureKind,
     TargetFailure,
     TargetRequest,
     TargetResponse,
     drop_hop_by_hop,
 )
-from laburnumyard.platform._vms import Vm, VmList, VmState
+from laburnumyard.clients._vms import Vm, VmList, VmState
 
 __all__ = (
     'DrainAnswer',
--- a/src/laburnumyard/platform/_endpoint.py
+++ b/src/laburnumyard/clients/_endpoint.py
@@ -9,7 +9,7 @@
 import httpcore
 from expression import Error, Ok, Result
 
-from laburnumyard.platform._address import split_address
+from laburnumyard.clients._address import split_address
 
 MAX_IDLE_CONNECTIONS = 4
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
--- a/src/laburnumyard/platform/_settle.py
+++ b/src/laburnumyard/clients/_settle.py
@@ -5,7 +5,7 @@
 
 from expression import Error, Ok, Result
 
-from laburnumyard.platform._store_types import (
+from laburnumyard.clients._store_types import (
     Stored,
     StoreError,
     StoreErrorKind,
--- a/src/laburnumyard/platform/_store.py
+++ b/src/laburnumyard/clients/_store.py
@@ -8,21 +8,21 @@
 
 from expression import Error, Ok, Result
 
-from laburnumyard.platform._endpoint import HttpRequest
-from laburnumyard.platform._settle import (
+from laburnumyard.clients._endpoint import HttpRequest
+from laburnumyard.clients._settle import (
     SETTLED_BY_READING,
     Attempted,
     mark_doubt,
     settle,
 )
-from laburnumyard.platform._store_calls import StoreCalls
-from laburnumyard.platform._store_codec import (
+from laburnumyard.clients._store_calls import StoreCalls
+from laburnumyard.clients._store_codec import (
     decode_keys,
     decode_stored,
     decode_watched,
     decode_written,
 )
-from laburnumyard.platform._store_types import (
+from laburnumyard.clients._store_types import (
     KeyRevision,
     Stored,
     StoreError,
--- a/src/laburnumyard/platform/_store_calls.py
+++ b/src/laburnumyard/clients/_store_calls.py
@@ -6,22 +6,22 @@
 import anyio
 from expression import Error, Result
 
-from laburnumyard.core.call_budget import CallBudget
-from laburnumyard.platform._endpoint import (
+from laburnumyard.clients._endpoint import (
     Endpoint,
     Exchanged,
     HttpAnswer,
     HttpRequest,
 )
-from laburnumyard.platform._outage import OutageDetector
-from laburnumyard.platform._store_errors import (
+from laburnumyard.clients._outage import OutageDetector
+from laburnumyard.clients._store_errors import (
     check_available,
     check_write,
     explain_read,
     explain_write,
     over_budget,
 )
-from laburnumyard.platform._store_types import StoreError, StoreErrorKind
+from laburnumyard.clients._store_types import StoreError, StoreErrorKind
+from laburnumyard.core.call_budget import CallBudget
 from laburnumyard.schema._generated.settings import StoreSettings
 
 FIRST_PAUSE_S = 0.05
--- a/src/laburnumyard/platform/_store_codec.py
+++ b/src/laburnumyard/clients/_store_codec.py
@@ -7,15 +7,15 @@
 
 from expression import Error, Ok, Result
 
-from laburnumyard.platform._endpoint import HttpAnswer
-from laburnumyard.platform._store_errors import malformed, unexpected
-from laburnumyard.platform._store_types import (
+from laburnumyard.clients._endpoint import HttpAnswer
+from laburnumyard.clients._store_errors import malformed, unexpected
+from laburnumyard.clients._store_types import (
     KeyRevision,
     Stored,
     StoreError,
     StoreErrorKind,
 )
-from laburnumyard.platform._untrusted import (
+from laburnumyard.clients._untrusted import (
     MAX_COUNT,
     parse_json,
     read_count,
--- a/src/laburnumyard/platform/_target_codec.py
+++ b/src/laburnumyard/clients/_target_codec.py
@@ -9,18 +9,18 @@
 
 from expression import Result
 
-from laburnumyard.core.ids import Sequence, Term
-from laburnumyard.core.keys import HashRange
-from laburnumyard.platform import _target_messages as messages
-from laburnumyard.platform._target_decoding import decode, read_leaving
-from laburnumyard.platform._target_types import TargetResponse
-from laburnumyard.platform._untrusted import (
+from laburnumyard.clients import _target_messages as messages
+from laburnumyard.clients._target_decoding import decode, read_leaving
+from laburnumyard.clients._target_types import TargetResponse
+from laburnumyard.clients._untrusted import (
     Fields,
     read_count,
     read_flag,
     read_list,
     shorten,
 )
+from laburnumyard.core.ids import Sequence, Term
+from laburnumyard.core.keys import HashRange
 
 COMPACT = (',', ':')
 HASH = re.compile('[0-9]{1,20}')
--- a/src/laburnumyard/platform/_target_connection.py
+++ b/src/laburnumyard/clients/_target_connection.py
@@ -5,16 +5,16 @@
 
 from expression import Error, Ok, Result
 
-from laburnumyard.core.results import ok
-from laburnumyard.platform._address import split_address
-from laburnumyard.platform._target_encoder import encode_request
-from laburnumyard.platform._target_parser import AnswerParser, ReadState
-from laburnumyard.platform._target_types import (
+from laburnumyard.clients._address import split_address
+from laburnumyard.clients._target_encoder import encode_request
+from laburnumyard.clients._target_parser import AnswerParser, ReadState
+from laburnumyard.clients._target_types import (
     FailureKind,
     TargetFailure,
     TargetRequest,
     TargetResponse,
 )
+from laburnumyard.core.results import ok
 
 Answered = Result[TargetResponse, TargetFailure]
 
--- a/src/laburnumyard/platform/_target_control.py
+++ b/src/laburnumyard/clients/_target_control.py
@@ -6,18 +6,18 @@
 
 from expression import Error, Result
 
-from laburnumyard.platform._target_codec import (
+from laburnumyard.clients._target_codec import (
     decode_answer,
     decode_renewal,
     encode_order,
     encode_renewal,
 )
-from laburnumyard.platform._target_connection import (
+from laburnumyard.clients._target_connection import (
     Answered,
     TargetConnection,
 )
-from laburnumyard.platform._target_decoding import explain_failure
-from laburnumyard.platform._target_messages import (
+from laburnumyard.clients._target_decoding import explain_failure
+from laburnumyard.clients._target_messages import (
     DrainAnswer,
     GrantOrder,
     RenewOrder,
@@ -27,12 +27,12 @@
     TargetHealth,
     TargetLoad,
 )
-from laburnumyard.platform._target_reports import (
+from laburnumyard.clients._target_reports import (
     decode_drain,
     decode_health,
     decode_load,
 )
-from laburnumyard.platform._target_types import TargetRequest
+from laburnumyard.clients._target_types import TargetRequest
 
 MAX_ANSWER_BYTES = 1024 * 1024
 MAX_IDLE_CONNECTIONS = 2
--- a/src/laburnumyard/platform/_target_decoding.py
+++ b/src/laburnumyard/clients/_target_decoding.py
@@ -7,13 +7,13 @@
 
 from expression import Error, Ok, Result
 
-from laburnumyard.platform import _target_messages as messages
-from laburnumyard.platform._target_types import (
+from laburnumyard.clients import _target_messages as messages
+from laburnumyard.clients._target_types import (
     FailureKind,
     TargetFailure,
     TargetResponse,
 )
-from laburnumyard.platform._untrusted import Fields, parse_json, read_object
+from laburnumyard.clients._untrusted import Fields, parse_json, read_object
 
 ANSWERED = frozenset((HTTPStatus.OK, HTTPStatus.CONFLICT))
 
--- a/src/laburnumyard/platform/_target_parser.py
+++ b/src/laburnumyard/clients/_target_parser.py
@@ -5,7 +5,7 @@
 
 import httptools
 
-from laburnumyard.platform._target_types import FailureKind, TargetResponse
+from laburnumyard.clients._target_types import FailureKind, TargetResponse
 
 MAX_HEAD_BYTES = 65_536
 
--- a/src/laburnumyard/platform/_target_reports.py
+++ b/src/laburnumyard/clients/_target_reports.py
@@ -2,10 +2,10 @@
 
 from expression import Result
 
-from laburnumyard.platform import _target_messages as messages
-from laburnumyard.platform._target_decoding import decode, read_leaving
-from laburnumyard.platform._target_types import TargetResponse
-from laburnumyard.platform._untrusted import Fields, read_count, read_flag
+from laburnumyard.clients import _target_messages as messages
+from laburnumyard.clients._target_decoding import decode, read_leaving
+from laburnumyard.clients._target_types import TargetResponse
+from laburnumyard.clients._untrusted import Fields, read_count, read_flag
 
 
 def decode_drain(
--- a/src/laburnumyard/platform/_vms.py
+++ b/src/laburnumyard/clients/_vms.py
@@ -6,19 +6,19 @@
 
 from expression import Error, Ok, Result
 
-from laburnumyard.core.ids import DaemonName, DataCentre, Region
-from laburnumyard.platform._address import split_address
-from laburnumyard.platform._endpoint import HttpRequest
-from laburnumyard.platform._store import StoreClient
-from laburnumyard.platform._store_codec import decode_json
-from laburnumyard.platform._store_errors import malformed
-from laburnumyard.platform._store_types import StoreError
-from laburnumyard.platform._untrusted import (
+from laburnumyard.clients._address import split_address
+from laburnumyard.clients._endpoint import HttpRequest
+from laburnumyard.clients._store import StoreClient
+from laburnumyard.clients._store_codec import decode_json
+from laburnumyard.clients._store_errors import malformed
+from laburnumyard.clients._store_types import StoreError
+from laburnumyard.clients._untrusted import (
     Fields,
     read_list,
     read_object,
     read_text,
 )
+from laburnumyard.core.ids import DaemonName, DataCentre, Region
 
 MAX_VMS = 10_000
 MAX_NAME_LENGTH = 64
--- a/src/laburnumyard/platform/publication/__init__.py
+++ b/src/laburnumyard/clients/publication/__init__.py
@@ -1,22 +1,22 @@
 """Publishing configurations to the store and reading them back."""
 
-from laburnumyard.platform.publication._errors import (
+from laburnumyard.clients.publication._errors import (
     Conflict,
     PublishError,
     PublishErrorKind,
 )
-from laburnumyard.platform.publication._publishing import (
+from laburnumyard.clients.publication._publishing import (
     Proposal,
     Published,
     publish,
 )
-from laburnumyard.platform.publication._reading import (
+from laburnumyard.clients.publication._reading import (
     read_current,
     read_head,
     read_history,
     read_version,
 )
-from laburnumyard.platform.publication._store import Store
+from laburnumyard.clients.publication._store import Store
 
 __all__ = (
     'Conflict',
--- a/src/laburnumyard/platform/publication/_errors.py
+++ b/src/laburnumyard/clients/publication/_errors.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from laburnumyard.clients.publication._store import StoreError, StoreErrorKind
 from laburnumyard.core.configuration import (
     Change,
     ConfigurationHead,
     Problem,
 )
-from laburnumyard.platform.publication._store import StoreError, StoreErrorKind
 
 
 class PublishErrorKind(Enum):
--- a/src/laburnumyard/platform/publication/_publishing.py
+++ b/src/laburnumyard/clients/publication/_publishing.py
@@ -4,34 +4,34 @@
 
 from expression import Error, Ok, Result
 
-from laburnumyard.core.configuration import (
-    Change,
-    Configuration,
-    ConfigurationHead,
-    EncodedConfiguration,
-    PublishedConfiguration,
-    difference,
-    encode_configuration,
-)
-from laburnumyard.core.ids import ChangeId, Version
-from laburnumyard.platform.publication._errors import (
+from laburnumyard.clients.publication._errors import (
     Conflict,
     PublishError,
     PublishErrorKind,
 )
-from laburnumyard.platform.publication._reading import (
+from laburnumyard.clients.publication._reading import (
     StoredHead,
     read_current,
     read_head,
     read_version,
 )
-from laburnumyard.platform.publication._store import Store
-from laburnumyard.platform.publication._swapping import (
+from laburnumyard.clients.publication._store import Store
+from laburnumyard.clients.publication._swapping import (
     Outcome,
     swap_head,
     write_chunks,
     write_entry,
 )
+from laburnumyard.core.configuration import (
+    Change,
+    Configuration,
+    ConfigurationHead,
+    EncodedConfiguration,
+    PublishedConfiguration,
+    difference,
+    encode_configuration,
+)
+from laburnumyard.core.ids import ChangeId, Version
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/laburnumyard/platform/publication/_reading.py
+++ b/src/laburnumyard/clients/publication/_reading.py
@@ -6,6 +6,13 @@
 
 from expression import Error, Ok, Result
 
+from laburnumyard.clients.publication._errors import (
+    PublishError,
+    PublishErrorKind,
+    malformed,
+    unreachable,
+)
+from laburnumyard.clients.publication._store import Store
 from laburnumyard.core.configuration import (
     HEAD_KEY,
     ConfigurationHead,
@@ -17,13 +24,6 @@
     history_key,
 )
 from laburnumyard.core.ids import Version
-from laburnumyard.platform.publication._errors import (
-    PublishError,
-    PublishErrorKind,
-    malformed,
-    unreachable,
-)
-from laburnumyard.platform.publication._store import Store
 
 _NO_CHUNKS: Mapping[str, bytes] = MappingProxyType({})
 
--- a/src/laburnumyard/platform/publication/_store.py
+++ b/src/laburnumyard/clients/publication/_store.py
@@ -5,7 +5,7 @@
 
 from expression import Result
 
-from laburnumyard.platform._store_types import (
+from laburnumyard.clients._store_types import (
     Stored,
     StoreError,
     StoreErrorKind,
--- a/src/laburnumyard/platform/publication/_swapping.py
+++ b/src/laburnumyard/clients/publication/_swapping.py
@@ -5,6 +5,16 @@
 
 from expression import Error, Ok, Result
 
+from laburnumyard.clients.publication._errors import (
+    PublishError,
+    unreachable,
+)
+from laburnumyard.clients.publication._reading import (
+    StoredHead,
+    read_entry,
+    read_head,
+)
+from laburnumyard.clients.publication._store import Store, StoreErrorKind
 from laburnumyard.core.configuration import (
     HEAD_KEY,
     ConfigurationHead,
@@ -15,16 +25,6 @@
     history_key,
 )
 from laburnumyard.core.ids import ChangeId
-from laburnumyard.platform.publication._errors import (
-    PublishError,
-    unreachable,
-)
-from laburnumyard.platform.publication._reading import (
-    StoredHead,
-    read_entry,
-    read_head,
-)
-from laburnumyard.platform.publication._store import Store, StoreErrorKind
 
 # How often a swap without a definite answer is made again.
 _SWAP_ATTEMPTS = 3
--- a/src/laburnumyard/daemon/_assignment_store.py
+++ b/src/laburnumyard/daemon/_assignment_store.py
@@ -5,11 +5,11 @@
 import anyio
 from expression import Error, Ok, Result
 
+from laburnumyard.clients import StoreClient, StoreError, StoreErrorKind
 from laburnumyard.core import ownership
 from laburnumyard.core.ids import Seconds, ServiceName
 from laburnumyard.daemon._chunk_writer import ChunkWriter, chunk_key
 from laburnumyard.daemon._clock import boot_time
-from laburnumyard.platform import StoreClient, StoreError, StoreErrorKind
 
 
 def head_key(service: ServiceName) -> str:
--- a/src/laburnumyard/daemon/_chunk_writer.py
+++ b/src/laburnumyard/daemon/_chunk_writer.py
@@ -4,9 +4,9 @@
 
 import anyio
 
+from laburnumyard.clients import StoreClient, StoreErrorKind
 from laburnumyard.core.ids import ServiceName
 from laburnumyard.core.ownership import Chunk
-from laburnumyard.platform import StoreClient, StoreErrorKind
 
 # How often a chunk is written that others write or delete at the same time.
 CHUNK_ATTEMPTS = 3
--- a/src/laburnumyard/daemon/_deaths.py
+++ b/src/laburnumyard/daemon/_deaths.py
@@ -7,6 +7,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from laburnumyard.clients import TargetConnection
 from laburnumyard.core.errors import Failure
 from laburnumyard.core.ids import DaemonName, Seconds, TargetName
 from laburnumyard.core.requests import (
@@ -20,7 +21,6 @@
 from laburnumyard.daemon._clock import boot_time, draw_token
 from laburnumyard.daemon._jobs import Job
 from laburnumyard.daemon._log import Event, log_event
-from laburnumyard.platform import TargetConnection
 from laburnumyard.schema._generated.objects import Target
 
 CONNECT_TIMEOUT_S = 0.25
--- a/src/laburnumyard/daemon/_members.py
+++ b/src/laburnumyard/daemon/_members.py
@@ -6,12 +6,12 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from laburnumyard.clients import Vm, VmList, VmState
 from laburnumyard.core import membership
 from laburnumyard.core.ids import DaemonName, Incarnation
 from laburnumyard.daemon._clock import boot_time
 from laburnumyard.daemon._log import Event, log_event
 from laburnumyard.daemon._view import View
-from laburnumyard.platform import Vm, VmList, VmState
 from laburnumyard.schema._generated.messages import (
     Gossip,
     Heartbeat,
--- a/src/laburnumyard/daemon/_node.py
+++ b/src/laburnumyard/daemon/_node.py
@@ -2,6 +2,7 @@
 
 from anyio.abc import TaskGroup
 
+from laburnumyard.clients import StoreClient, VmList
 from laburnumyard.core import membership, requests
 from laburnumyard.core.ids import DaemonName, ServiceName
 from laburnumyard.core.ownership import Snapshot
@@ -26,7 +27,6 @@
 from laburnumyard.daemon._targets import Targets
 from laburnumyard.daemon._tickets import TicketOffice
 from laburnumyard.daemon._view import make_view
-from laburnumyard.platform import StoreClient, VmList
 from laburnumyard.schema._generated.messages import Hello
 from laburnumyard.schema._generated.settings import Settings
 from laburnumyard.wire import LinkPool, LinkServer, LinkSettings
--- a/src/laburnumyard/daemon/_orders.py
+++ b/src/laburnumyard/daemon/_orders.py
@@ -5,18 +5,18 @@
 
 from expression import Result
 
-from laburnumyard.core import ownership
-from laburnumyard.core.ids import Sequence, ServiceName, TargetName, Term
-from laburnumyard.core.keys import HashRange
-from laburnumyard.daemon._guards import Guards
-from laburnumyard.daemon._view import View
-from laburnumyard.platform import (
+from laburnumyard.clients import (
     GrantOrder,
     RenewOrder,
     SealOrder,
     TargetControl,
 )
-from laburnumyard.platform import TargetAnswer as ControlAnswer
+from laburnumyard.clients import TargetAnswer as ControlAnswer
+from laburnumyard.core import ownership
+from laburnumyard.core.ids import Sequence, ServiceName, TargetName, Term
+from laburnumyard.core.keys import HashRange
+from laburnumyard.daemon._guards import Guards
+from laburnumyard.daemon._view import View
 from laburnumyard.schema._generated.messages import (
     GuardAnswer,
     GuardGrant,
--- a/src/laburnumyard/daemon/_ownership.py
+++ b/src/laburnumyard/daemon/_ownership.py
@@ -5,6 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from laburnumyard.clients import StoreClient
 from laburnumyard.core import membership, ownership
 from laburnumyard.core.ids import (
     DaemonName,
@@ -23,7 +24,6 @@
 from laburnumyard.daemon._scope_id import ScopeId
 from laburnumyard.daemon._scope_runner import ScopeRunner, ScopeTools
 from laburnumyard.daemon._view import View
-from laburnumyard.platform import StoreClient
 from laburnumyard.schema._generated.messages import HandOver
 from laburnumyard.wire import LinkPool
 
--- a/src/laburnumyard/daemon/_target_link.py
+++ b/src/laburnumyard/daemon/_target_link.py
@@ -9,6 +9,14 @@
 
 from expression import Error, Ok, Result
 
+from laburnumyard.clients import (
+    FailureKind,
+    TargetConnection,
+    TargetFailure,
+    TargetRequest,
+    TargetResponse,
+    drop_hop_by_hop,
+)
 from laburnumyard.core import requests
 from laburnumyard.core.errors import ErrorKind, Failure
 from laburnumyard.core.ids import Seconds
@@ -18,14 +26,6 @@
 from laburnumyard.daemon._deaths import TargetWatch
 from laburnumyard.daemon._guards import TargetGuard
 from laburnumyard.daemon._jobs import Job
-from laburnumyard.platform import (
-    FailureKind,
-    TargetConnection,
-    TargetFailure,
-    TargetRequest,
-    TargetResponse,
-    drop_hop_by_hop,
-)
 from laburnumyard.schema._generated.objects import Target
 
 Outcome = Result[Response, Failure]
--- a/tests/platform/conftest.py
+++ b/tests/clients/conftest.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from laburnumyard.platform import StoreClient, TargetConnection
+from laburnumyard.clients import StoreClient, TargetConnection
 from laburnumyard.schema._generated.settings import StoreSettings
 from standins._serve import serving
 from standins.platform import PlatformApp
--- a/tests/platform/publishing.py
+++ b/tests/clients/publishing.py
@@ -6,14 +6,14 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Not
 
-from laburnumyard.core.configuration import HEAD_KEY, parse_objects
-from laburnumyard.platform.publication import (
+from laburnumyard.clients.publication import (
     Proposal,
     PublishErrorKind,
     publish,
     read_current,
     read_history,
 )
+from laburnumyard.core.configuration import HEAD_KEY, parse_objects
 from tests.core.configuration.conftest import OBJECTS
 
 HISTORY_LIMIT = 20
--- a/tests/platform/test_outage.py
+++ b/tests/clients/test_outage.py
@@ -1,7 +1,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from laburnumyard.platform._outage import OutageDetector
+from laburnumyard.clients._outage import OutageDetector
 
 
 def test_silence_without_a_failure_is_no_outage():
--- a/tests/platform/test_publication.py
+++ b/tests/clients/test_publication.py
@@ -5,19 +5,19 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength, Is
 
-from laburnumyard.core.configuration import (
-    HEAD_KEY,
-    decode_published,
-    encode_published,
-)
-from laburnumyard.platform.publication import (
+from laburnumyard.clients.publication import (
     PublishErrorKind,
     publish,
     read_current,
     read_history,
     read_version,
 )
-from tests.platform.publishing import (
+from laburnumyard.core.configuration import (
+    HEAD_KEY,
+    decode_published,
+    encode_published,
+)
+from tests.clients.publishing import (
     accepted_changes,
     assert_versions_rise,
     propose,
--- a/tests/platform/test_publication_faults.py
+++ b/tests/clients/test_publication_faults.py
@@ -7,12 +7,12 @@
 from testtools.assertions import assert_that
 from testtools.matchers import GreaterThan, Is
 
-from laburnumyard.platform.publication import _publishing as publishing
-from laburnumyard.platform.publication import _swapping as swapping
-from laburnumyard.platform.publication import publish
+from laburnumyard.clients.publication import _publishing as publishing
+from laburnumyard.clients.publication import _swapping as swapping
+from laburnumyard.clients.publication import publish
 from standins._serve import serving
 from standins.platform import PlatformApp
-from tests.platform.publishing import (
+from tests.clients.publishing import (
     assert_intact,
     assert_next_goes_on,
     assert_told_true,
--- a/tests/platform/test_store.py
+++ b/tests/clients/test_store.py
@@ -12,7 +12,7 @@
     MatchesStructure,
 )
 
-from laburnumyard.platform import Stored, StoreErrorKind
+from laburnumyard.clients import Stored, StoreErrorKind
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/platform/test_target_connection.py
+++ b/tests/clients/test_target_connection.py
@@ -3,13 +3,13 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Is, Not
 
-from laburnumyard.platform import (
+from laburnumyard.clients import (
     FailureKind,
     TargetConnection,
     TargetRequest,
     drop_hop_by_hop,
 )
-from tests.platform.conftest import GENEROUS_S, MAX_BODY_BYTES
+from tests.clients.conftest import GENEROUS_S, MAX_BODY_BYTES
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/platform/test_target_control.py
+++ b/tests/clients/test_target_control.py
@@ -7,8 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, IsInstance
 
-from laburnumyard.core.keys import HASH_SPACE, HashRange
-from laburnumyard.platform import (
+from laburnumyard.clients import (
     GrantOrder,
     RenewOrder,
     SealOrder,
@@ -17,15 +16,16 @@
     TargetErrorKind,
     TargetResponse,
 )
-from laburnumyard.platform._target_codec import (
+from laburnumyard.clients._target_codec import (
     decode_answer,
     decode_renewal,
     encode_renewal,
 )
-from laburnumyard.platform._target_messages import TargetHealth
+from laburnumyard.clients._target_messages import TargetHealth
+from laburnumyard.core.keys import HASH_SPACE, HashRange
 from standins._serve import serving
 from standins.target import Fencing, TargetApp, TargetSettings
-from tests.platform.conftest import GENEROUS_S
+from tests.clients.conftest import GENEROUS_S
 
 SERVICE = 'catalogue'
 WHOLE = HashRange(0, HASH_SPACE)
--- a/tests/platform/test_target_parser.py
+++ b/tests/clients/test_target_parser.py
@@ -4,8 +4,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from laburnumyard.platform import FailureKind
-from laburnumyard.platform._target_parser import (
+from laburnumyard.clients import FailureKind
+from laburnumyard.clients._target_parser import (
     MAX_HEAD_BYTES,
     AnswerParser,
     ReadState,
--- a/tests/platform/test_vms.py
+++ b/tests/clients/test_vms.py
@@ -7,8 +7,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from laburnumyard.platform import StoreErrorKind, Vm, VmList, VmState
-from laburnumyard.platform._vms import read_vms
+from laburnumyard.clients import StoreErrorKind, Vm, VmList, VmState
+from laburnumyard.clients._vms import read_vms
 
 ROW = MappingProxyType(
     {
--- a/tests/daemon/interleaving.py
+++ b/tests/daemon/interleaving.py
@@ -5,15 +5,15 @@
 
 from expression import Error, Ok
 
-from laburnumyard.core.ownership import decode_head
-from laburnumyard.daemon._assignment_store import head_key
-from laburnumyard.daemon._chunk_writer import chunk_key
-from laburnumyard.platform import (
+from laburnumyard.clients import (
     KeyRevision,
     Stored,
     StoreError,
     StoreErrorKind,
 )
+from laburnumyard.core.ownership import decode_head
+from laburnumyard.daemon._assignment_store import head_key
+from laburnumyard.daemon._chunk_writer import chunk_key
 
 SERVICE = 'catalogue'
 HEAD_KEY = head_key(SERVICE)
--- a/tests/daemon/test_chunk_collector.py
+++ b/tests/daemon/test_chunk_collector.py
@@ -5,13 +5,13 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
+from laburnumyard.clients import StoreClient
 from laburnumyard.core import ownership
 from laburnumyard.core.ids import Incarnation
 from laburnumyard.core.ownership._collecting import KEPT_FOR
 from laburnumyard.daemon import _chunk_collector
 from laburnumyard.daemon._assignment_store import AssignmentStore
 from laburnumyard.daemon._chunk_writer import ChunkWriter, chunk_key
-from laburnumyard.platform import StoreClient
 from laburnumyard.schema._generated.settings import StoreSettings
 from standins._serve import serving
 from standins.platform import PlatformApp
--- a/tests/daemon/test_chunk_writer.py
+++ b/tests/daemon/test_chunk_writer.py
@@ -6,9 +6,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from laburnumyard.clients import Stored, StoreError, StoreErrorKind
 from laburnumyard.core.ownership import Chunk
 from laburnumyard.daemon._chunk_writer import ChunkWriter
-from laburnumyard.platform import Stored, StoreError, StoreErrorKind
 
 CHUNKS = (Chunk('a' * 64, b'one'), Chunk('b' * 64, b'two'))
 # The revisions of the head to be replaced, and of what is written after it.
--- a/tests/daemon/test_leaving.py
+++ b/tests/daemon/test_leaving.py
@@ -5,6 +5,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Is
 
+from laburnumyard.clients import Vm, VmState
 from laburnumyard.core import ownership
 from laburnumyard.core.ids import Incarnation
 from laburnumyard.core.ownership._lease import TargetLease
@@ -12,7 +13,6 @@
 from laburnumyard.daemon._orders import OrderSender
 from laburnumyard.daemon._scope_id import ScopeId
 from laburnumyard.daemon._scope_runner import ScopeRunner
-from laburnumyard.platform import Vm, VmState
 from standins._serve import serving
 from standins.target import TargetApp, TargetSettings
 from tests.daemon.world import FixedView, configuration, make_settings
--- a/tests/support/fake_store.py
+++ b/tests/support/fake_store.py
@@ -6,7 +6,7 @@
 import anyio
 from expression import Error, Ok
 
-from laburnumyard.platform.publication._store import (
+from laburnumyard.clients.publication._store import (
     Stored,
     StoreError,
     StoreErrorKind,
--- a/tests/support/faulty_link.py
+++ b/tests/support/faulty_link.py
@@ -2,7 +2,7 @@
 
 from expression import Error
 
-from laburnumyard.platform.publication._store import (
+from laburnumyard.clients.publication._store import (
     StoreError,
     StoreErrorKind,
 )
