Keys of a target whose address is reused are free at once; coordinators stand down

Ruled out: load (refusals were no-owner), lost orders (all were answered). Change: another target at an address is proof of an end; addresses of holders are stored with the assignment; a replaced coordinator is told to stand down; nothing is granted before the store confirmed it (found by a test); a fault in background work is logged and the work starts again; bystanders read targets from a coordinator; assignments are packed.

--- a/src/laburnumyard/core/scheduling/_poison.py
+++ b/src/laburnumyard/core/scheduling/_poison.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
+from functools import partial
 
 from laburnumyard.core.directory import TargetLife
 from laburnumyard.core.ids import DaemonName, Seconds, TargetName
@@ -31,7 +32,7 @@
 
     quarantine: Quarantine = field(default_factory=Quarantine)
     broken: 'defaultdict[TargetLife, deque[Broken]]' = field(
-        default_factory=lambda: defaultdict(lambda: deque(maxlen=MOST_BROKEN))
+        default_factory=partial(defaultdict, partial(deque, maxlen=MOST_BROKEN))
     )
 
     def is_refused(self, work: Work, now: Seconds) -> bool:
--- a/src/laburnumyard/core/shards/_balance.py
+++ b/src/laburnumyard/core/shards/_balance.py
@@ -15,6 +15,9 @@
 SETTLED_AFTER_S = 0.3
 # Loads below this many slot seconds a second are no reason to move.
 LEAST_GAIN = 0.05
+# A target that is busy for a smaller part of its time has room for chance; it
+# is not relieved, since every move holds requests up.
+RELIEF_FROM = 0.3
 # A piece may be this much larger than what a target has to shed.
 LARGEST_FIT = 1.2
 KeyLoads = Sequence[tuple[ShardKey, float]]
@@ -125,7 +128,8 @@
         for _ in range(self.settings.moves_per_round):
             fullest = max(shares, key=_utilization)
             emptiest = min(shares, key=_utilization)
-            if fullest.utilization <= mean * (1 + self.settings.tolerance):
+            most = max(RELIEF_FROM, mean * (1 + self.settings.tolerance))
+            if fullest.utilization <= most:
                 return
             surplus = (fullest.utilization - mean) * fullest.capacity
             room = (mean - emptiest.utilization) * emptiest.capacity
@@ -147,7 +151,7 @@
             if wanted / 3 <= self.load_of(piece) <= wanted * LARGEST_FIT
         ]
         if fitting:
-            return max(fitting, key=self.load_of)
+            return min(fitting, key=_width)
         larger = [piece for piece in movable if self.load_of(piece) > wanted]
         if larger and len(self.pieces) < self.settings.most_pieces:
             return self._cut(share, min(larger, key=self.load_of), wanted)
@@ -190,6 +194,11 @@
         share.load += LEAST_GAIN / 10
 
 
+def _width(piece: Piece) -> int:
+    """Return how many keys a piece has; what moves is paid for by key."""
+    return piece.last - piece.first + 1
+
+
 def _utilization(share: Share) -> float:
     return share.utilization
 
--- a/src/laburnumyard/core/shards/_manager.py
+++ b/src/laburnumyard/core/shards/_manager.py
@@ -10,6 +10,7 @@
 from bisect import bisect_right
 from collections.abc import Iterable, Iterator, Mapping
 from operator import attrgetter
+from weakref import WeakKeyDictionary
 
 from laburnumyard.core.directory import TargetLife
 from laburnumyard.core.ids import FencingToken, Seconds, ShardKey, TargetId
@@ -57,7 +58,8 @@
         self.load = KeyLoad()
         self.dead: set[TargetLife] = set()
         self.silent_since: dict[TargetLife, Seconds] = {}
-        self.paused_until: dict[Piece, Seconds] = {}
+        self.paused_until: WeakKeyDictionary[Piece, Seconds]
+        self.paused_until = WeakKeyDictionary()
 
     def take_over(self, assignment: Assignment, now: Seconds) -> None:
         """Go on from the stored assignment.
@@ -221,6 +223,9 @@
 
     def next_order(self, piece: Piece, now: Seconds) -> Iterator[Order]:
         """Yield the order that a piece needs now, if any."""
+        # What the store has not confirmed has no fencing token.
+        if not piece.token:
+            return
         if piece.is_ordered or self.paused_until.get(piece, 0) > now:
             return
         if piece.phase is Phase.RELEASING:
--- a/src/laburnumyard/core/shards/_pieces.py
+++ b/src/laburnumyard/core/shards/_pieces.py
@@ -36,7 +36,7 @@
     until: Seconds
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, weakref_slot=True)
 class Piece:
     """A range of keys with one holder.
 
--- a/src/laburnumyard/gateway/_coordination.py
+++ b/src/laburnumyard/gateway/_coordination.py
@@ -11,7 +11,9 @@
 from laburnumyard.core.directory import records_of
 from laburnumyard.core.ids import (
     AttemptId,
+    DaemonName,
     DataCentre,
+    Incarnation,
     RouteName,
     Seconds,
     ServiceName,
@@ -24,17 +26,20 @@
 from laburnumyard.gateway._ports import Platform
 from laburnumyard.gateway._session import Session
 from laburnumyard.gateway._shard_runner import ShardRunner
+from laburnumyard.gateway._supervision import keep_running
 from laburnumyard.gateway._tuning import Tuning
-from laburnumyard.gateway._view import Coordinator, View
+from laburnumyard.gateway._view import Coordinator, Member, View
 from laburnumyard.schema._generated import messages
 from laburnumyard.telemetry import Event, log_event
-from laburnumyard.wire import Connection
+from laburnumyard.wire import Connection, LinkPool, Peer
 
 MS_PER_SECOND = 1000
 NO_KEY = MAX_SHARD_KEY + 1
 # Requests that wait are looked at this often, in seconds; the shortest
 # objective of the users is 200 ms.
 TICK_S = 0.05
+# The longest wait for an earlier coordinator to stand down, in seconds.
+STAND_DOWN_S = 0.4
 OUTCOMES = MappingProxyType({outcome.value: outcome for outcome in Outcome})
 
 Link = Connection
@@ -80,6 +85,8 @@
         The session under which roles are held.
     tuning
         Bounds of schedulers and shard managers.
+    pool
+        Links to earlier coordinators.
     tasks
         Where roles run.
     """
@@ -90,9 +97,11 @@
         view: View,
         session: Session,
         tuning: Tuning,
+        pool: LinkPool,
         tasks: TaskGroup,
     ) -> None:
         """Start without roles."""
+        self.pool = pool
         self.platform = platform
         self.view = view
         self.session = session
@@ -140,13 +149,14 @@
                 self.session,
                 manager,
             )
+            runner.stand_down = self.stand_down
             self.tasks.start_soon(self.run_role, role, runner)
         self.view.take_coordinator(service, mine)
 
     async def run_role(self, role: Role, runner: ShardRunner) -> None:
         """Manage the keys of a service until the role ends."""
         with role.scope:
-            await runner.run(role.desk)
+            await keep_running('shards', partial(runner.run, role.desk))
 
     def drop_role(self, service: ServiceName, reason: str) -> None:
         """Stop to coordinate a service."""
@@ -232,6 +242,37 @@
         if work is not None:
             work.desk.withdraw(work.work_id)
 
+    @take.register
+    def _(self, message: messages.StandDown, link: Link) -> None:
+        sender = link.remote
+        if sender is None:
+            return
+        member = Member(
+            DaemonName(sender.daemon),
+            sender.peer_address,
+            Incarnation(sender.incarnation),
+        )
+        service = ServiceName(message.service)
+        self.view.take_coordinator(service, Coordinator(member, message.epoch))
+        role = self.roles.get(service)
+        if role is None or role.epoch >= message.epoch:
+            link.send(messages.Pong(message.number))
+
+    async def stand_down(
+        self, member: Member, service: ServiceName, epoch: int
+    ) -> bool:
+        """Tell an earlier coordinator that it has been replaced.
+
+        Returns
+        -------
+        bool
+            Whether it gives no more orders.
+        """
+        peer = Peer(member.name, member.address)
+        message = messages.StandDown(0, service, epoch)
+        answered = await self.pool.request(peer, message, STAND_DOWN_S)
+        return answered.is_ok()
+
     def forget_link(self, link: Link) -> None:
         """Give back what a gateway held whose link is gone."""
         for work in self.remote.pop(link, {}).values():
--- a/src/laburnumyard/gateway/_follower.py
+++ b/src/laburnumyard/gateway/_follower.py
@@ -1,7 +1,8 @@
 """Follows the store: configuration, targets, members and coordinators."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
@@ -16,6 +17,7 @@
     assignment_key,
 )
 from laburnumyard.gateway._store_health import StoreHealth
+from laburnumyard.gateway._supervision import keep_running
 from laburnumyard.gateway._target_entries import TargetEntries
 from laburnumyard.gateway._view import View
 from laburnumyard.telemetry import Event, log_event
@@ -88,6 +90,8 @@
         self.view = view
         self.health = health
         self.is_coordinator = is_coordinator
+        # Returns up to which revision a coordinator told the targets.
+        self.ask_coordinator: Callable[[int], Awaitable[int]] = _nobody
         self.cache = ItemCache()
         self.gateways = GatewayRecords(view, self.cache)
         self.entries = TargetEntries(platform.dialect, view, self.cache, health)
@@ -130,15 +134,17 @@
     def start(self, tasks: TaskGroup) -> None:
         """Follow everything beside the caller."""
         for feed in self.feeds:
-            tasks.start_soon(self.follow, feed)
-        tasks.start_soon(self.follow_assignments)
+            follow = partial(self.follow, feed)
+            tasks.start_soon(keep_running, feed.prefix, follow)
+        tasks.start_soon(keep_running, 'assignments', self.follow_assignments)
 
     async def follow(self, feed: Feed) -> None:
         """Follow one prefix for ever."""
         while True:
             if feed.is_read:
                 await anyio.sleep(feed.pause())
-                await self.read_changes(feed)
+                if not await self.is_told_by_peer(feed):
+                    await self.read_changes(feed)
             else:
                 await self.read_all(feed)
             if not self.health.is_reached:
@@ -175,6 +181,26 @@
             log_event(Event.STORE, state='history-gone', prefix=feed.prefix)
             feed.is_read = False
 
+    async def is_told_by_peer(self, feed: Feed) -> bool:
+        """Take the changes of targets from a peer that reads them anyway.
+
+        Targets write all the time; what a coordinator passes on is a small
+        part of what the store would send.
+        """
+        is_targets = feed.prefix == self.platform.dialect.target_prefix
+        if not is_targets or self.is_coordinator():
+            return False
+        complete_to = await self.ask_coordinator(feed.revision)
+        feed.revision = max(feed.revision, complete_to)
+        return complete_to > 0
+
+    @property
+    def targets_known_to(self) -> int:
+        """Up to which revision the store itself told the targets; 0 if old."""
+        feed = self.feeds[-1]
+        is_fresh = self.health.is_reached and self.is_coordinator()
+        return feed.revision if is_fresh and feed.is_read else 0
+
     def stop_watching(self) -> None:
         """End long waits: a store that is back would not know of them."""
         for scope in tuple(self.watching):
@@ -244,6 +270,10 @@
         return BYSTANDER_PAUSE_S
 
 
+async def _nobody(after: int) -> int:
+    return 0
+
+
 def _rest() -> float:
     return 0
 
--- a/src/laburnumyard/gateway/_items.py
+++ b/src/laburnumyard/gateway/_items.py
@@ -49,14 +49,26 @@
             self.malformed.add(key)
             log_event(Event.FAULT, 'WARNING', key=key, problem=problem)
 
-    def encode(self, number: int, after: int) -> messages.StoredItems:
-        """Return the items that changed after a revision."""
+    def encode(
+        self, number: int, after: int, complete_to: int
+    ) -> messages.StoredItems:
+        """Return the items that changed after a revision.
+
+        Parameters
+        ----------
+        number
+            Of the request.
+        after
+            The revision.
+        complete_to
+            Up to which revision all targets are known; 0 where that is old.
+        """
         rows = (
             messages.StoredItem(item.key, item.content or b'', item.revision)
             for item in self.items.values()
             if item.revision > after
         )
-        return messages.StoredItems(number, tuple(rows))
+        return messages.StoredItems(number, tuple(rows), complete_to)
 
     def _bound_removed(self) -> None:
         removed = [
--- a/src/laburnumyard/gateway/_peers.py
+++ b/src/laburnumyard/gateway/_peers.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Iterable
+from operator import attrgetter
 
 import anyio
 
@@ -55,6 +56,7 @@
         self.pool = pool
         self.mine = mine
         self.addresses = tuple(addresses)
+        follower.ask_coordinator = self.ask_coordinator
 
     async def run(self) -> None:
         """Ask while the store is out of reach, for ever."""
@@ -66,10 +68,30 @@
     async def ask(self) -> None:
         """Ask one peer."""
         peers = self.peers()
-        if not peers:
-            return
-        peer = random.choice(peers)
-        message = messages.FetchItems(0, self.follower.complete_to)
+        if peers:
+            await self.fetch(random.choice(peers), self.follower.complete_to)
+
+    async def ask_coordinator(self, after: int) -> int:
+        """Ask a coordinator for the targets that changed.
+
+        Returns
+        -------
+        int
+            Up to which revision they are known; 0 if nobody told.
+        """
+        others = [
+            known.member
+            for known in self.view.coordinators.values()
+            if known.member.name != self.mine.name
+        ]
+        if not others:
+            return 0
+        member = min(others, key=attrgetter('name'))
+        return await self.fetch(Peer(member.name, member.address), after)
+
+    async def fetch(self, peer: Peer, after: int) -> int:
+        """Take the items of a peer that changed after a revision."""
+        message = messages.FetchItems(0, after)
         answered = await self.pool.request(peer, message, ANSWER_TIMEOUT_S)
         if answered.is_error():
             log_event(
@@ -81,6 +103,8 @@
             )
         elif isinstance(answered.ok, messages.StoredItems):
             self.follower.take_from_peer(decode_items(answered.ok))
+            return int(answered.ok.complete_to)
+        return 0
 
     def peers(self) -> list[Peer]:
         """Return who can be asked."""
--- a/src/laburnumyard/gateway/_records.py
+++ b/src/laburnumyard/gateway/_records.py
@@ -1,7 +1,9 @@
 """What the gateways keep in the store, under keys of their own."""
 
 import json
-from collections.abc import Callable, Iterable
+import zlib
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -33,8 +35,10 @@
 # Not below ROOT: assignments are large, and only coordinators follow them.
 ASSIGNMENTS = 'laburnumyard-assignment/'
 LONGEST_TEXT = 200
-# The numbers at the start of a piece's row.
-PIECE_NUMBERS = 4
+# What broken bytes, JSON or rows raise.
+UNREADABLE = (TypeError, ValueError, LookupError, zlib.error)
+# The longest record that is read, in bytes; the store's values are shorter.
+MOST_RECORD_BYTES = 4_194_304
 
 
 def member_key(name: DaemonName) -> str:
@@ -68,32 +72,51 @@
     return _checked(_read_member, content)
 
 
-def encode_assignment(pieces: Iterable[Piece], writer: Member) -> bytes:
+def encode_assignment(
+    pieces: Iterable[Piece],
+    writer: Member,
+    addresses: Mapping[TargetLife, str],
+) -> bytes:
     """Return the record of an assignment.
 
     Pieces that the write itself moves have the token 0: its revision, which
     is their token, is known only afterwards.
     """
-    rows = [
-        [
-            piece.first,
-            piece.last,
-            piece.holder.started_at_ms,
-            piece.token,
-            piece.holder.target,
-            [
-                [former.life.target, former.life.started_at_ms]
-                for former in piece.formers
-            ],
-        ]
-        for piece in pieces
-    ]
-    fields = {'writer': json.loads(encode_member(writer)), 'pieces': rows}
-    return json.dumps(fields, separators=(',', ':')).encode()
-
-
-def decode_assignment(item: Item) -> Result[tuple[Assignment, Member], str]:
-    """Return a stored assignment and who wrote it."""
+    lives: dict[TargetLife, int] = {}
+    rows = [_piece_row(piece, lives) for piece in pieces]
+    fields = {
+        'writer': json.loads(encode_member(writer)),
+        'lives': [
+            [life.target, life.started_at_ms, addresses.get(life, '')]
+            for life in lives
+        ],
+        'pieces': rows,
+    }
+    return zlib.compress(json.dumps(fields, separators=(',', ':')).encode())
+
+
+@dataclass(frozen=True, slots=True)
+class StoredAssignment:
+    """An assignment and what else its record says.
+
+    Parameters
+    ----------
+    assignment
+        The pieces.
+    writer
+        The coordinator that wrote it.
+    addresses
+        Where its holders and former holders were reached; a target that has
+        left the directory may still hold keys.
+    """
+
+    assignment: Assignment
+    writer: Member
+    addresses: Mapping[TargetLife, str]
+
+
+def decode_assignment(item: Item) -> Result[StoredAssignment, str]:
+    """Return a stored assignment, or what is wrong with its record."""
     read = partial(_read_assignment, item.revision)
     return _checked(read, item.content or b'')
 
@@ -101,19 +124,33 @@
 def _checked(read: Callable[[bytes], Any], content: bytes) -> Result[Any, str]:
     try:
         return Ok(read(content))
-    except (TypeError, ValueError, LookupError) as fault:
+    except UNREADABLE as fault:
         return Error(f'{type(fault).__name__}: {fault}')
 
 
-def _read_assignment(
-    revision: int, content: bytes
-) -> tuple[Assignment, Member]:
-    fields = read_object(json.loads(content))
+def _read_assignment(revision: int, content: bytes) -> StoredAssignment:
+    unpacked = zlib.decompressobj().decompress(content, MOST_RECORD_BYTES)
+    fields = read_object(json.loads(unpacked))
+    addresses = dict(map(_read_life, read_list(fields.get('lives'))))
+    lives = tuple(addresses)
     pieces = tuple(
-        _read_piece(row, revision) for row in read_list(fields.get('pieces'))
+        _read_piece(read_list(row), revision, lives)
+        for row in read_list(fields.get('pieces'))
     )
     writer = _read_member(json.dumps(fields.get('writer')).encode())
-    return Assignment(revision, pieces), writer
+    return StoredAssignment(Assignment(revision, pieces), writer, addresses)
+
+
+def _read_life(row: Any) -> tuple[TargetLife, str]:
+    target, started, address = read_list(row)
+    return TargetLife(TargetId(str(target)), int(started)), str(address)
+
+
+def _piece_row(piece: Piece, lives: dict[TargetLife, int]) -> list[int]:
+    """Return the numbers of a piece; lives are numbered as they are met."""
+    held_by = [piece.holder, *[former.life for former in piece.formers]]
+    numbers = [lives.setdefault(life, len(lives)) for life in held_by]
+    return [piece.first, piece.last, piece.token, *numbers]
 
 
 def _read_member(content: bytes) -> Member:
@@ -129,21 +166,16 @@
     )
 
 
-def _read_piece(row: Any, revision: int) -> Piece:
-    numbers = read_list(row)[:PIECE_NUMBERS]
-    first, last, started, token = map(int, numbers)
-    target, formers = read_list(row)[PIECE_NUMBERS:]
+def _read_piece(
+    row: list[Any], revision: int, lives: tuple[TargetLife, ...]
+) -> Piece:
+    first, last, token, *numbers = map(int, row)
+    holder, *formers = [lives[number] for number in numbers]
     return Piece(
         ShardKey(first),
         ShardKey(last),
-        TargetLife(TargetId(str(target)), started),
+        holder,
         FencingToken(token or revision),
         phase=Phase.GRANTING,
-        formers=tuple(map(_read_former, read_list(formers))),
+        formers=tuple(Former(life, Seconds(0)) for life in formers),
     )
-
-
-def _read_former(row: Any) -> Former:
-    target, started = read_list(row)
-    life = TargetLife(TargetId(str(target)), int(started))
-    return Former(life, Seconds(0))
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -22,6 +22,7 @@
 from laburnumyard.gateway._session import Session
 from laburnumyard.gateway._slots import Slots
 from laburnumyard.gateway._store_health import StoreHealth
+from laburnumyard.gateway._supervision import keep_running
 from laburnumyard.gateway._target_pool import TargetPool
 from laburnumyard.gateway._tuning import LINK_SETTINGS, tune
 from laburnumyard.gateway._view import Member, View
@@ -78,8 +79,9 @@
             platform.store, self.health, settings.store, self.member
         )
         tuning = tune(settings.bounds)
+        self.links = LinkPool(hello, LINK_SETTINGS)
         self.coordination = Coordination(
-            platform, self.view, self.session, tuning, tasks
+            platform, self.view, self.session, tuning, self.links, tasks
         )
         self.elections = Elections(
             platform.store, self.view, self.session, self.coordination, tasks
@@ -87,7 +89,6 @@
         self.follower = Follower(
             platform, self.view, self.health, self.coordination.has_roles
         )
-        self.links = LinkPool(hello, LINK_SETTINGS)
         self.links.on_lost.append(self.elections.suspect)
         self.reader = PeerReader(
             self.follower,
@@ -133,7 +134,8 @@
         """Take a message of another gateway."""
         if isinstance(message, messages.FetchItems):
             cache = self.follower.cache
-            link.send(cache.encode(message.number, message.after))
+            fresh = self.follower.targets_known_to
+            link.send(cache.encode(message.number, message.after, fresh))
         else:
             self.coordination.take(message, link)
 
@@ -161,7 +163,7 @@
                 self.slots.tick,
                 self.reader.run,
             ):
-                self.tasks.start_soon(start)
+                self.tasks.start_soon(keep_running, start.__qualname__, start)
             log_event(
                 Event.STARTED,
                 daemon=self.member.name,
--- a/src/laburnumyard/gateway/_shard_runner.py
+++ b/src/laburnumyard/gateway/_shard_runner.py
@@ -1,13 +1,15 @@
 """Carries out the assignment of one service's keys."""
 
 import time
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Mapping
+from weakref import WeakKeyDictionary
 
 import anyio
 from anyio.abc import TaskGroup
 
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.directory import (
+    Directory,
     TargetLife,
     TargetRecord,
     TargetState,
@@ -15,9 +17,11 @@
 )
 from laburnumyard.core.ids import ServiceName
 from laburnumyard.core.shards import (
+    Assignment,
     Grant,
     Move,
     Order,
+    Piece,
     Reply,
     ShardManager,
 )
@@ -25,6 +29,7 @@
 from laburnumyard.gateway._ports import Platform, StoreFault, Swap
 from laburnumyard.gateway._reachability import is_refused
 from laburnumyard.gateway._records import (
+    StoredAssignment,
     assignment_key,
     coordinator_key,
     decode_assignment,
@@ -50,6 +55,32 @@
 COLD_PACE = 2.0
 
 
+StandDown = Callable[[Member, ServiceName, int], Awaitable[bool]]
+
+
+def ended_lives(
+    lives: Mapping[TargetLife, str], directory: Directory
+) -> Iterator[TargetLife]:
+    """Yield the lives that have ended for certain.
+
+    A later start of a target, or another target at its address, is proof.
+
+    Parameters
+    ----------
+    lives
+        Known lives and their addresses.
+    directory
+        The targets as they are now.
+    """
+    holders = {record.address: record.life for record in directory.values()}
+    for life, address in lives.items():
+        again = directory.get(life.target)
+        if again and again.life.started_at_ms > life.started_at_ms:
+            yield life
+        elif holders.get(address, life) != life:
+            yield life
+
+
 class ShardRunner:
     """Runs the manager of one service's keys while this gateway coordinates.
 
@@ -69,6 +100,11 @@
         Whose scheduler is told of owners.
     manager
         Decides.
+
+    Attributes
+    ----------
+    stand_down
+        Tells an earlier coordinator that it has been replaced.
     """
 
     def __init__(
@@ -81,6 +117,7 @@
         manager: ShardManager,
     ) -> None:
         """Prepare; see ``run``."""
+        self.stand_down: StandDown = _cannot_ask
         self.service = service
         self.epoch = epoch
         self.platform = platform
@@ -92,6 +129,8 @@
         self.grant_locks: dict[str, anyio.Semaphore] = {}
         self.release_locks: dict[str, anyio.Semaphore] = {}
         self.is_stale = False
+        # The last reply for each piece: only a change of it is logged.
+        self.replies: WeakKeyDictionary[Piece, Reply] = WeakKeyDictionary()
 
     async def run(self, desk: Desk) -> None:
         """Take over the stored assignment and manage it until cancelled."""
@@ -121,8 +160,7 @@
             )
             self.manager.revision = read.ok.revision
             return None
-        assignment, writer = decoded.ok
-        self.manager.take_over(assignment, boot_time())
+        assignment, writer = self.adopt(decoded.ok)
         log_event(
             Event.SHARDS,
             service=self.service,
@@ -134,21 +172,35 @@
         )
         return writer
 
-    async def settle_predecessor(self, predecessor: Member | None) -> None:
-        """Shorten the waits once the earlier coordinator is known to be gone.
+    def adopt(self, stored: StoredAssignment) -> tuple[Assignment, Member]:
+        """Go on from a stored assignment."""
+        self.manager.take_over(stored.assignment, boot_time())
+        for life, address in stored.addresses.items():
+            self.lives.setdefault(life, address)
+        return stored.assignment, stored.writer
 
-        A refused connection, or another start at its address, is proof.
-        """
-        mine = self.session.member
-        while predecessor is not None and predecessor.name != mine.name:
-            known = self.view.members.get(predecessor.name)
-            if known and known.incarnation > predecessor.incarnation:
-                break
-            if await is_refused(predecessor.address):
+    async def settle_predecessor(self, predecessor: Member | None) -> None:
+        """Shorten the waits once the earlier coordinator gives no orders."""
+        while predecessor is not None:
+            if await self.is_settled(predecessor):
                 break
             await anyio.sleep(RETRY_PAUSE_S)
         self.manager.note_predecessor_gone(boot_time())
 
+    async def is_settled(self, predecessor: Member) -> bool:
+        """Tell whether an earlier coordinator gives no more orders.
+
+        A refused connection, a later start of it, or its own word is proof.
+        """
+        if predecessor.name == self.session.member.name:
+            return True
+        known = self.view.members.get(predecessor.name)
+        if known and known.incarnation > predecessor.incarnation:
+            return True
+        if await is_refused(predecessor.address):
+            return True
+        return await self.stand_down(predecessor, self.service, self.epoch)
+
     async def give_orders(self, tasks: TaskGroup) -> None:
         """Send the orders that are due, for ever."""
         while True:
@@ -187,7 +239,9 @@
         reread = self.manager.note_reply(order, reply, handover, now)
         self.is_stale = self.is_stale or reread
         is_news = order.piece.is_in_force(now) != was_in_force
-        if reply is not Reply.DONE or is_news or not isinstance(order, Grant):
+        is_first = self.replies.get(order.piece) is not reply
+        self.replies[order.piece] = reply
+        if is_first or is_news:
             log_event(
                 Event.ORDER,
                 service=self.service,
@@ -227,10 +281,8 @@
         records = tuple(records_of(self.view.directory, self.service))
         for record in records:
             self.lives[record.life] = record.address
-            for life in tuple(self.lives):
-                is_same = life.target == record.target
-                if is_same and life.started_at_ms < record.life.started_at_ms:
-                    self.manager.note_dead(life)
+        for life in ended_lives(self.lives, self.view.directory):
+            self.manager.note_dead(life)
         return [
             record for record in records if record.state is TargetState.READY
         ]
@@ -255,7 +307,7 @@
             },
             {
                 assignment_key(self.service): encode_assignment(
-                    pieces, self.session.member
+                    pieces, self.session.member, self.lives
                 ),
             },
         )
@@ -300,8 +352,7 @@
         if decoded.is_error():
             log_event(Event.FAULT, 'ERROR', problem=decoded.error)
             return
-        assignment, writer = decoded.ok
-        self.manager.take_over(assignment, boot_time())
+        assignment, writer = self.adopt(decoded.ok)
         if writer == self.session.member:
             self.manager.note_predecessor_gone(boot_time())
         log_event(
@@ -311,3 +362,7 @@
             revision=assignment.revision,
             writer=writer.name,
         )
+
+
+async def _cannot_ask(member: Member, service: ServiceName, epoch: int) -> bool:
+    return False
--- a/src/laburnumyard/gateway/_slots.py
+++ b/src/laburnumyard/gateway/_slots.py
@@ -207,7 +207,7 @@
             return
         decoded = decode_assignment(item)
         if decoded.is_ok():
-            manager.follow(decoded.ok[0], boot_time())
+            manager.follow(decoded.ok.assignment, boot_time())
 
     def update_targets(self) -> None:
         """Tell the schedulers of this process the targets."""
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -852,6 +852,30 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class StandDown:
+    """The message ``StandDown`` of messages.capnp."""
+
+    number: int
+    service: str
+    epoch: int
+
+
+def _write_stand_down(message: StandDown, builder: Any) -> None:
+    builder.number = message.number
+    builder.service = message.service
+    builder.epoch = message.epoch
+
+
+def _read_stand_down(reader: Any) -> StandDown:
+    get = reader._get
+    return StandDown(
+        number=get('number'),
+        service=get('service'),
+        epoch=get('epoch'),
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class StoredItem:
     """The message ``StoredItem`` of messages.capnp."""
@@ -882,6 +906,7 @@
 
     number: int
     items: tuple[StoredItem, ...]
+    complete_to: int
 
 
 def _write_stored_items(message: StoredItems, builder: Any) -> None:
@@ -890,6 +915,7 @@
     slots = builder.init('items', len(parts))
     for slot, part in zip(slots, parts, strict=True):
         _write_stored_item(part, slot)
+    builder.completeTo = message.complete_to
 
 
 def _read_stored_items(reader: Any) -> StoredItems:
@@ -897,6 +923,7 @@
     return StoredItems(
         number=get('number'),
         items=tuple(map(_read_stored_item, get('items'))),
+        complete_to=get('completeTo'),
     )
 
 
@@ -1115,6 +1142,7 @@
     | Done
     | FetchItems
     | StoredItems
+    | StandDown
 )
 
 _WRITERS: dict[type, Any] = {
@@ -1146,6 +1174,7 @@
     Done: ('done', _write_done),
     FetchItems: ('fetchItems', _write_fetch_items),
     StoredItems: ('storedItems', _write_stored_items),
+    StandDown: ('standDown', _write_stand_down),
 }
 _READERS: dict[str, Any] = {
     'hello': _read_hello,
@@ -1176,6 +1205,7 @@
     'done': _read_done,
     'fetchItems': _read_fetch_items,
     'storedItems': _read_stored_items,
+    'standDown': _read_stand_down,
 }
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -296,6 +296,14 @@
   outcome @1 :Text;
 }
 
+# Tells an earlier coordinator of a service that the sender has replaced it; it
+# answers with a Pong of the same number once it gives no more orders.
+struct StandDown {
+  number @0 :UInt64;
+  service @1 :Text;
+  epoch @2 :UInt64;
+}
+
 # Asks a peer for what it has read from the store, while the store is away.
 struct FetchItems {
   number @0 :UInt64;
@@ -307,6 +315,9 @@
 struct StoredItems {
   number @0 :UInt64;
   items @1 :List(StoredItem);
+  # Up to which revision the peer knows all targets from the store itself; 0
+  # where it does not reach the store.
+  completeTo @2 :UInt64;
 }
 
 struct StoredItem {
@@ -345,5 +356,6 @@
     done @25 :Done;
     fetchItems @26 :FetchItems;
     storedItems @27 :StoredItems;
+    standDown @28 :StandDown;
   }
 }
--- a/src/standins/service_model.py
+++ b/src/standins/service_model.py
@@ -38,6 +38,8 @@
     ShardSettings,
 )
 
+# When, in which order, and what happens then.
+Event = tuple[float, int, Callable[[], None]]
 OBJECTIVE_S = 0.4
 TIMEOUT_S = 0.8
 LATE_VALUE = 0.3
@@ -127,7 +129,7 @@
         self.manager = ShardManager(settings or ShardSettings())
         self.scheduler = Scheduler(SchedulerSettings(), self.manager)
         self.result = Result()
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.events: list[Event] = []
         self.numbers = count()
         self.revisions = count(1)
         self.arrivals: dict[WorkId, Arrival] = {}
--- a/tests/core/shards/test_manager.py
+++ b/tests/core/shards/test_manager.py
@@ -209,3 +209,9 @@
     moves = manager.plan(lives('b'), {}, 1.0)
     assert_that({move.to for move in moves}, Equals({life('b')}))
     assert_that({move.piece.holder for move in moves}, Equals({life('a')}))
+
+
+def test_nothing_is_granted_before_the_store_has_confirmed_it():
+    manager = ShardManager(SETTINGS)
+    manager.plan(lives('a', 'b'), {}, 0)
+    assert_that(list(manager.due_orders(0)), Equals([]))
--- /dev/null
+++ b/tests/gateway/test_shard_runner.py
@@ -0,0 +1,256 @@
+import anyio
+import pytest
+from expression import Error, Ok
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals
+
+from laburnumyard.clocks import boot_time
+from laburnumyard.core.directory import TargetLife, TargetRecord, TargetState
+from laburnumyard.core.ids import (
+    DataCentre,
+    Seconds,
+    ServiceName,
+    ShardKey,
+    TargetId,
+)
+from laburnumyard.core.scheduling import Scheduler, SchedulerSettings
+from laburnumyard.core.shards import (
+    Reply,
+    ShardManager,
+    ShardSettings,
+)
+from laburnumyard.gateway import Platform
+from laburnumyard.gateway._desk import Desk
+from laburnumyard.gateway._ports import (
+    Item,
+    OrderReply,
+    StoreError,
+    StoreFault,
+)
+from laburnumyard.gateway._records import decode_assignment
+from laburnumyard.gateway._shard_runner import ShardRunner, ended_lives
+from laburnumyard.gateway._view import Member, View
+
+pytestmark = pytest.mark.anyio
+SERVICE = ServiceName('catalogue')
+GENEROUS_S = 10
+GONE = Member('gone', '127.0.0.1:1', 1)
+
+
+class FakeStore:
+    """Keeps one assignment; conflicts and lost answers are queued."""
+
+    def __init__(self):
+        self.item = Item('', None, 0)
+        self.revision = 10
+        self.faults = []
+
+    async def read(self, key):
+        return Ok(self.item)
+
+    async def swap(self, swap):
+        fault = self.faults.pop(0) if self.faults else None
+        if fault is StoreFault.CONFLICT:
+            return Error(StoreError(fault))
+        self.revision += 1
+        (content,) = swap.puts.values()
+        self.item = Item('', content, self.revision)
+        if fault:
+            return Error(StoreError(fault, may_apply=True))
+        return Ok(self.revision)
+
+
+class FakeOrders:
+    """Targets that do what they are told, or what a test says."""
+
+    def __init__(self):
+        self.given = []
+        self.replies = {}
+
+    async def send(self, order, address, timeout_s):
+        await anyio.lowlevel.checkpoint()
+        self.given.append((type(order).__name__, order.life.target, address))
+        reply = self.replies.get(order.life.target, Reply.DONE)
+        return OrderReply(reply, 'handover')
+
+
+class FakeSession:
+    member = Member('lima-a-1', '127.0.0.1:7001', 5)
+
+
+def make_record(name, started=1, state=TargetState.READY):
+    return TargetRecord(
+        TargetLife(TargetId(name), started),
+        SERVICE,
+        f'10.0.0.{name}:80',
+        DataCentre('lima-a'),
+        3,
+        state,
+        Seconds(0),
+    )
+
+
+@pytest.fixture
+def view():
+    known = View()
+    known.take_directory(
+        {TargetId(name): make_record(name) for name in '12'}, Seconds(0)
+    )
+    return known
+
+
+@pytest.fixture
+def store():
+    return FakeStore()
+
+
+@pytest.fixture
+def orders():
+    return FakeOrders()
+
+
+@pytest.fixture
+def make_runner(view, store, orders):
+    def build(epoch=5):
+        manager = ShardManager(ShardSettings())
+        platform = Platform(store, orders, None)
+        runner = ShardRunner(
+            SERVICE, epoch, platform, view, FakeSession, manager
+        )
+        scheduler = Scheduler(SchedulerSettings(), manager)
+        return runner, Desk(SERVICE, scheduler)
+
+    return build
+
+
+async def run_until(runner, desk, condition):
+    with anyio.fail_after(GENEROUS_S):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(runner.run, desk)
+            while True:
+                if condition(runner.manager):
+                    break
+                await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+
+def all_served(manager):
+    now = boot_time()
+    return manager.pieces and all(
+        piece.is_in_force(now) for piece in manager.pieces
+    )
+
+
+async def test_keys_are_dealt_stored_and_granted(make_runner, store, orders):
+    runner, desk = make_runner()
+    await run_until(runner, desk, all_served)
+    stored = decode_assignment(store.item).ok
+    assert_that(stored.writer, Equals(FakeSession.member))
+    assert_that(
+        set(stored.addresses.values()),
+        Equals({'10.0.0.1:80', '10.0.0.2:80'}),
+    )
+    assert_that({given[0] for given in orders.given}, Equals({'Grant'}))
+
+
+@pytest.mark.parametrize(
+    'fault', [StoreFault.CONFLICT, StoreFault.TIMEOUT, StoreFault.REFUSED]
+)
+async def test_a_write_that_failed_or_lost_its_answer_is_settled(
+    make_runner, store, fault
+):
+    store.faults = [fault]
+    runner, desk = make_runner()
+    await run_until(runner, desk, all_served)
+    assert_that(runner.manager.revision, Equals(store.item.revision))
+
+
+async def test_a_former_holder_without_an_entry_is_still_released(
+    make_runner, view, orders
+):
+    """A target that is cut from the store serves until it is told."""
+    runner, desk = make_runner()
+    await run_until(runner, desk, all_served)
+    view.take_directory({TargetId('2'): make_record('2')}, Seconds(0))
+    orders.given.clear()
+    runner, desk = make_runner(epoch=6)
+    await run_until(
+        runner,
+        desk,
+        lambda manager: (
+            all_served(manager) and manager.destination(ShardKey(0)) == '2'
+        ),
+    )
+    assert_that(orders.given, Contains(('Release', '1', '10.0.0.1:80')))
+
+
+async def test_a_former_holder_whose_address_is_reused_is_not_waited_for(
+    make_runner, view, orders
+):
+    """Seen on inkingi trouble-1: keys had no owner for 38 s."""
+    runner, desk = make_runner()
+    await run_until(runner, desk, all_served)
+    other = TargetRecord(
+        TargetLife(TargetId('9'), 1),
+        ServiceName('orders'),
+        '10.0.0.1:80',
+        DataCentre('lima-a'),
+        3,
+        TargetState.READY,
+        Seconds(0),
+    )
+    view.take_directory(
+        {TargetId('2'): make_record('2'), TargetId('9'): other}, Seconds(0)
+    )
+    orders.replies['1'] = Reply.REJECTED
+    runner, desk = make_runner(epoch=6)
+    await run_until(runner, desk, all_served)
+    assert_that(runner.manager.destination(ShardKey(0)), Equals('2'))
+
+
+async def test_a_predecessor_that_stands_down_shortens_the_wait(
+    make_runner, orders
+):
+    told = []
+
+    async def stand_down(member, service, epoch):
+        told.append((member.name, epoch))
+        return True
+
+    runner, _ = make_runner()
+    runner.stand_down = stand_down
+    # Something listens there, as where a live gateway has been replaced.
+    server = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    port = server.extra(anyio.abc.SocketAttribute.local_port)
+    member = Member('lima-b-1', f'127.0.0.1:{port}', 1)
+    async with server:
+        await runner.settle_predecessor(member)
+    assert_that(told, Equals([('lima-b-1', 5)]))
+
+
+async def test_a_predecessor_whose_process_ended_is_not_asked(make_runner):
+    runner, _ = make_runner()
+    with anyio.fail_after(GENEROUS_S):
+        await runner.settle_predecessor(GONE)
+
+
+def test_lives_that_ended_for_certain():
+    lives = {
+        TargetLife(TargetId('1'), 1): '10.0.0.1:80',
+        TargetLife(TargetId('2'), 1): '10.0.0.2:80',
+        TargetLife(TargetId('3'), 1): '10.0.0.9:80',
+    }
+    directory = {
+        TargetId('1'): make_record('1', started=2),
+        TargetId('8'): TargetRecord(
+            TargetLife(TargetId('8'), 1),
+            SERVICE,
+            '10.0.0.2:80',
+            DataCentre('lima-a'),
+            3,
+            TargetState.READY,
+            Seconds(0),
+        ),
+    }
+    ended = [life.target for life in ended_lives(lives, directory)]
+    assert_that(ended, Equals(['1', '2']))
