--- a/src/laburnumyard/gateway/_desk.py
+++ b/src/laburnumyard/gateway/_desk.py
@@ -26,7 +26,7 @@
     Work,
     WorkId,
 )
-from laburnumyard.telemetry import Event, log_decision
+from laburnumyard.telemetry import METRICS, Event, log_decision
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,6 +193,11 @@
     @verdict.register
     def _(self, decision: Refuse) -> Verdict:
         work = decision.work
+        METRICS.count(
+            'refusals_total',
+            service=self.service,
+            reason=decision.reason.value,
+        )
         log_decision(
             Event.REFUSED,
             request=work.attempt_id,
--- a/src/laburnumyard/gateway/_requests.py
+++ b/src/laburnumyard/gateway/_requests.py
@@ -33,7 +33,7 @@
 from laburnumyard.gateway._slots import Slot, Slots
 from laburnumyard.gateway._target_pool import TargetPool
 from laburnumyard.gateway._view import View
-from laburnumyard.telemetry import Event, log_decision
+from laburnumyard.telemetry import METRICS, Event, log_decision
 from laburnumyard.transport import (
     TargetFailure,
     TargetRequest,
@@ -148,6 +148,11 @@
         """Return the answer to a request."""
         head = self.dialect.read_request(request.headers)
         ending = await self.end(request, head)
+        METRICS.count(
+            'requests_total',
+            status=ending.answer.status,
+            reason=ending.reason,
+        )
         log_decision(
             Event.ANSWERED,
             request=head.attempt_id or 'none',
@@ -179,6 +184,8 @@
             returned=attempt.is_returned,
         )
         ending = await self.run(attempt)
+        took = boot_time() - request.arrived_at
+        METRICS.observe(attempt.service, took)
         return ending
 
     def begin(
@@ -259,18 +266,25 @@
         try:
             ending, outcome = await self.exchange(attempt, slot)
         finally:
-            self.slots.give_back(slot, outcome)
-            log_decision(
-                Event.SENT,
-                request=attempt.attempt_id,
-                target=slot.life.target,
-                outcome=outcome,
-                runs=attempt.runs,
-            )
+            self.end_send(attempt, slot, outcome)
         if outcome is not Outcome.NOT_OWNER:
             attempt.tried.add(slot.life.target)
         return ending
 
+    def end_send(self, attempt: Attempt, slot: Slot, outcome: Outcome) -> None:
+        """Give back the slot of a send."""
+        self.slots.give_back(slot, outcome)
+        METRICS.count(
+            'sends_total', service=attempt.service, outcome=outcome.value
+        )
+        log_decision(
+            Event.SENT,
+            request=attempt.attempt_id,
+            target=slot.life.target,
+            outcome=outcome,
+            runs=attempt.runs,
+        )
+
     async def exchange(
         self, attempt: Attempt, slot: Slot
     ) -> tuple[Ending | None, Outcome]:
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -2,7 +2,7 @@
 
 import gc
 import signal
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
 
 import anyio
@@ -28,9 +28,14 @@
 from laburnumyard.gateway._view import Member, View
 from laburnumyard.schema._generated import messages
 from laburnumyard.schema._generated.gateway import GatewaySettings
-from laburnumyard.telemetry import Event, log_event
+from laburnumyard.telemetry import METRICS, Event, log_event
 from laburnumyard.wire import Connection, LinkPool, LinkServer
 
+Reload = Callable[[], GatewaySettings | None]
+
+# How often the settings are read, in seconds; they may change without a
+# signal.
+RELOAD_INTERVAL_S = 2.0
 # The balancer takes a gateway out after two checks, one a second; until then
 # it still sends new connections.
 NOTICE_S = 2.6
@@ -47,6 +52,8 @@
     ----------
     settings
         Checked settings.
+    reload
+        Reads the settings anew; None where they cannot be read.
     platform
         The platform that it runs on.
     tasks
@@ -54,10 +61,15 @@
     """
 
     def __init__(
-        self, settings: GatewaySettings, platform: Platform, tasks: TaskGroup
+        self,
+        settings: GatewaySettings,
+        reload: Reload,
+        platform: Platform,
+        tasks: TaskGroup,
     ) -> None:
         """Put the parts together."""
         self.settings = settings
+        self.reload = reload
         self.tasks = tasks
         daemon = settings.daemon
         self.member = Member(
@@ -144,6 +156,27 @@
         table = self.view.routes
         return table.limits if table else CallerLimits()
 
+    async def report(self, request: CallerRequest) -> CallerAnswer:
+        """Answer a scraper of metrics."""
+        headers = (('content-type', 'text/plain; charset=utf-8'),)
+        content = METRICS.render().encode()
+        return CallerAnswer(HTTPStatus.OK, headers, content)
+
+    async def listen(self) -> None:
+        """Accept connections; the metrics page is no reason not to start."""
+        listen = self.settings.listen
+        await self.checks.listen(listen.readiness)
+        await self.callers.listen(listen.callers)
+        if listen.metrics_port:
+            host, _, _ = listen.callers.rpartition(':')
+            page = CallerServer(self.report, CallerLimits, self.tasks)
+            try:
+                await page.listen(f'{host}:{listen.metrics_port}')
+            except OSError as fault:
+                log_event(
+                    Event.FAULT, 'ERROR', work='metrics', fault=repr(fault)
+                )
+
     async def check(self, request: CallerRequest) -> CallerAnswer:
         """Answer a readiness check."""
         if self.is_ready:
@@ -153,8 +186,7 @@
     async def serve(self, signals: AsyncIterator[signal.Signals]) -> None:
         """Serve until told to stop, then drain."""
         async with self.peers, self.links:
-            await self.checks.listen(self.settings.listen.readiness)
-            await self.callers.listen(self.settings.listen.callers)
+            await self.listen()
             self.follower.start(self.tasks)
             for start in (
                 self.session.run,
@@ -162,6 +194,7 @@
                 self.elections.run,
                 self.slots.tick,
                 self.reader.run,
+                self.watch_settings,
             ):
                 self.tasks.start_soon(keep_running, start.__qualname__, start)
             log_event(
@@ -181,7 +214,28 @@
         async for received in signals:
             if received is not signal.SIGHUP:
                 return
-            log_event(Event.RELOADED, signal='SIGHUP', changed='nothing')
+            self.take_settings(self.reload(), 'SIGHUP')
+
+    async def watch_settings(self) -> None:
+        """Take settings that change without a signal, for ever."""
+        while True:
+            await anyio.sleep(RELOAD_INTERVAL_S)
+            self.take_settings(self.reload(), 'interval')
+
+    def take_settings(
+        self, settings: GatewaySettings | None, cause: str
+    ) -> None:
+        """Adopt changed settings; addresses of our own stay as they are."""
+        if settings is None or settings == self.settings:
+            return
+        self.settings = settings
+        self.reader.addresses = tuple(settings.machine.peers)
+        self.coordination.tuning = tune(settings.bounds)
+        log_event(
+            Event.RELOADED,
+            cause=cause,
+            peers=len(settings.machine.peers),
+        )
 
     async def drain(self) -> None:
         """Hand over the roles, and end what is in flight whole."""
@@ -221,20 +275,24 @@
             await self.session.close()
 
 
-async def serve(settings: GatewaySettings, platform: Platform) -> None:
+async def serve(
+    settings: GatewaySettings, reload: Reload, platform: Platform
+) -> None:
     """Run a gateway until SIGTERM or SIGINT, then have it drain.
 
     Parameters
     ----------
     settings
         Checked settings.
+    reload
+        Reads the settings anew; None where they cannot be read.
     platform
         The platform that it runs on.
     """
     handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*handled) as signals:
         async with anyio.create_task_group() as tasks:
-            gateway = Gateway(settings, platform, tasks)
+            gateway = Gateway(settings, reload, platform, tasks)
             gc.collect()
             gc.freeze()
             await gateway.serve(signals)
--- a/src/laburnumyard/gateway/_store_health.py
+++ b/src/laburnumyard/gateway/_store_health.py
@@ -7,7 +7,7 @@
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import Seconds
 from laburnumyard.gateway._ports import StoreError, StoreFault
-from laburnumyard.telemetry import Event, log_event
+from laburnumyard.telemetry import METRICS, Event, log_event
 
 # Answers of a store that is well.
 ANSWERS = frozenset(
@@ -73,6 +73,7 @@
         self.since = now
         if before is Reach.LOST:
             self.returned_at = now
+        METRICS.count('store_changes_total', state=reach.value)
         log_event(
             Event.STORE,
             'INFO' if self.is_reached else 'WARNING',
--- a/src/laburnumyard/platform/__main__.py
+++ b/src/laburnumyard/platform/__main__.py
@@ -5,6 +5,7 @@
 
 import os
 import sys
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -12,26 +13,39 @@
 from laburnumyard.core.ids import Seconds
 from laburnumyard.gateway import load_gateway_settings, serve
 from laburnumyard.platform._connecting import connect_platform
+from laburnumyard.schema._generated.gateway import GatewaySettings
 from laburnumyard.telemetry import configure_stdout
 
 SETTINGS_VARIABLE = 'LABURNUMYARD_CONFIG'
 USAGE = 2
 
 
+def read_settings(source: str) -> GatewaySettings | None:
+    """Return the settings of a file, or None after telling what is wrong."""
+    try:
+        text = Path(source).read_text()
+    except (OSError, UnicodeDecodeError) as fault:
+        sys.stderr.write(f'{source}: {fault}; set {SETTINGS_VARIABLE}\n')
+        return None
+    loaded = load_gateway_settings(text, source)
+    if loaded.is_ok():
+        return loaded.ok
+    for problem in loaded.error:
+        sys.stderr.write(f'{problem}\n')
+    return None
+
+
 def main() -> int:
     """Run until told to stop."""
     source = os.environ.get(SETTINGS_VARIABLE, '')
-    loaded = load_gateway_settings(Path(source).read_text(), source)
-    if loaded.is_error():
-        for problem in loaded.error:
-            sys.stderr.write(f'{problem}\n')
+    settings = read_settings(source)
+    if settings is None:
         return USAGE
-    settings = loaded.ok
     configure_stdout(settings.log.level.value)
     platform = connect_platform(
         settings.store.address, Seconds(settings.store.timeout_s)
     )
-    anyio.run(serve, settings, platform)
+    anyio.run(serve, settings, partial(read_settings, source), platform)
     return 0
 
 
--- a/src/laburnumyard/telemetry/__init__.py
+++ b/src/laburnumyard/telemetry/__init__.py
@@ -7,9 +7,12 @@
     log_decision,
     log_event,
 )
+from laburnumyard.telemetry._metrics import METRICS, Metrics
 
 __all__ = (
+    'METRICS',
     'Event',
+    'Metrics',
     'configure_log',
     'configure_stdout',
     'log_decision',
--- a/src/laburnumyard/telemetry/_log.py
+++ b/src/laburnumyard/telemetry/_log.py
@@ -99,22 +99,20 @@
 
     def write(self, text: str) -> None:
         """Write some lines, or drop them and count."""
-        if self.dropped and not self.rest:
-            text = f'event=log-dropped lines={self.dropped}\n{text}'
         lines = str(text).encode('utf-8', 'replace')
         if len(self.rest) > MOST_PENDING_BYTES:
             self.dropped += lines.count(b'\n')
             lines = b''
-        self._flush(self.rest + lines)
-
-    def _flush(self, pending: bytes) -> None:
+        elif self.dropped:
+            notice = f'event=log-dropped lines={self.dropped}\n'
+            lines = notice.encode() + lines
+            self.dropped = 0
+        pending = self.rest + lines
         try:
             written = os.write(self.descriptor, pending)
         except BlockingIOError:
             written = 0
         self.rest = pending[written:]
-        if not self.rest:
-            self.dropped = 0
 
 
 STDOUT = NonBlockingOutput(1)
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -1,6 +1,6 @@
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, Is
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
 from laburnumyard.core.directory import TargetState
 from laburnumyard.core.ids import ShardKey, TargetId
@@ -13,6 +13,7 @@
     Send,
 )
 from tests.core.scheduling.conftest import BUDGET, make_record, make_work
+from tests.support.sole import only
 
 
 def submit(service, work, now=0, is_returned=False):
@@ -66,7 +67,8 @@
     for _ in range(20):
         submit(lone, make_work())
     refusal = submit(lone, make_work(expires=0.3, due=0.3))[0]
-    assert_that(0 < refusal.retry_after_s <= 0.1, Is(True))
+    assert_that(refusal.retry_after_s, GreaterThan(0))
+    assert_that(refusal.retry_after_s, LessThan(0.1001))
 
 
 def test_waiting_requests_that_became_hopeless_are_refused(lone):
@@ -210,7 +212,7 @@
 def test_a_request_that_crashed_two_targets_goes_nowhere_again(lone):
     crash(lone, started=2)
     crash(lone, started=3)
-    (refusal,) = crash(lone, started=4)
+    refusal = only(crash(lone, started=4))
     assert_that(refusal.reason, Is(Refusal.QUARANTINED))
     other = make_work(fingerprint=b'harmless')
     assert_that(submit(lone, other), Equals([Send(other, TargetId('one'))]))
--- a/tests/core/shards/test_manager.py
+++ b/tests/core/shards/test_manager.py
@@ -24,6 +24,7 @@
     lives,
     save,
 )
+from tests.support.sole import only
 
 KEY = ShardKey(100)
 
@@ -50,15 +51,15 @@
 def test_a_moved_key_is_released_before_it_is_granted(manager):
     piece = move_key(manager, life('b'), 9, 1.0)
     assert_that(manager.owner(KEY, 1.0), Is(None))
-    (release,) = [
-        order for order in manager.due_orders(1.0) if order.piece is piece
-    ]
+    release = only(
+        [order for order in manager.due_orders(1.0) if order.piece is piece]
+    )
     assert_that(isinstance(release, Release), Is(True))
     assert_that(release.life, Equals(life('a')))
     assert_that(release.token, Equals(9))
     assert_that(list(manager.next_order(piece, 1.1)), Equals([]))
     manager.note_reply(release, Reply.DONE, 'handover', 1.2)
-    (grant,) = manager.next_order(piece, 1.2)
+    grant = only(manager.next_order(piece, 1.2))
     assert_that(isinstance(grant, Grant), Is(True))
     assert_that(grant.handover, Equals('handover'))
     manager.note_reply(grant, Reply.DONE, '', 1.3)
@@ -102,9 +103,9 @@
 
 def test_a_late_reply_to_an_earlier_order_changes_nothing(manager):
     piece = manager.piece_of(KEY)
-    (renewal,) = [
-        order for order in manager.due_orders(2.0) if order.piece is piece
-    ]
+    renewal = only(
+        [order for order in manager.due_orders(2.0) if order.piece is piece]
+    )
     move_key(manager, life('b'), 9, 2.0)
     manager.note_reply(renewal, Reply.DONE, '', 2.1)
     assert_that(piece.phase, Is(Phase.RELEASING))
@@ -113,9 +114,9 @@
 
 def test_an_unanswered_renewal_counts_as_delivered(manager):
     piece = manager.piece_of(KEY)
-    (renewal,) = [
-        order for order in manager.due_orders(2.0) if order.piece is piece
-    ]
+    renewal = only(
+        [order for order in manager.due_orders(2.0) if order.piece is piece]
+    )
     manager.note_reply(renewal, Reply.UNKNOWN, '', 2.5)
     move_key(manager, life('b'), 9, 2.5)
     assert_that(piece.formers[0].until, Equals(2.0 + SETTINGS.longest_hold_s))
@@ -123,9 +124,9 @@
 
 def test_a_fenced_order_asks_for_the_stored_assignment(manager):
     piece = manager.piece_of(KEY)
-    (renewal,) = [
-        order for order in manager.due_orders(2.0) if order.piece is piece
-    ]
+    renewal = only(
+        [order for order in manager.due_orders(2.0) if order.piece is piece]
+    )
     reread = manager.note_reply(renewal, Reply.FENCED, '', 2.1)
     assert_that(reread, Is(True))
     assert_that(list(manager.next_order(piece, 2.2)), Equals([]))
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -106,7 +106,7 @@
 )
 async def test_bodies_with_a_length_and_in_chunks(service, body):
     async with serving(service) as (_, reader, writer):
-        writer.write(b'POST /p HTTP/1.1\r\nhost: a\r\n' + body)
+        writer.write(b''.join((b'POST /p HTTP/1.1\r\nhost: a\r\n', body)))
         _, received = await read_answer(reader)
     assert_that(received, Equals(b'/phello'))
 
@@ -130,7 +130,7 @@
     async with serving(service) as (_, reader, writer):
         writer.write(sent)
         head, _ = await read_answer(reader)
-        assert_that(head, Contains(b' ' + status + b' '))
+        assert_that(head, Contains(b' %b ' % status))
         assert_that(head, Contains(b'connection: close'))
         assert_that(service.served, Equals([]))
 
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -46,6 +46,10 @@
         return self.changes.pop(0)
 
 
+def never():
+    return False
+
+
 @pytest.fixture
 def store():
     return ScriptedStore()
@@ -54,7 +58,7 @@
 @pytest.fixture
 def follower(store):
     platform = Platform(store, None, PlatformDialect())
-    return Follower(platform, View(), StoreHealth(), lambda: False)
+    return Follower(platform, View(), StoreHealth(), never)
 
 
 @pytest.fixture
--- a/tests/gateway/test_shard_runner.py
+++ b/tests/gateway/test_shard_runner.py
@@ -30,6 +30,7 @@
 from laburnumyard.gateway._records import decode_assignment
 from laburnumyard.gateway._shard_runner import ShardRunner, ended_lives
 from laburnumyard.gateway._view import Member, View
+from tests.support.sole import only
 
 pytestmark = pytest.mark.anyio
 SERVICE = ServiceName('catalogue')
@@ -53,7 +54,7 @@
         if fault is StoreFault.CONFLICT:
             return Error(StoreError(fault))
         self.revision += 1
-        (content,) = swap.puts.values()
+        content = only(swap.puts.values())
         self.item = Item('', content, self.revision)
         if fault:
             return Error(StoreError(fault, may_apply=True))
