--- a/src/laburnumyard/core/shards/_balance.py
+++ b/src/laburnumyard/core/shards/_balance.py
@@ -17,7 +17,7 @@
 LEAST_GAIN = 0.05
 # A target that is busy for a smaller part of its time has room for chance; it
 # is not relieved, since every move holds requests up.
-RELIEF_FROM = 0.3
+RELIEF_FROM = 0.45
 # A piece may be this much larger than what a target has to shed.
 LARGEST_FIT = 1.2
 KeyLoads = Sequence[tuple[ShardKey, float]]
