Deadlines that differ a little are no sign of an earlier try

Change: an earlier try is seen below three quarters of the longest deadline, which grows by a tenth a request at most and decays; no time past the objective is planned with.

--- a/src/laburnumyard/core/scheduling/_settings.py
+++ b/src/laburnumyard/core/scheduling/_settings.py
@@ -33,8 +33,8 @@
     late_share
         Which part of the time between the objective and the timeout may be
         spent before a request counts as hopeless. The callers' value of a
-        late answer is low, and a refused caller comes back sooner; 0.5 lost
-        7 % of the value of a retry storm.
+        late answer is low, and a refused caller comes back sooner; 0.2 lost
+        5 % of the value of a retry storm.
     distance_cost
         By how much of its run time a target in another data centre counts as
         slower; bytes between data centres are paid for.
@@ -44,6 +44,6 @@
     """
 
     retry_budget: RetryBudget = RetryBudget()
-    late_share: float = 0.2
+    late_share: float = 0
     distance_cost: float = 0.25
     failure_cost: float = 6.0
--- a/src/laburnumyard/gateway/_requests.py
+++ b/src/laburnumyard/gateway/_requests.py
@@ -50,9 +50,13 @@
 MOST_REFUSED_SENDS = 4
 # A retry is pointless with less time left than this, in seconds.
 LEAST_RETRY_S = 0.03
-# A caller's deadline is this part of its usual one at most when it comes back
-# after a refusal.
-RETURNED_PART = 0.97
+# Callers name deadlines up to a fifth below their longest one; one that is
+# shorter than this part of it belongs to a caller that has waited before.
+RETURNED_PART = 0.75
+# The longest deadline of a route follows a longer one by at most this factor a
+# request, and is forgotten by this one, so that no single caller decides it.
+DEADLINE_GROWTH = 1.1
+DEADLINE_DECAY = 0.998
 FAILURE_FROM = 500
 STATUS_CLASS = 100
 SUCCESS = 2
@@ -142,7 +146,7 @@
         self.pool = pool
         self.data_centre = data_centre
         self.chooser = PartChooser()
-        self.usual_deadlines: dict[RouteName, Seconds] = {}
+        self.longest_deadlines: dict[RouteName, Seconds] = {}
 
     async def serve(self, request: CallerRequest) -> CallerAnswer:
         """Return the answer to a request."""
@@ -193,22 +197,38 @@
     ) -> Attempt:
         """Return the attempt of a request at its start."""
         deadline = head.deadline_s or DEFAULT_DEADLINE_S
-        usual = max(deadline, self.usual_deadlines.get(route.name, deadline))
-        self.usual_deadlines[route.name] = usual
+        longest = self.longest_deadline(route, deadline)
+        is_returned = deadline < RETURNED_PART * longest
         # The objective counts from the caller's first try, and so does the
-        # deadline: what is missing of the usual one has passed already.
-        passed = usual - deadline
+        # deadline: what is missing of the longest one has passed already.
+        passed = longest - deadline if is_returned else 0
         arrived = request.arrived_at
         return Attempt(
             request,
             head,
             route,
             self.chooser.choose(route),
-            deadline < RETURNED_PART * usual,
+            is_returned,
             Seconds(arrived + route.objective_s - passed),
             Seconds(arrived + min(deadline, route.timeout_s)),
         )
 
+    def longest_deadline(self, route: Route, deadline: Seconds) -> Seconds:
+        """Return the longest deadline that callers of a route name lately.
+
+        Parameters
+        ----------
+        route
+            The route.
+        deadline
+            The deadline of one more request, in seconds.
+        """
+        known = self.longest_deadlines.get(route.name, deadline)
+        grown = min(deadline, known * DEADLINE_GROWTH)
+        longest = Seconds(max(known * DEADLINE_DECAY, grown))
+        self.longest_deadlines[route.name] = longest
+        return longest
+
     async def run(self, attempt: Attempt) -> Ending:
         """Try targets until there is an answer or no further try."""
         ending = Ending(CallerAnswer(HTTPStatus.GATEWAY_TIMEOUT), 'timeout')
