A renewal that waited for its turn is made anew, not sent late

Change: a grant older than 0.1 s at its turn is not sent. The test fails without the change and passes with it.

--- a/src/laburnumyard/gateway/_shard_runner.py
+++ b/src/laburnumyard/gateway/_shard_runner.py
@@ -48,6 +48,9 @@
 # A grant is answered at once; a release only when running work has ended.
 GRANT_TIMEOUT_S = 0.4
 RELEASE_TIMEOUT_S = 2.5
+# A grant that waited longer than this for its turn is not sent, in seconds: its
+# hold is counted from when it was made, with 0.3 s for the way.
+STALE_GRANT_S = 0.1
 # Each order at a time takes a connection; targets accept few.
 RELEASES_AT_ONCE = 4
 RETRY_PAUSE_S = 0.2
@@ -220,6 +223,11 @@
         lock = locks.setdefault(address, anyio.Semaphore(limit))
         timeout_s = GRANT_TIMEOUT_S if is_grant else RELEASE_TIMEOUT_S
         async with lock:
+            if is_grant and boot_time() - order.sent_at > STALE_GRANT_S:
+                # Its hold would run longer than it was counted for; the next
+                # tick makes a new one.
+                order.piece.is_ordered = False
+                return
             answer = await self.platform.orders.send(order, address, timeout_s)
         self.take_reply(
             order, answer.reply, answer.handover, answer.detail, tasks
--- a/tests/gateway/test_shard_runner.py
+++ b/tests/gateway/test_shard_runner.py
@@ -255,3 +255,22 @@
     }
     ended = [life.target for life in ended_lives(lives, directory)]
     assert_that(ended, Equals(['1', '2']))
+
+
+async def test_a_grant_that_waited_behind_a_silent_target_is_not_sent(
+    make_runner, orders
+):
+    """Seen on apme hunt-bc8c-11: two holders of the same keys for 2.3 s."""
+    runner, desk = make_runner()
+    await run_until(runner, desk, all_served)
+    orders.given.clear()
+    piece = runner.manager.pieces[0]
+    piece.renew_at = 0
+    order = next(runner.manager.next_order(piece, boot_time()))
+    address = runner.lives[order.life]
+    async with anyio.create_task_group() as tasks:
+        async with runner.grant_locks[address]:
+            tasks.start_soon(runner.give, order, tasks)
+            await anyio.sleep(0.2)
+    assert_that(orders.given, Equals([]))
+    assert_that(piece.is_ordered, Equals(False))
