An answer without a length ends with its connection

The test held such an answer for broken off; the users' protocol says that it is whole when its connection ends, and not when it is reset. Both are tested now; the other cases stay.

--- a/tests/clients/test_target_connection.py
+++ b/tests/clients/test_target_connection.py
@@ -112,7 +112,6 @@
     [
         b'',
         b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf',
-        b'HTTP/1.1 200 OK\r\n\r\nuntil the end',
         b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n',
     ],
 )
@@ -125,6 +124,25 @@
     assert_that(connection.is_reusable, Is(False))
 
 
+UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\nuntil the end'
+
+
+async def test_an_answer_without_a_length_ends_with_its_connection(scripted):
+    async with scripted(UNFRAMED) as address:
+        connection = await open_to(address)
+        sent = await connection.send(ask('x'), GENEROUS_S)
+    assert_that(sent.ok.body, Equals(b'until the end'))
+    assert_that(connection.is_reusable, Is(False))
+
+
+async def test_an_answer_without_a_length_that_is_reset_is_not_whole(scripted):
+    async with scripted(UNFRAMED[:-4], hold=True) as address:
+        connection = await open_to(address)
+        connection.loop.call_later(0.05, connection.close)
+        sent = await connection.send(ask('x'), GENEROUS_S)
+    assert_that(sent.error.kind, Is(FailureKind.BROKE_OFF))
+
+
 async def test_garbage_is_typed_and_closes(scripted):
     async with scripted(b'garbage\r\n\r\n', hold=True) as address:
         connection = await open_to(address)
