One function makes the problem of a fault in any settings file

The gateway's settings had a copy of the daemon's, without the known fields, so an unknown field got no suggestion. Checked: lint, contracts, tests of settings, problems, examples and the gateway.

--- a/src/laburnumyard/core/problems.py
+++ b/src/laburnumyard/core/problems.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from expression import Error, Ok, Result
+from pydantic import BaseModel
 from pydantic_core import ErrorDetails
 
 _LONGEST_VALUE = 60
@@ -135,6 +136,39 @@
     return f'give {_describe(fault)}'
 
 
+def model_problem(
+    fault: ErrorDetails, source: str, model: type[BaseModel]
+) -> Problem:
+    """Return the problem of a fault that the model of a file reported.
+
+    Parameters
+    ----------
+    fault
+        One entry of ``ValidationError.errors()``.
+    source
+        The name of the file.
+    model
+        The model of the whole file.
+    """
+    *tables, field = map(str, fault['loc'])
+    found = '' if fault['type'] == 'missing' else show_value(fault['input'])
+    return Problem(
+        source,
+        '.'.join(f'[{table}]' for table in tables),
+        field,
+        found,
+        find_remedy(fault, _known_fields(model, tables)),
+    )
+
+
+def _known_fields(
+    model: type[BaseModel], tables: list[str]
+) -> Mapping[str, Any]:
+    for table in tables:
+        model = model.model_fields[table].annotation
+    return model.model_fields
+
+
 def _is_too_deep(document: dict[str, Any]) -> bool:
     level: list[Any] = [document]
     for _ in range(_DEEPEST):
--- a/src/laburnumyard/core/settings.py
+++ b/src/laburnumyard/core/settings.py
@@ -1,19 +1,18 @@
 """The settings of one daemon: parsed and checked as a whole."""
 
 import json
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator
 from functools import partial
 from itertools import chain, combinations
 from typing import Any
 
 from expression import Error, Ok, Result
-from pydantic import BaseModel, ValidationError
-from pydantic_core import ErrorDetails
+from pydantic import ValidationError
 
 from laburnumyard.core.addresses import clashes, find_address_fault
 from laburnumyard.core.problems import (
     Problem,
-    find_remedy,
+    model_problem,
     read_toml,
     show_value,
 )
@@ -71,31 +70,15 @@
         settings = Settings.model_validate_json(content, strict=True)
     except ValidationError as invalid:
         return Error(
-            tuple(_model_problem(fault, source) for fault in invalid.errors())
+            tuple(
+                model_problem(fault, source, Settings)
+                for fault in invalid.errors()
+            )
         )
     problems = tuple(find_contradictions(settings, source))
     return Error(problems) if problems else Ok(settings)
 
 
-def _model_problem(fault: ErrorDetails, source: str) -> Problem:
-    *tables, field = map(str, fault['loc'])
-    found = '' if fault['type'] == 'missing' else show_value(fault['input'])
-    return Problem(
-        source,
-        '.'.join(f'[{table}]' for table in tables),
-        field,
-        found,
-        find_remedy(fault, _known_fields(tables)),
-    )
-
-
-def _known_fields(tables: list[str]) -> Mapping[str, Any]:
-    model: type[BaseModel] = Settings
-    for table in tables:
-        model = model.model_fields[table].annotation
-    return model.model_fields
-
-
 def find_contradictions(settings: Settings, source: str) -> Iterator[Problem]:
     """Yield a problem for each pair of settings that contradict one another.
 
--- a/src/laburnumyard/gateway/_settings.py
+++ b/src/laburnumyard/gateway/_settings.py
@@ -1,16 +1,14 @@
 """Reads the settings of a gateway."""
 
 import json
-from typing import Any
 
 from expression import Error, Ok, Result
 from pydantic import ValidationError
 
 from laburnumyard.core.problems import (
     Problem,
-    find_remedy,
+    model_problem,
     read_toml,
-    show_value,
 )
 from laburnumyard.schema._generated.gateway import GatewaySettings
 
@@ -40,12 +38,8 @@
         return Ok(GatewaySettings.model_validate_json(content, strict=True))
     except ValidationError as invalid:
         return Error(
-            tuple(_problem(fault, source) for fault in invalid.errors())
+            tuple(
+                model_problem(fault, source, GatewaySettings)
+                for fault in invalid.errors()
+            )
         )
-
-
-def _problem(fault: Any, source: str) -> Problem:
-    *tables, field = map(str, fault['loc'])
-    found = '' if fault['type'] == 'missing' else show_value(fault['input'])
-    places = '.'.join(f'[{table}]' for table in tables)
-    return Problem(source, places, field, found, find_remedy(fault, {}))
