Orders of a coordinator begin once the store names it; a refusal proves no end

Its times show that somebody renewed 2.6 s after the coordinator counted on nobody renewing. Found by reading, all fit: an unnamed coordinator between two others; a lost answer that settled a predecessor; refused connections taken as proof; a restarted target taken as empty; an old entry that ends the target at its address. Ruled out: the late renewal alone, since it explains no wait of 2.6 s beyond the orders' time-out without a silent target on record. Before: 7 new tests fail. After: they pass; gateway, platform and shard tests pass.

--- a/src/laburnumyard/core/shards/_manager.py
+++ b/src/laburnumyard/core/shards/_manager.py
@@ -57,6 +57,7 @@
         self.pieces: list[Piece] = []
         self.load = KeyLoad()
         self.dead: set[TargetLife] = set()
+        self.restarted: set[TargetLife] = set()
         self.silent_since: dict[TargetLife, Seconds] = {}
         self.paused_until: WeakKeyDictionary[Piece, Seconds]
         self.paused_until = WeakKeyDictionary()
@@ -240,7 +241,8 @@
                 piece.token,
             )
         elif piece.holder not in self.dead:
-            if piece.phase is Phase.GRANTING or now >= piece.renew_at:
+            is_due = piece.phase is Phase.GRANTING or now >= piece.renew_at
+            if is_due and piece.holder not in self.restarted:
                 yield self._grant(piece, now)
 
     def note_reply(
@@ -274,6 +276,14 @@
         """Take in proof that a start of a target has ended."""
         self.dead.add(life)
 
+    def note_restarted(self, life: TargetLife) -> None:
+        """Stop renewing the pieces of a start that a later one replaced.
+
+        The later start may hold them by a renewal that reached it, so it has
+        to release them before they go to anybody else.
+        """
+        self.restarted.add(life)
+
     def _grant(self, piece: Piece, now: Seconds) -> Grant:
         piece.is_ordered = True
         longest = Seconds(now + self.settings.longest_hold_s)
--- a/src/laburnumyard/gateway/_shard_runner.py
+++ b/src/laburnumyard/gateway/_shard_runner.py
@@ -27,7 +27,6 @@
 )
 from laburnumyard.gateway._desk import Desk
 from laburnumyard.gateway._ports import Platform, StoreFault, Swap
-from laburnumyard.gateway._reachability import is_refused
 from laburnumyard.gateway._records import (
     StoredAssignment,
     assignment_key,
@@ -64,9 +63,9 @@
 def ended_lives(
     lives: Mapping[TargetLife, str], directory: Directory
 ) -> Iterator[TargetLife]:
-    """Yield the lives that have ended for certain.
+    """Yield the lives that have ended and get no order any more.
 
-    A later start of a target, or another target at its address, is proof.
+    A later start elsewhere, or another target at the address, is proof.
 
     Parameters
     ----------
@@ -75,15 +74,45 @@
     directory
         The targets as they are now.
     """
-    holders = {record.address: record.life for record in directory.values()}
+    records = sorted(directory.values(), key=_started_at)
+    # The entry of a target that has ended may still name the address.
+    holders = {record.address: record.life for record in records}
     for life, address in lives.items():
         again = directory.get(life.target)
-        if again and again.life.started_at_ms > life.started_at_ms:
+        is_restarted = bool(again and is_later(again.life, life))
+        holder = holders.get(address)
+        if holder is None:
+            is_ended = is_restarted
+        else:
+            is_ended = holder.target != life.target
+        if is_ended:
             yield life
-        elif holders.get(address, life) != life:
+
+
+def restarted_lives(
+    lives: Mapping[TargetLife, str], directory: Directory
+) -> Iterator[TargetLife]:
+    """Yield the lives that a later start at the same address has replaced.
+
+    Orders name the target, not its start. A renewal that was on its way may
+    have reached the later start, which then has to release the keys.
+
+    Parameters
+    ----------
+    lives, directory
+        As of ``ended_lives``.
+    """
+    for life, address in lives.items():
+        again = directory.get(life.target)
+        if again and again.address == address and is_later(again.life, life):
             yield life
 
 
+def is_later(life: TargetLife, other: TargetLife) -> bool:
+    """Tell whether a life of the same target began after another."""
+    return life.started_at_ms > other.started_at_ms
+
+
 class ShardRunner:
     """Runs the manager of one service's keys while this gateway coordinates.
 
@@ -132,6 +161,8 @@
         self.grant_locks: dict[str, anyio.Semaphore] = {}
         self.release_locks: dict[str, anyio.Semaphore] = {}
         self.is_stale = False
+        # Whether no earlier coordinator gives orders.
+        self.is_alone = False
         # The last reply for each piece: only a change of it is logged.
         self.replies: WeakKeyDictionary[Piece, Reply] = WeakKeyDictionary()
 
@@ -139,6 +170,8 @@
         """Take over the stored assignment and manage it until cancelled."""
         self.desk = desk
         predecessor = await self.take_over()
+        if predecessor is not None:
+            await self.claim()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.settle_predecessor, predecessor)
             tasks.start_soon(self.give_orders, tasks)
@@ -175,6 +208,17 @@
         )
         return writer
 
+    async def claim(self) -> None:
+        """Name this gateway as the writer of the assignment.
+
+        Whoever takes over next waits for the writer to stop. Orders of a
+        coordinator that the store does not name would not be waited for.
+        """
+        while not await self.save(()):
+            await anyio.sleep(RETRY_PAUSE_S)
+            if self.is_stale:
+                await self.reread()
+
     def adopt(self, stored: StoredAssignment) -> tuple[Assignment, Member]:
         """Go on from a stored assignment."""
         self.manager.take_over(stored.assignment, boot_time())
@@ -188,20 +232,27 @@
             if await self.is_settled(predecessor):
                 break
             await anyio.sleep(RETRY_PAUSE_S)
+        self.is_alone = True
         self.manager.note_predecessor_gone(boot_time())
+        log_event(
+            Event.SHARDS,
+            service=self.service,
+            state='predecessor-gone',
+            epoch=self.epoch,
+            predecessor=predecessor.name if predecessor else 'none',
+        )
 
     async def is_settled(self, predecessor: Member) -> bool:
         """Tell whether an earlier coordinator gives no more orders.
 
-        A refused connection, a later start of it, or its own word is proof.
+        A later start of it or its own word is proof. A refused connection is
+        none: a broken network refuses connections to a live process as well.
         """
         if predecessor.name == self.session.member.name:
             return True
         known = self.view.members.get(predecessor.name)
         if known and known.incarnation > predecessor.incarnation:
             return True
-        if await is_refused(predecessor.address):
-            return True
         return await self.stand_down(predecessor, self.service, self.epoch)
 
     async def give_orders(self, tasks: TaskGroup) -> None:
@@ -291,6 +342,8 @@
             self.lives[record.life] = record.address
         for life in ended_lives(self.lives, self.view.directory):
             self.manager.note_dead(life)
+        for life in restarted_lives(self.lives, self.view.directory):
+            self.manager.note_restarted(life)
         return [
             record for record in records if record.state is TargetState.READY
         ]
@@ -304,8 +357,14 @@
             pace = max(pace, COLD_PACE)
         return record.slots / pace
 
-    async def save(self, moves: Iterable[Move]) -> None:
-        """Store moves, then carry them out."""
+    async def save(self, moves: Iterable[Move]) -> bool:
+        """Store moves, then carry them out.
+
+        Returns
+        -------
+        bool
+            Whether the store confirmed them.
+        """
         moves = list(moves)
         pieces = self.manager.preview(moves)
         swap = Swap(
@@ -335,7 +394,7 @@
                 fault=saved.error.fault,
                 revision=self.manager.revision,
             )
-            return
+            return False
         now = boot_time()
         self.manager.apply(moves, saved.ok, now)
         log_event(
@@ -347,6 +406,7 @@
             pieces=len(self.manager.pieces),
             save_ms=round((time.monotonic() - started) * 1000, 1),
         )
+        return True
 
     async def reread(self) -> None:
         """Take what the store holds, if it is not what was saved last."""
@@ -361,7 +421,7 @@
             log_event(Event.FAULT, 'ERROR', problem=decoded.error)
             return
         assignment, writer = self.adopt(decoded.ok)
-        if writer == self.session.member:
+        if self.is_alone and writer == self.session.member:
             self.manager.note_predecessor_gone(boot_time())
         log_event(
             Event.SHARDS,
@@ -372,5 +432,9 @@
         )
 
 
+def _started_at(record: TargetRecord) -> int:
+    return record.life.started_at_ms
+
+
 async def _cannot_ask(member: Member, service: ServiceName, epoch: int) -> bool:
     return False
--- a/src/laburnumyard/platform/_orders.py
+++ b/src/laburnumyard/platform/_orders.py
@@ -11,7 +11,6 @@
 from laburnumyard.platform._fields import MS_PER_SECOND
 from laburnumyard.transport import (
     Endpoint,
-    ExchangeFault,
     HttpAnswer,
     HttpRequest,
 )
@@ -46,10 +45,9 @@
         exchanged = await endpoint.exchange(_encode(order), timeout_s)
         if exchanged.is_ok():
             return _read(exchanged.ok, order.life.target)
-        error = exchanged.error
-        refused = error.fault is ExchangeFault.UNREACHABLE
-        reply = Reply.GONE if refused else Reply.UNKNOWN
-        return OrderReply(reply, detail=error.detail)
+        # A refused connection is no proof that the target has ended: a broken
+        # network refuses connections to a live one as well.
+        return OrderReply(Reply.UNKNOWN, detail=exchanged.error.detail)
 
 
 def _encode(order: Order) -> HttpRequest:
--- a/tests/gateway/test_shard_runner.py
+++ b/tests/gateway/test_shard_runner.py
@@ -28,7 +28,11 @@
     StoreFault,
 )
 from laburnumyard.gateway._records import decode_assignment
-from laburnumyard.gateway._shard_runner import ShardRunner, ended_lives
+from laburnumyard.gateway._shard_runner import (
+    ShardRunner,
+    ended_lives,
+    restarted_lives,
+)
 from laburnumyard.gateway._view import Member, View
 from tests.support.sole import only
 
@@ -76,7 +80,12 @@
 
 
 class FakeSession:
-    member = Member('lima-a-1', '127.0.0.1:7001', 5)
+    def __init__(self, member):
+        self.member = member
+
+
+FIRST = FakeSession(Member('lima-a-1', '127.0.0.1:7001', 5))
+ANOTHER = FakeSession(Member('lima-b-2', '127.0.0.1:2', 7))
 
 
 def make_record(name, started=1, state=TargetState.READY):
@@ -112,12 +121,10 @@
 
 @pytest.fixture
 def make_runner(view, store, orders):
-    def build(epoch=5):
+    def build(epoch=5, session=FIRST):
         manager = ShardManager(ShardSettings())
         platform = Platform(store, orders, None)
-        runner = ShardRunner(
-            SERVICE, epoch, platform, view, FakeSession, manager
-        )
+        runner = ShardRunner(SERVICE, epoch, platform, view, session, manager)
         scheduler = Scheduler(SchedulerSettings(), manager)
         return runner, Desk(SERVICE, scheduler)
 
@@ -146,7 +153,7 @@
     runner, desk = make_runner()
     await run_until(runner, desk, all_served)
     stored = decode_assignment(store.item).ok
-    assert_that(stored.writer, Equals(FakeSession.member))
+    assert_that(stored.writer, Equals(FIRST.member))
     assert_that(
         set(stored.addresses.values()),
         Equals({'10.0.0.1:80', '10.0.0.2:80'}),
@@ -229,15 +236,116 @@
     assert_that(told, Equals([('lima-b-1', 5)]))
 
 
-async def test_a_predecessor_whose_process_ended_is_not_asked(make_runner):
+async def test_a_refused_connection_does_not_prove_a_predecessor_gone(
+    make_runner,
+):
+    """A broken network refuses connections to a live process as well."""
+    runner, _ = make_runner()
+    assert_that(await runner.is_settled(GONE), Equals(False))
+
+
+async def test_a_predecessor_that_has_started_anew_is_not_asked(
+    make_runner, view
+):
+    view.members[GONE.name] = Member(GONE.name, GONE.address, 2)
     runner, _ = make_runner()
     with anyio.fail_after(GENEROUS_S):
         await runner.settle_predecessor(GONE)
 
 
+async def test_no_order_is_given_before_the_store_names_the_coordinator(
+    make_runner, store, orders
+):
+    """Seen on apme hunt-bc8c-11: a coordinator between two others renewed.
+
+    The third one waits only for the coordinator that the store names.
+    """
+    runner, desk = make_runner()
+    await run_until(runner, desk, all_served)
+    orders.given.clear()
+    store.faults = [StoreFault.CONFLICT] * 100
+    runner, desk = make_runner(epoch=6, session=ANOTHER)
+    with anyio.move_on_after(0.5):
+        await runner.run(desk)
+    assert_that(orders.given, Equals([]))
+
+
+async def test_a_coordinator_that_gives_orders_is_named_in_the_store(
+    make_runner, store
+):
+    runner, desk = make_runner()
+    await run_until(runner, desk, all_served)
+    runner, desk = make_runner(epoch=6, session=ANOTHER)
+    await run_until(runner, desk, all_served)
+    stored = decode_assignment(store.item).ok
+    assert_that(stored.writer, Equals(ANOTHER.member))
+
+
+async def test_a_lost_answer_of_the_store_does_not_settle_a_predecessor(
+    make_runner, store, orders
+):
+    """The record read again names its reader, who is not alone yet."""
+    runner, desk = make_runner()
+    await run_until(runner, desk, all_served)
+    store.faults = [StoreFault.TIMEOUT]
+    runner, desk = make_runner(epoch=6, session=ANOTHER)
+    await run_until(runner, desk, all_served)
+    bounds = runner.manager.settings
+    soonest = min(piece.may_hold_until for piece in runner.manager.pieces)
+    # The predecessor may go on renewing for as long as it lacks the store.
+    least = boot_time() + bounds.outage_hold_s
+    assert_that(soonest > least, Equals(True))
+
+
+async def test_a_target_that_started_anew_releases_before_others_get_its_keys(
+    make_runner, view, orders
+):
+    """A renewal under way may have reached the later start."""
+    runner, desk = make_runner()
+    await run_until(runner, desk, all_served)
+    again = make_record('1', started=2, state=TargetState.DRAINING)
+    orders.given.clear()
+    view.take_directory(
+        {TargetId('1'): again, TargetId('2'): make_record('2')}, Seconds(0)
+    )
+    await run_until(
+        runner,
+        desk,
+        lambda manager: (
+            all_served(manager) and manager.destination(ShardKey(0)) == '2'
+        ),
+    )
+    assert_that(orders.given, Contains(('Release', '1', '10.0.0.1:80')))
+
+
+def test_a_start_that_a_later_one_replaced_has_not_ended_for_certain():
+    lives = {TargetLife(TargetId('1'), 1): '10.0.0.1:80'}
+    directory = {TargetId('1'): make_record('1', started=2)}
+    replaced = [life.target for life in restarted_lives(lives, directory)]
+    assert_that(replaced, Equals(['1']))
+    assert_that(list(ended_lives(lives, directory)), Equals([]))
+
+
+def test_an_old_entry_does_not_end_the_target_that_reuses_its_address():
+    old = make_record('1')
+    new = TargetRecord(
+        TargetLife(TargetId('8'), 5),
+        SERVICE,
+        old.address,
+        DataCentre('lima-a'),
+        3,
+        TargetState.READY,
+        Seconds(0),
+    )
+    lives = {old.life: old.address, new.life: old.address}
+    directory = {TargetId('8'): new, TargetId('1'): old}
+    ended = [life.target for life in ended_lives(lives, directory)]
+    assert_that(ended, Equals(['1']))
+
+
 def test_lives_that_ended_for_certain():
     lives = {
-        TargetLife(TargetId('1'), 1): '10.0.0.1:80',
+        TargetLife(TargetId('1'), 1): '10.0.0.7:80',
         TargetLife(TargetId('2'), 1): '10.0.0.2:80',
         TargetLife(TargetId('3'), 1): '10.0.0.9:80',
     }
--- /dev/null
+++ b/tests/platform/test_orders.py
@@ -0,0 +1,26 @@
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from laburnumyard.core.directory import TargetLife
+from laburnumyard.core.ids import FencingToken, Seconds, ShardKey, TargetId
+from laburnumyard.core.shards import Piece, Release, Reply
+from laburnumyard.platform._orders import PlatformOrders
+
+pytestmark = pytest.mark.anyio
+LIFE = TargetLife(TargetId('i-1'), 1)
+# Nothing listens at the lowest port of this machine.
+NOBODY = '127.0.0.1:1'
+
+
+@pytest.fixture
+def release():
+    first, last = ShardKey(0), ShardKey(9)
+    piece = Piece(first, last, LIFE, FencingToken(7))
+    return Release(piece, LIFE, first, last, FencingToken(7))
+
+
+async def test_a_refused_connection_does_not_prove_a_target_gone(release):
+    """A cut may refuse connections while the target serves others."""
+    reply = await PlatformOrders().send(release, NOBODY, Seconds(1))
+    assert_that(reply.reply, Equals(Reply.UNKNOWN))
