--- a/src/laburnumyard/core/shards/_manager.py
+++ b/src/laburnumyard/core/shards/_manager.py
@@ -47,6 +47,15 @@
     ----------
     settings
         Bounds of grants and balancing.
+
+    Attributes
+    ----------
+    dead
+        Lives that have ended and hold nothing.
+    restarted
+        Lives that a later one at the same address has replaced. They are not
+        renewed; the later one may hold their pieces by a renewal that was on
+        its way, and has to release them before anybody else gets them.
     """
 
     def __init__(self, settings: ShardSettings) -> None:
@@ -241,8 +250,7 @@
                 piece.token,
             )
         elif piece.holder not in self.dead:
-            is_due = piece.phase is Phase.GRANTING or now >= piece.renew_at
-            if is_due and piece.holder not in self.restarted:
+            if piece.holder not in self.restarted and piece.is_due(now):
                 yield self._grant(piece, now)
 
     def note_reply(
@@ -276,14 +284,6 @@
         """Take in proof that a start of a target has ended."""
         self.dead.add(life)
 
-    def note_restarted(self, life: TargetLife) -> None:
-        """Stop renewing the pieces of a start that a later one replaced.
-
-        The later start may hold them by a renewal that reached it, so it has
-        to release them before they go to anybody else.
-        """
-        self.restarted.add(life)
-
     def _grant(self, piece: Piece, now: Seconds) -> Grant:
         piece.is_ordered = True
         longest = Seconds(now + self.settings.longest_hold_s)
--- a/src/laburnumyard/core/shards/_pieces.py
+++ b/src/laburnumyard/core/shards/_pieces.py
@@ -83,6 +83,10 @@
         """Whether the holder serves the piece."""
         return self.phase is Phase.HELD and now < self.held_until
 
+    def is_due(self, now: Seconds) -> bool:
+        """Whether the holder needs a grant, or a renewal of it."""
+        return self.phase is Phase.GRANTING or now >= self.renew_at
+
     def drop_ended(self, dead: Collection[TargetLife], now: Seconds) -> None:
         """Wait no more for former holders that hold nothing for certain."""
         self.formers = tuple(
--- a/src/laburnumyard/gateway/_shard_runner.py
+++ b/src/laburnumyard/gateway/_shard_runner.py
@@ -342,8 +342,8 @@
             self.lives[record.life] = record.address
         for life in ended_lives(self.lives, self.view.directory):
             self.manager.note_dead(life)
-        for life in restarted_lives(self.lives, self.view.directory):
-            self.manager.note_restarted(life)
+        replaced = restarted_lives(self.lives, self.view.directory)
+        self.manager.restarted.update(replaced)
         return [
             record for record in records if record.state is TargetState.READY
         ]
