The mean run time is that of all runs, so that it no longer grows by itself

Cause: run times were divided by paces that come from the same samples; their noise made the mean grow and paces shrink for ever (up to the bound on paces, five times). Ruled out: slower targets (paces in the log fall for all targets alike, 1.2 to 0.6).

--- a/src/laburnumyard/core/scheduling/_times.py
+++ b/src/laburnumyard/core/scheduling/_times.py
@@ -27,7 +27,7 @@
     Attributes
     ----------
     routes
-        The mean run time of a route at a target of pace 1, in seconds.
+        The mean run time of a route over all its runs, in seconds.
     paces
         How many times longer than the mean a target takes.
     """
@@ -70,10 +70,12 @@
         run_time = Seconds(max(run_time, LEAST_RUN_S))
         mean = self.routes.get(route)
         if mean is None:
-            self.routes[route] = Seconds(run_time / pace)
+            self.routes[route] = run_time
             return
         sample = min(run_time, LONGEST_SAMPLE * mean * pace)
-        grown = mean + ROUTE_GAIN * (sample / pace - mean)
+        # Not divided by the pace, which is an estimate from the same samples:
+        # the mean would grow with its noise, and paces would shrink, for ever.
+        grown = mean + ROUTE_GAIN * (sample - mean)
         self.routes[route] = Seconds(grown)
         pace += PACE_GAIN * (sample / mean - pace)
         self.paces[target] = min(SLOWEST_PACE, max(FASTEST_PACE, pace))
