A free slot serves a late request, and a target that sheds by chance gets no pause

A request expected to be late was refused beside free slots; once the expected time of a route lay above its objective, nothing ran that could correct it. Ruled out: queues at the targets (the coordinator's count is exact). Change: no pause where slots were free by an exact count; a request that finds a free slot is refused only if it ends after its time-out, and not while nothing of its route runs. Before: four of five new tests fail. After: they pass; pattern tests pass.

--- a/src/laburnumyard/core/scheduling/_scheduler.py
+++ b/src/laburnumyard/core/scheduling/_scheduler.py
@@ -6,7 +6,7 @@
 """
 
 from bisect import insort
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from operator import attrgetter
 from typing import Protocol
 
@@ -108,7 +108,8 @@
         else:
             self.budget.note_request(now)
         work.order = (work.rank, not is_returned, work.arrived_at)
-        if self._is_hopeless(work, self._expected_wait(work, now), now):
+        wait = self._expected_wait(work, now)
+        if not self._is_worth_a_try(work, wait, now):
             return [self.refuse(work, Refusal.OVERLOADED, now)]
         insort(self.waiting, work, key=attrgetter('order'))
         return self.dispatch(now)
@@ -136,7 +137,8 @@
         slots = self.targets.get(work.target)
         if slots:
             slots.running -= 1
-            slots.note(outcome, now)
+            is_whole = self.settings.is_alone
+            slots.note(outcome, now, is_counted_whole=is_whole)
             self.poison.note(work, slots.record.life, outcome, now)
             if outcome is Outcome.NOT_OWNER and self.placement:
                 if work.key is not None:
@@ -311,6 +313,20 @@
         run_time = self.times.expect(work.route, None)
         return now + wait + run_time > min(last_end, work.expires_at)
 
+    def _is_worth_a_try(self, work: Work, wait: Seconds, now: Seconds) -> bool:
+        """Whether a new request may be served in time.
+
+        One that finds a free slot takes it for a late answer too. Where
+        nothing of its route runs, the expected time may be outdated: if it
+        alone could refuse, no request would ever correct it.
+        """
+        if wait:
+            return not self._is_hopeless(work, wait, now)
+        run_time = self.times.expect(work.route, None)
+        if now + run_time <= work.expires_at:
+            return True
+        return all(other.route != work.route for other in self.running.values())
+
     def _reason(self, work: Work, now: Seconds) -> Refusal:
         if not self.targets:
             return Refusal.NO_TARGET
@@ -318,8 +334,3 @@
             if self.placement.owner(work.key, now) is None:
                 return Refusal.NO_OWNER
         return Refusal.OVERLOADED
-
-    def describe(self) -> Iterator[tuple[TargetId, int]]:
-        """Yield how many requests each target runs."""
-        for target, slots in self.targets.items():
-            yield target, slots.running
--- a/src/laburnumyard/core/scheduling/_settings.py
+++ b/src/laburnumyard/core/scheduling/_settings.py
@@ -41,9 +41,13 @@
     failure_cost
         By how many run times a target that fails every request counts as
         slower.
+    is_alone
+        Whether all requests of the service are scheduled here; otherwise a
+        target may be full of requests that are not counted.
     """
 
     retry_budget: RetryBudget = RetryBudget()
     late_share: float = 0
     distance_cost: float = 0.25
     failure_cost: float = 6.0
+    is_alone: bool = True
--- a/src/laburnumyard/core/scheduling/_targets.py
+++ b/src/laburnumyard/core/scheduling/_targets.py
@@ -55,8 +55,20 @@
         room = 1 if self.losses else self.record.slots
         return self.running < room
 
-    def note(self, outcome: Outcome, now: Seconds) -> None:
-        """Take in how a request ended."""
+    def note(
+        self, outcome: Outcome, now: Seconds, *, is_counted_whole: bool
+    ) -> None:
+        """Take in how a request ended; it no longer counts as running.
+
+        Parameters
+        ----------
+        outcome
+            How.
+        now
+            The time.
+        is_counted_whole
+            Whether ``running`` counts all requests at the target.
+        """
         failed = outcome in FAILURES
         self.failure_rate += FAILURE_GAIN * (failed - self.failure_rate)
         if outcome in LOSSES:
@@ -64,6 +76,9 @@
             pause = FIRST_PAUSE_S * 2 ** min(self.losses, 6)
             self.paused_until = Seconds(now + min(LONGEST_PAUSE_S, pause))
         elif outcome is Outcome.SHED:
-            self.paused_until = Seconds(now + SHED_PAUSE_S)
+            # A target that sheds beside free slots does so by chance; a pause
+            # would only take these slots away.
+            if not is_counted_whole or self.running + 1 >= self.record.slots:
+                self.paused_until = Seconds(now + SHED_PAUSE_S)
         elif outcome in {Outcome.ANSWERED, Outcome.FAILED}:
             self.losses = 0
--- a/src/laburnumyard/gateway/_slots.py
+++ b/src/laburnumyard/gateway/_slots.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from types import MappingProxyType
 
@@ -180,8 +180,8 @@
             manager = None
             if ask.key is not None:
                 manager = ShardManager(self.tuning.shards)
-            scheduler = Scheduler(self.tuning.scheduling, manager)
-            desk = Desk(ask.service, scheduler)
+            settings = replace(self.tuning.scheduling, is_alone=False)
+            desk = Desk(ask.service, Scheduler(settings, manager))
             desk.update(records_of(self.view.directory, ask.service))
             self.lone_desks[ask.service] = desk
         manager = desk.scheduler.placement
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -20,11 +20,15 @@
     return service.submit(work, now, is_returned=is_returned)
 
 
+def running(service):
+    return {name: slots.running for name, slots in service.targets.items()}
+
+
 def test_no_target_gets_more_requests_than_it_has_slots(scheduler):
     works = [make_work() for _ in range(6)]
     sent = [each for work in works for each in submit(scheduler, work)]
     assert_that(len(sent), Equals(4))
-    assert_that(dict(scheduler.describe()), Equals({'one': 2, 'two': 2}))
+    assert_that(running(scheduler), Equals({'one': 2, 'two': 2}))
 
 
 def test_a_finished_request_makes_room_for_the_next(lone):
@@ -129,6 +133,45 @@
     assert_that(len(lone.dispatch(0.3)), Equals(1))
 
 
+def test_a_target_that_sheds_beside_free_slots_goes_on(scheduler):
+    """Seen on scale-1: all targets of a service shed half of what they got."""
+    work = make_work()
+    target = submit(scheduler, work)[0].target
+    scheduler.finish(work.work_id, Outcome.SHED, 0)
+    assert_that(scheduler.targets[target].has_room(0), Is(True))
+
+
+def test_a_target_that_sheds_with_all_slots_taken_rests(lone):
+    work = make_work()
+    submit(lone, work)
+    lone.finish(work.work_id, Outcome.SHED, 0)
+    assert_that(lone.targets['one'].has_room(0), Is(False))
+
+
+def test_a_target_that_others_may_have_filled_rests_after_it_shed():
+    service = Scheduler(SchedulerSettings(BUDGET, is_alone=False))
+    service.update_targets([make_record('one')])
+    work = make_work()
+    submit(service, work)
+    service.finish(work.work_id, Outcome.SHED, 0)
+    assert_that(service.targets['one'].has_room(0), Is(False))
+
+
+def test_a_free_slot_serves_a_request_that_will_be_late(lone):
+    """A late answer is worth less, and more than none."""
+    decisions = submit(lone, make_work(due=0.05))
+    assert_that(isinstance(decisions[0], Send), Is(True))
+
+
+def test_an_outdated_run_time_does_not_refuse_for_ever(lone):
+    """Nothing would run, so nothing would correct it."""
+    first = make_work()
+    lone.times.routes[first.route] = 60
+    assert_that(isinstance(submit(lone, first)[0], Send), Is(True))
+    refused = submit(lone, make_work())[0]
+    assert_that(isinstance(refused, Refuse), Is(True))
+
+
 def test_a_draining_target_gets_nothing(lone):
     lone.update_targets(
         [make_record('one', slots=1, state=TargetState.DRAINING)]
