The retry budget: one allowance for all, and half of it for callers that returned

Cause: a coordinator that took over, and each gateway without one, had a whole allowance; together they could pass the operator's bound. While all targets of a keyed service shed half of their requests, the budget went to callers that could come back without it, and those that had were refused for good. Ruled out: a larger share alone (the bound is a rule). Change: no allowance in the first window after a takeover, none for lone gateways; half of what is given out is kept for returned callers; 0.85 of the bound is given out.

--- a/src/laburnumyard/core/scheduling/_budget.py
+++ b/src/laburnumyard/core/scheduling/_budget.py
@@ -6,9 +6,13 @@
 from laburnumyard.core.ids import Seconds
 from laburnumyard.core.scheduling._settings import RetryBudget
 
-# Sends that targets refused count for the operator's bound as well, and they
-# are known only afterwards; this part of the bound is left to them.
-SAFETY = 0.7
+# The part of the operator's bound that is given out. All second sends of a
+# service are counted here; the rest is for those of gateways that lost their
+# coordinator just then.
+SAFETY = 0.85
+# The part of that which requests may use whose callers can still come back: a
+# caller's own return needs no budget, and one that has returned has nothing else.
+FIRST_TRY_PART = 0.5
 
 
 @dataclass(slots=True)
@@ -29,9 +33,16 @@
         """Count a request's first send."""
         self.requests.append(now)
 
-    def may_repeat(self, now: Seconds) -> bool:
+    def may_repeat(self, now: Seconds, *, is_returned: bool) -> bool:
         """Count a second send, unless the window is used up.
 
+        Parameters
+        ----------
+        now
+            The time.
+        is_returned
+            Whether the caller was refused before.
+
         Returns
         -------
         bool
@@ -41,7 +52,10 @@
             while times and times[0] < now - self.budget.window_s:
                 times.popleft()
         allowed = self.budget.ratio * len(self.requests)
-        if len(self.repeats) >= SAFETY * (allowed + self.budget.allowance):
+        if now >= self.budget.allowance_from:
+            allowed += self.budget.allowance
+        part = SAFETY if is_returned else SAFETY * FIRST_TRY_PART
+        if len(self.repeats) >= part * allowed:
             return False
         self.repeats.append(now)
         return True
--- a/src/laburnumyard/core/scheduling/_scheduler.py
+++ b/src/laburnumyard/core/scheduling/_scheduler.py
@@ -103,7 +103,7 @@
         if self.poison.is_refused(work, now):
             return [self.refuse(work, Refusal.QUARANTINED, now)]
         if work.sends:
-            if not self.budget.may_repeat(now):
+            if not self.budget.may_repeat(now, is_returned=is_returned):
                 return [self.refuse(work, Refusal.RETRY_BUDGET, now)]
         else:
             self.budget.note_request(now)
--- a/src/laburnumyard/core/scheduling/_settings.py
+++ b/src/laburnumyard/core/scheduling/_settings.py
@@ -1,6 +1,9 @@
 """Bounds of scheduling."""
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, replace
+
+from laburnumyard.core.ids import Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,11 +18,28 @@
         Second sends beside these.
     window_s
         The stretch of time in which both hold, in seconds.
+    allowance_from
+        When the allowance may be used for the first time.
     """
 
     ratio: float = 0.2
     allowance: float = 50.0
     window_s: float = 10.0
+    allowance_from: float = 0
+
+    def succeed(self, now: Seconds) -> 'RetryBudget':
+        """Return the budget of a scheduler that takes over.
+
+        The one before may have used the allowance of this window.
+        """
+        return replace(self, allowance_from=now + self.window_s)
+
+    def without_allowance(self) -> 'RetryBudget':
+        """Return the budget of one scheduler among others.
+
+        Shares of the requests add up to the share of all; allowances do not.
+        """
+        return replace(self, allowance_from=math.inf)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/laburnumyard/gateway/_coordination.py
+++ b/src/laburnumyard/gateway/_coordination.py
@@ -1,6 +1,6 @@
 """The services that a gateway schedules, and messages about them."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial, singledispatchmethod
 from types import MappingProxyType
 
@@ -128,7 +128,10 @@
         manager = None
         if spec and spec.is_keyed:
             manager = ShardManager(self.tuning.shards)
-        desk = Desk(service, Scheduler(self.tuning.scheduling, manager))
+        settings = self.tuning.scheduling
+        budget = settings.retry_budget.succeed(boot_time())
+        settings = replace(settings, retry_budget=budget)
+        desk = Desk(service, Scheduler(settings, manager))
         role = Role(epoch, desk)
         self.roles[service] = role
         desk.update(records_of(self.view.directory, service))
--- a/src/laburnumyard/gateway/_slots.py
+++ b/src/laburnumyard/gateway/_slots.py
@@ -180,7 +180,9 @@
             manager = None
             if ask.key is not None:
                 manager = ShardManager(self.tuning.shards)
-            settings = replace(self.tuning.scheduling, is_alone=False)
+            settings = self.tuning.scheduling
+            budget = settings.retry_budget.without_allowance()
+            settings = replace(settings, retry_budget=budget, is_alone=False)
             desk = Desk(ask.service, Scheduler(settings, manager))
             desk.update(records_of(self.view.directory, ask.service))
             self.lone_desks[ask.service] = desk
