--- a/src/laburnumyard/gateway/_shard_runner.py
+++ b/src/laburnumyard/gateway/_shard_runner.py
@@ -22,6 +22,7 @@
     Move,
     Order,
     Piece,
+    Release,
     Reply,
     ShardManager,
 )
@@ -47,8 +48,8 @@
 # A grant is answered at once; a release only when running work has ended.
 GRANT_TIMEOUT_S = 0.4
 RELEASE_TIMEOUT_S = 2.5
-# A grant that waited longer than this for its turn is not sent, in seconds: its
-# hold is counted from when it was made, with 0.3 s for the way.
+# A grant that waited longer than this for its turn is made anew, in seconds:
+# its hold is counted from when it was made, with 0.3 s for the way.
 STALE_GRANT_S = 0.1
 # Each order at a time takes a connection; targets accept few.
 RELEASES_AT_ONCE = 4
@@ -279,16 +280,39 @@
         lock = locks.setdefault(address, anyio.Semaphore(limit))
         timeout_s = GRANT_TIMEOUT_S if is_grant else RELEASE_TIMEOUT_S
         async with lock:
-            if is_grant and boot_time() - order.sent_at > STALE_GRANT_S:
-                # Its hold would run longer than it was counted for; the next
-                # tick makes a new one.
-                order.piece.is_ordered = False
+            current = self.refresh(order, tasks)
+            if current is None:
                 return
-            answer = await self.platform.orders.send(order, address, timeout_s)
+            answer = await self.platform.orders.send(
+                current, address, timeout_s
+            )
         self.take_reply(
-            order, answer.reply, answer.handover, answer.detail, tasks
+            current, answer.reply, answer.handover, answer.detail, tasks
         )
 
+    def refresh(self, order: Order, tasks: TaskGroup) -> Order | None:
+        """Return an order whose turn has come, made anew if it waited.
+
+        The hold of a grant is counted from when it was made. It keeps its
+        turn: if it had to wait again, pieces that are due earlier could keep
+        others from ever being granted.
+
+        Returns
+        -------
+        Order or None
+            None if the piece needs no such order any more.
+        """
+        now = boot_time()
+        if isinstance(order, Release) or now - order.sent_at <= STALE_GRANT_S:
+            return order
+        order.piece.is_ordered = False
+        needed = next(self.manager.next_order(order.piece, now), None)
+        if isinstance(needed, Grant) and needed.life == order.life:
+            return needed
+        if needed is not None:
+            tasks.start_soon(self.give, needed, tasks)
+        return None
+
     def take_reply(
         self,
         order: Order,
