Code that nobody calls is gone, and one name for a checked count

Removed: total_load, wall_time, Refusal.TOO_LATE, View.directory_at (written, never read, with the parameter that fed it) and read_whole, which was read_count under another name. The dialect calls its own _seconds instead of repeating it. No behaviour changes; no assertion of a test does.

--- a/src/laburnumyard/clocks.py
+++ b/src/laburnumyard/clocks.py
@@ -20,11 +20,6 @@
     return Seconds(time.clock_gettime(time.CLOCK_BOOTTIME))
 
 
-def wall_time() -> float:
-    """Return the time since the epoch in seconds, for pages and logs."""
-    return time.time()
-
-
 def new_incarnation() -> Incarnation:
     """Return an incarnation above those of earlier starts of this VM."""
     return Incarnation(time.time_ns() // MILLISECONDS_PER_SECOND)
--- a/src/laburnumyard/core/scheduling/_work.py
+++ b/src/laburnumyard/core/scheduling/_work.py
@@ -37,7 +37,6 @@
 
     NO_TARGET = 'no-target'
     NO_OWNER = 'no-owner'
-    TOO_LATE = 'too-late'
     OVERLOADED = 'overloaded'
     RETRY_BUDGET = 'retry-budget'
     QUARANTINED = 'quarantined'
--- a/src/laburnumyard/core/shards/_load.py
+++ b/src/laburnumyard/core/shards/_load.py
@@ -1,7 +1,6 @@
 """Which keys were asked for lately, and what that cost."""
 
 from collections import deque
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from laburnumyard.core.ids import Seconds, ShardKey
@@ -59,8 +58,3 @@
             cost = loads.get(arrival.key, 0)
             loads[arrival.key] = cost + arrival.cost / WINDOW_S
         return sorted(loads.items())
-
-
-def total_load(loads: Iterable[tuple[ShardKey, float]]) -> float:
-    """Return the sum of the loads of some keys."""
-    return sum(load for _, load in loads)
--- a/src/laburnumyard/gateway/_target_entries.py
+++ b/src/laburnumyard/gateway/_target_entries.py
@@ -72,10 +72,8 @@
                 self.absent.pop(target)
                 self.targets.pop(target, None)
                 log_event(Event.TARGET, target=target, state='gone')
-        if self.targets == before:
-            self.view.directory_at = now
-        else:
-            self.view.take_directory(self.targets, now)
+        if self.targets != before:
+            self.view.take_directory(self.targets)
 
     def take_target(self, item: Item) -> None:
         """Take a target's own entry."""
--- a/src/laburnumyard/gateway/_view.py
+++ b/src/laburnumyard/gateway/_view.py
@@ -9,7 +9,6 @@
 from laburnumyard.core.ids import (
     DaemonName,
     Incarnation,
-    Seconds,
     ServiceName,
     TargetId,
 )
@@ -65,8 +64,6 @@
         The route table in force, None before the first one.
     directory
         Every target by its identifier.
-    directory_at
-        When the directory was last known to be complete.
     coordinators
         The coordinator of each service that has one.
     members
@@ -79,7 +76,6 @@
 
     routes: RouteTable | None = None
     directory: dict[TargetId, TargetRecord] = field(default_factory=dict)
-    directory_at: Seconds | None = None
     coordinators: dict[ServiceName, Coordinator] = field(default_factory=dict)
     members: dict[DaemonName, Member] = field(default_factory=dict)
     assignments: dict[ServiceName, Item] = field(default_factory=dict)
@@ -102,10 +98,9 @@
         self.tell(self.on_routes)
         return True
 
-    def take_directory(self, directory: Directory, now: Seconds) -> None:
+    def take_directory(self, directory: Directory) -> None:
         """Adopt the targets as they are now."""
         self.directory = dict(directory)
-        self.directory_at = now
         self.tell(self.on_directory)
 
     def take_coordinator(
--- a/src/laburnumyard/platform/_dialect.py
+++ b/src/laburnumyard/platform/_dialect.py
@@ -30,10 +30,9 @@
     MS_PER_SECOND,
     read_amount,
     read_name,
-    read_whole,
 )
 from laburnumyard.platform._routes import read_routes
-from laburnumyard.transport import parse_json, read_object
+from laburnumyard.transport import parse_json, read_count, read_object
 
 ATTEMPT_ID = 'laburnumyard-attempt-id'
 DEADLINE_MS = 'laburnumyard-deadline-ms'
@@ -68,9 +67,7 @@
             key = None
         return RequestHead(
             AttemptId(fields.get(ATTEMPT_ID, '')),
-            None
-            if deadline_ms is None
-            else Seconds(deadline_ms / MS_PER_SECOND),
+            _seconds(deadline_ms),
             None if key is None else ShardKey(key),
         )
 
@@ -127,14 +124,14 @@
     state = read_name(fields, 'state')
     if state not in STATES:
         raise ValueError(f'state is {state!r:.60}, not ready or draining')
-    slots = read_whole(fields, 'maxConcurrency')
+    slots = read_count(fields, 'maxConcurrency')
     if not slots:
         raise ValueError('maxConcurrency is 0')
     # `sequence` counts the target's own writes, and `version` names its
     # software; neither changes where requests go.
     warm_up_ms = read_amount(fields, 'warmupLeftMs')
     return TargetRecord(
-        TargetLife(TargetId(target), read_whole(fields, 'born')),
+        TargetLife(TargetId(target), read_count(fields, 'born')),
         ServiceName(read_name(fields, 'service')),
         address,
         DataCentre(read_name(fields, 'zone')),
--- a/src/laburnumyard/platform/_fields.py
+++ b/src/laburnumyard/platform/_fields.py
@@ -6,7 +6,7 @@
 
 import math
 
-from laburnumyard.transport import Fields, read_count, read_text
+from laburnumyard.transport import Fields, read_text
 
 MS_PER_SECOND = 1000
 LONGEST_NAME = 1024
@@ -22,11 +22,6 @@
     return text
 
 
-def read_whole(fields: Fields, name: str) -> int:
-    """Return a whole number from 0 up."""
-    return read_count(fields, name)
-
-
 def read_amount(fields: Fields, name: str) -> float:
     """Return a finite number from 0 up."""
     amount = fields.get(name)
--- a/src/laburnumyard/platform/_routes.py
+++ b/src/laburnumyard/platform/_routes.py
@@ -13,9 +13,8 @@
     read_amount,
     read_name,
     read_version,
-    read_whole,
 )
-from laburnumyard.transport import Fields, read_list, read_object
+from laburnumyard.transport import Fields, read_count, read_list, read_object
 
 
 def read_routes(document: Fields) -> RouteTable:
@@ -52,9 +51,9 @@
         read_name(fields, 'routeType') == 'safe',
         _read_seconds(fields, 'timeoutMs'),
         _read_seconds(fields, 'sloMs'),
-        read_whole(fields, 'priority'),
+        read_count(fields, 'priority'),
         # `maxAttempts` counts targets, not sends.
-        max(1, read_whole(fields, 'maxAttempts')),
+        max(1, read_count(fields, 'maxAttempts')),
     )
 
 
@@ -75,15 +74,15 @@
     return ServiceSpec(
         ServiceName(read_name(fields, 'name')),
         read_name(fields, 'healthPath'),
-        read_whole(fields, 'maxConns'),
+        read_count(fields, 'maxConns'),
         fields.get('sharded') is True,
     )
 
 
 def _read_limits(fields: Fields) -> CallerLimits:
     return CallerLimits(
-        read_whole(fields, 'maxHeaderBytes'),
-        read_whole(fields, 'maxBodyBytes'),
+        read_count(fields, 'maxHeaderBytes'),
+        read_count(fields, 'maxBodyBytes'),
         _read_seconds(fields, 'headerTimeoutMs'),
         _read_seconds(fields, 'idleTimeoutMs'),
     )
--- a/tests/gateway/ownership_world.py
+++ b/tests/gateway/ownership_world.py
@@ -145,7 +145,7 @@
             TargetId(name): target.record
             for name, target in self.world.targets.items()
         }
-        self.view.take_directory(records, Seconds(0))
+        self.view.take_directory(records)
 
     async def run(self):
         with self.scope:
--- a/tests/gateway/test_shard_runner.py
+++ b/tests/gateway/test_shard_runner.py
@@ -104,9 +104,7 @@
 @pytest.fixture
 def view():
     known = View()
-    known.take_directory(
-        {TargetId(name): make_record(name) for name in '12'}, Seconds(0)
-    )
+    known.take_directory({TargetId(name): make_record(name) for name in '12'})
     return known
 
 
@@ -182,7 +180,7 @@
     """A target that is cut from the store serves until it is told."""
     runner, desk = make_runner()
     await run_until(runner, desk, all_served)
-    view.take_directory({TargetId('2'): make_record('2')}, Seconds(0))
+    view.take_directory({TargetId('2'): make_record('2')})
     orders.given.clear()
     runner, desk = make_runner(epoch=6)
     await run_until(
@@ -210,9 +208,7 @@
         TargetState.READY,
         Seconds(0),
     )
-    view.take_directory(
-        {TargetId('2'): make_record('2'), TargetId('9'): other}, Seconds(0)
-    )
+    view.take_directory({TargetId('2'): make_record('2'), TargetId('9'): other})
     orders.replies['1'] = Reply.REJECTED
     runner, desk = make_runner(epoch=6)
     await run_until(runner, desk, all_served)
@@ -320,9 +316,7 @@
     await run_until(runner, desk, all_served)
     again = make_record('1', started=2, state=TargetState.DRAINING)
     orders.given.clear()
-    view.take_directory(
-        {TargetId('1'): again, TargetId('2'): make_record('2')}, Seconds(0)
-    )
+    view.take_directory({TargetId('1'): again, TargetId('2'): make_record('2')})
     await run_until(
         runner,
         desk,
