One function checks a settings document against its model

The daemon's and the gateway's settings repeated the same dozen lines; both call core.problems.check_model now. Problems and their order stay.

--- a/src/laburnumyard/core/problems.py
+++ b/src/laburnumyard/core/problems.py
@@ -1,5 +1,6 @@
 """Problems in operators' files, and how models report them."""
 
+import json
 import math
 import tomllib
 from collections.abc import Iterable, Iterator, Mapping
@@ -7,12 +8,14 @@
 from difflib import get_close_matches
 from itertools import chain
 from types import MappingProxyType
-from typing import Any
+from typing import Any, TypeVar
 
 from expression import Error, Ok, Result
-from pydantic import BaseModel
+from pydantic import BaseModel, ValidationError
 from pydantic_core import ErrorDetails
 
+Model = TypeVar('Model', bound=BaseModel)
+
 _LONGEST_VALUE = 60
 # More levels of tables and lists than any document of ours has.
 _DEEPEST = 8
@@ -136,6 +139,32 @@
     return f'give {_describe(fault)}'
 
 
+def check_model(
+    document: Mapping[str, Any], source: str, model: type[Model]
+) -> Result[Model, tuple[Problem, ...]]:
+    """Return a document as its model, or each problem of its fields.
+
+    Parameters
+    ----------
+    document
+        A file that was read.
+    source
+        The name of the file.
+    model
+        The model of the whole file.
+    """
+    content = json.dumps(document, default=str)
+    try:
+        return Ok(model.model_validate_json(content, strict=True))
+    except ValidationError as invalid:
+        return Error(
+            tuple(
+                model_problem(fault, source, model)
+                for fault in invalid.errors()
+            )
+        )
+
+
 def model_problem(
     fault: ErrorDetails, source: str, model: type[BaseModel]
 ) -> Problem:
--- a/src/laburnumyard/core/settings.py
+++ b/src/laburnumyard/core/settings.py
@@ -1,18 +1,16 @@
 """The settings of one daemon: parsed and checked as a whole."""
 
-import json
 from collections.abc import Callable, Iterator
 from functools import partial
 from itertools import chain, combinations
 from typing import Any
 
-from expression import Error, Ok, Result
-from pydantic import ValidationError
+from expression import Error, Result
 
 from laburnumyard.core.addresses import clashes, find_address_fault
 from laburnumyard.core.problems import (
     Problem,
-    model_problem,
+    check_model,
     read_toml,
     show_value,
 )
@@ -65,18 +63,11 @@
     document: dict[str, Any],
     source: str,
 ) -> Result[Settings, tuple[Problem, ...]]:
-    content = json.dumps(document, default=str)
-    try:
-        settings = Settings.model_validate_json(content, strict=True)
-    except ValidationError as invalid:
-        return Error(
-            tuple(
-                model_problem(fault, source, Settings)
-                for fault in invalid.errors()
-            )
-        )
-    problems = tuple(find_contradictions(settings, source))
-    return Error(problems) if problems else Ok(settings)
+    checked = check_model(document, source, Settings)
+    if checked.is_error():
+        return checked
+    problems = tuple(find_contradictions(checked.ok, source))
+    return Error(problems) if problems else checked
 
 
 def find_contradictions(settings: Settings, source: str) -> Iterator[Problem]:
--- a/src/laburnumyard/gateway/_settings.py
+++ b/src/laburnumyard/gateway/_settings.py
@@ -1,15 +1,8 @@
 """Reads the settings of a gateway."""
 
-import json
+from expression import Error, Result
 
-from expression import Error, Ok, Result
-from pydantic import ValidationError
-
-from laburnumyard.core.problems import (
-    Problem,
-    model_problem,
-    read_toml,
-)
+from laburnumyard.core.problems import Problem, check_model, read_toml
 from laburnumyard.schema._generated.gateway import GatewaySettings
 
 
@@ -33,13 +26,4 @@
     document = read_toml(text, source)
     if document.is_error():
         return Error((document.error,))
-    content = json.dumps(document.ok, default=str)
-    try:
-        return Ok(GatewaySettings.model_validate_json(content, strict=True))
-    except ValidationError as invalid:
-        return Error(
-            tuple(
-                model_problem(fault, source, GatewaySettings)
-                for fault in invalid.errors()
-            )
-        )
+    return check_model(document.ok, source, GatewaySettings)
