--- a/src/laburnumyard/gateway/_requests.py
+++ b/src/laburnumyard/gateway/_requests.py
@@ -14,7 +14,7 @@
     ServiceName,
     TargetId,
 )
-from laburnumyard.core.quarantine import fingerprint_of
+from laburnumyard.core.quarantine import Fingerprint, fingerprint_of
 from laburnumyard.core.routes import PartChooser, Route
 from laburnumyard.core.scheduling import Outcome, Refusal
 from laburnumyard.gateway._desk import Ask, Refused
@@ -78,6 +78,8 @@
         Whether its caller was refused before.
     due_at, expires_at
         Until when an answer has its full value, and any.
+    fingerprint
+        Equal for requests with the same content.
     """
 
     request: CallerRequest
@@ -87,6 +89,7 @@
     is_returned: bool
     due_at: Seconds
     expires_at: Seconds
+    fingerprint: Fingerprint
     tried: set[TargetId] = field(default_factory=set)
     sends: int = 0
     runs: int = 0
@@ -203,14 +206,18 @@
         # deadline: what is missing of the longest one has passed already.
         passed = longest - deadline if is_returned else 0
         arrived = request.arrived_at
+        service = self.chooser.choose(route)
         return Attempt(
             request,
             head,
             route,
-            self.chooser.choose(route),
+            service,
             is_returned,
             Seconds(arrived + route.objective_s - passed),
             Seconds(arrived + min(deadline, route.timeout_s)),
+            fingerprint_of(
+                service, request.method, request.path, '', request.body
+            ),
         )
 
     def longest_deadline(self, route: Route, deadline: Seconds) -> Seconds:
@@ -257,14 +264,6 @@
     def ask(self, attempt: Attempt) -> Ask:
         """Return what a coordinator has to know."""
         now = boot_time()
-        request = attempt.request
-        fingerprint = fingerprint_of(
-            attempt.service,
-            request.method,
-            request.path,
-            '',
-            request.body,
-        )
         return Ask(
             attempt.service,
             attempt.route.name,
@@ -276,7 +275,7 @@
             Seconds(max(0, attempt.expires_at - now)),
             attempt.is_returned,
             frozenset(attempt.tried),
-            fingerprint,
+            attempt.fingerprint,
             attempt.sends,
         )
 
