--- a/src/laburnumyard/gateway/_coordination.py
+++ b/src/laburnumyard/gateway/_coordination.py
@@ -207,8 +207,7 @@
             await anyio.sleep(TICK_S)
             self.drop_outdated_roles()
             for role in tuple(self.roles.values()):
-                if role.desk.scheduler.waiting or role.desk.scheduler.running:
-                    role.desk.tick()
+                role.desk.tick()
 
     @singledispatchmethod
     def take(self, message: object, link: Link) -> None:
--- a/src/laburnumyard/gateway/_slots.py
+++ b/src/laburnumyard/gateway/_slots.py
@@ -221,8 +221,7 @@
         while True:
             await anyio.sleep(TICK_S)
             for desk in tuple(self.lone_desks.values()):
-                if desk.scheduler.waiting or desk.scheduler.running:
-                    desk.tick()
+                desk.tick()
 
 
 def _refused(permit: messages.Permit) -> Refused:
