--- a/src/laburnumyard/gateway/_gateway_records.py
+++ b/src/laburnumyard/gateway/_gateway_records.py
@@ -1,7 +1,7 @@
 """Takes the records that gateways keep in the store."""
 
 from laburnumyard.core.ids import DaemonName, ServiceName
-from laburnumyard.gateway._items import ItemCache
+from laburnumyard.gateway._items import ItemCache, with_removals
 from laburnumyard.gateway._ports import Item
 from laburnumyard.gateway._records import (
     COORDINATORS,
@@ -30,23 +30,16 @@
 
     def reset_coordinators(self, items: tuple[Item, ...]) -> None:
         """Take all coordinators; those that are missing are gone."""
-        present = {item.key for item in items}
-        gone = [
-            Item(f'{COORDINATORS}{service}', None, coordinator.epoch)
+        known = {
+            service: coordinator.epoch
             for service, coordinator in self.view.coordinators.items()
-            if f'{COORDINATORS}{service}' not in present
-        ]
-        self.take((*items, *gone))
+        }
+        self.take(with_removals(items, COORDINATORS, known))
 
     def reset_members(self, items: tuple[Item, ...]) -> None:
         """Take all members; those that are missing are gone."""
-        present = {item.key for item in items}
-        lost = [
-            Item(f'{MEMBERS}{name}', None, 0)
-            for name in self.view.members
-            if f'{MEMBERS}{name}' not in present
-        ]
-        self.take((*items, *lost))
+        known = dict.fromkeys(self.view.members, 0)
+        self.take(with_removals(items, MEMBERS, known))
 
     def take(self, items: tuple[Item, ...]) -> None:
         """Take changed members and coordinators."""
--- a/src/laburnumyard/gateway/_items.py
+++ b/src/laburnumyard/gateway/_items.py
@@ -1,6 +1,6 @@
 """Items of the store that a gateway has read, for peers that can't reach it."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from laburnumyard.gateway._ports import Item
@@ -78,6 +78,32 @@
             self.items.pop(key)
 
 
+def with_removals(
+    items: tuple[Item, ...], prefix: str, known: Mapping[str, int]
+) -> tuple[Item, ...]:
+    """Return a full listing with a removal of each known item it lacks.
+
+    Parameters
+    ----------
+    items
+        All items under a prefix.
+    prefix
+        The prefix.
+    known
+        Names that were listed before, without the prefix, and the revision of
+        their removal.
+    """
+    present = {item.key for item in items}
+    return (
+        *items,
+        *(
+            Item(f'{prefix}{name}', None, revision)
+            for name, revision in known.items()
+            if f'{prefix}{name}' not in present
+        ),
+    )
+
+
 def decode_items(message: messages.StoredItems) -> Iterable[Item]:
     """Yield the items of a peer."""
     for row in message.items:
--- a/src/laburnumyard/gateway/_target_entries.py
+++ b/src/laburnumyard/gateway/_target_entries.py
@@ -3,7 +3,7 @@
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.directory import TargetRecord
 from laburnumyard.core.ids import Seconds, TargetId
-from laburnumyard.gateway._items import ItemCache
+from laburnumyard.gateway._items import ItemCache, with_removals
 from laburnumyard.gateway._ports import Dialect, Item
 from laburnumyard.gateway._store_health import StoreHealth
 from laburnumyard.gateway._view import View
@@ -47,14 +47,11 @@
 
     def reset(self, items: tuple[Item, ...]) -> None:
         """Take all targets; those that are missing are gone."""
-        present = {item.key for item in items}
         prefix = self.dialect.target_prefix
-        gone = [
-            Item(f'{prefix}{target}', None, self.revision_of(prefix, target))
-            for target in self.targets
-            if f'{prefix}{target}' not in present
-        ]
-        self.take((*items, *gone))
+        known = {
+            target: self.revision_of(prefix, target) for target in self.targets
+        }
+        self.take(with_removals(items, prefix, known))
 
     def revision_of(self, prefix: str, target: TargetId) -> int:
         """Return a revision above that of a target's last known entry."""
