--- a/tests/clients/conftest.py
+++ b/tests/clients/conftest.py
@@ -13,27 +13,6 @@
 
 MAX_BODY_BYTES = 65536
 GENEROUS_S = 20
-POLL_S = 0.001
-POLLS = 20_000
-
-
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
-@pytest.fixture
-def wait_until():
-    """Wait for a condition, with a generous limit."""
-
-    async def poll(condition):
-        for _ in range(POLLS):
-            if condition():
-                return
-            await anyio.sleep(POLL_S)
-        pytest.fail('the condition never came true')
-
-    return poll
 
 
 @pytest.fixture
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,34 @@
 import json
 import os
 
+import anyio
 import pytest
 
 from tests.support.known_red import known_red_tests
 from tests.support.matrix import CELLS_FILE, Fault, Step
 
+POLL_S = 0.001
+POLLS = 20_000
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+@pytest.fixture
+def wait_until():
+    """Wait for a condition, with a generous limit."""
+
+    async def poll(condition):
+        for _ in range(POLLS):
+            if condition():
+                return
+            await anyio.sleep(POLL_S)
+        pytest.fail('the condition never came true')
+
+    return poll
+
 
 @pytest.hookimpl(wrapper=True)
 def pytest_runtest_makereport(item, call):
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -1,7 +1,6 @@
 import asyncio
 from contextlib import asynccontextmanager
 
-import anyio
 import pytest
 
 from laburnumyard.clocks import boot_time
@@ -12,27 +11,6 @@
 from tests.daemon.world import running
 
 GENEROUS_S = 20
-POLL_S = 0.002
-POLLS = 10_000
-
-
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
-@pytest.fixture
-def wait_until():
-    """Wait for a condition, with a generous limit."""
-
-    async def poll(condition):
-        for _ in range(POLLS):
-            if condition():
-                return
-            await anyio.sleep(POLL_S)
-        pytest.fail('the condition never came true')
-
-    return poll
 
 
 @pytest.fixture
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -127,11 +127,6 @@
     )
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
 @pytest.fixture
 def config():
     """An operator's document."""
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -3,9 +3,9 @@
 import pytest
 
 from laburnumyard.platform._dialect import PlatformDialect
-from tests.gateway.conftest import anyio_backend, config
+from tests.gateway.conftest import config
 
-__all__ = ('anyio_backend', 'config')
+__all__ = ('config',)
 
 ENTRY = {
     'service': 'catalogue',
--- a/tests/standins/conftest.py
+++ b/tests/standins/conftest.py
@@ -4,11 +4,6 @@
 from standins.target import Fencing, TargetApp, TargetSettings
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
 @pytest.fixture
 def target_app():
     settings = TargetSettings(
--- a/tests/wire/conftest.py
+++ b/tests/wire/conftest.py
@@ -137,11 +137,6 @@
         server.close()
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
 @pytest.fixture
 def daemon():
     return Daemon()
