Large payloads count in the choice of a data centre

Cause: the penalty of a target in another data centre was a quarter of a run time whatever a request carries.

Change: gateways report the bytes of request and response with the slot they release; the coordinator keeps a mean a route, and the penalty grows with it up to two run times. The cost of a target stands in a module of its own.

--- a/src/laburnumyard/core/scheduling/_scheduler.py
+++ b/src/laburnumyard/core/scheduling/_scheduler.py
@@ -7,6 +7,7 @@
 
 from bisect import insort
 from collections.abc import Iterable
+from functools import partial
 from operator import attrgetter
 from typing import Protocol
 
@@ -15,6 +16,7 @@
 from laburnumyard.core.scheduling._crash_attribution import CrashAttribution
 from laburnumyard.core.scheduling._run_times import RunTimes
 from laburnumyard.core.scheduling._settings import SchedulerSettings
+from laburnumyard.core.scheduling._target_cost import PayloadSizes, TargetCost
 from laburnumyard.core.scheduling._target_slots import TargetSlots
 from laburnumyard.core.scheduling._work import (
     Decision,
@@ -77,6 +79,8 @@
         self.settings = settings
         self.placement = placement
         self.times = RunTimes()
+        self.payloads = PayloadSizes()
+        self.cost = TargetCost(settings, self.times, self.payloads)
         self.budget = BudgetMeter(settings.retry_budget)
         self.crash_attribution = CrashAttribution()
         self.targets: dict[TargetId, TargetSlots] = {}
@@ -119,6 +123,7 @@
         work_id: WorkId,
         outcome: Outcome,
         now: Seconds,
+        payload_bytes: int = 0,
     ) -> list[Decision]:
         """Free the slot of a request and dispatch waiting requests.
 
@@ -130,10 +135,14 @@
             The outcome of its run.
         now
             The current time, in seconds.
+        payload_bytes
+            Size of the request and its response; 0 without a response.
         """
         work = self.running.pop(work_id, None)
         if work is None or work.target is None:
             return []
+        if payload_bytes:
+            self.payloads.record(work.route, payload_bytes)
         slots = self.targets.get(work.target)
         if slots:
             slots.running -= 1
@@ -246,25 +255,9 @@
             for slots in self.targets.values()
             if slots.has_room(now) and slots.record.target not in work.excluded
         ]
-        best = min(
-            free, key=lambda slots: self._cost(work, slots), default=None
-        )
+        best = min(free, key=partial(self.cost.of, work), default=None)
         return best.record.target if best else None
 
-    def _cost(self, work: Work, slots: TargetSlots) -> float:
-        record = slots.record
-        pace = self.times.pace(record.target)
-        if record.warm_up_left_s > 0:
-            pace *= 2
-        distance_penalty = float(0)
-        if record.data_centre != work.data_centre:
-            distance_penalty = self.settings.distance_cost
-        occupancy_penalty = slots.running / record.slots / 4
-        failure_penalty = self.settings.failure_cost * slots.failure_rate
-        return (
-            pace * (1 + occupancy_penalty) + distance_penalty + failure_penalty
-        )
-
     def _record_run_time(
         self, work: Work, outcome: Outcome, now: Seconds
     ) -> None:
--- a/src/laburnumyard/core/scheduling/_settings.py
+++ b/src/laburnumyard/core/scheduling/_settings.py
@@ -59,6 +59,12 @@
     distance_cost
         Penalty of a target in another data centre, in mean run times; traffic
         between data centres is paid for.
+    distance_cost_per_byte
+        Further penalty by the mean size of a route's requests and responses,
+        in mean run times a byte.
+    max_distance_cost
+        Largest sum of both: a target that is slower by more than this is not
+        preferred for being near.
     failure_cost
         Penalty of a target that fails every request, in mean run times.
     is_only_scheduler
@@ -69,5 +75,7 @@
     retry_budget: RetryBudget = RetryBudget()
     late_share: float = 0
     distance_cost: float = 0.25
+    distance_cost_per_byte: float = 2e-5
+    max_distance_cost: float = 2.0
     failure_cost: float = 6.0
     is_only_scheduler: bool = True
--- a/src/laburnumyard/gateway/_coordinator_roles.py
+++ b/src/laburnumyard/gateway/_coordinator_roles.py
@@ -244,7 +244,7 @@
         work = self.remote.get(link, {}).pop(message.number, None)
         if work is not None:
             outcome = OUTCOMES.get(message.outcome, Outcome.CANCELLED)
-            work.dispatcher.finish(work.work_id, outcome)
+            work.dispatcher.finish(work.work_id, outcome, message.payload_bytes)
 
     @handle_message.register
     def _(self, message: messages.Cancel, link: Link) -> None:
--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -94,6 +94,8 @@
     sends: int = 0
     runs: int = 0
     refusals: int = 0
+    # Size of the request and the last response, 0 before that.
+    payload_bytes: int = 0
     # Whether a send without a response may have run.
     may_have_run: bool = False
     failure: RequestResult | None = None
@@ -304,7 +306,7 @@
         self, attempt: Attempt, slot: Slot, outcome: Outcome
     ) -> None:
         """Release the slot of a send and log its outcome."""
-        self.slots.release(slot, outcome)
+        self.slots.release(slot, outcome, attempt.payload_bytes)
         METRICS.count(
             'sends_total', service=attempt.service, outcome=outcome.value
         )
@@ -339,6 +341,7 @@
             attempt.may_have_run = may_have_run or send_result.error.has_left
             return self.record_failure(attempt, send_result.error)
         response = send_result.ok
+        attempt.payload_bytes = len(attempt.request.body) + len(response.body)
         head = self.wire_format.read_response_head(
             response.status, response.headers
         )
--- a/src/laburnumyard/gateway/_slot_acquisition.py
+++ b/src/laburnumyard/gateway/_slot_acquisition.py
@@ -116,12 +116,12 @@
             return await self.acquire_local(dispatcher, slot_request)
         return await self.acquire_remote(coordinator, slot_request)
 
-    def release(self, slot: Slot, outcome: Outcome) -> None:
-        """Release a slot with the outcome of its request."""
+    def release(self, slot: Slot, outcome: Outcome, payload_bytes: int) -> None:
+        """Release a slot with the outcome and the size of its request."""
         if slot.dispatcher is not None and slot.work_id is not None:
-            slot.dispatcher.finish(slot.work_id, outcome)
+            slot.dispatcher.finish(slot.work_id, outcome, payload_bytes)
         elif slot.peer is not None:
-            done = messages.Done(slot.number, outcome.value)
+            done = messages.Done(slot.number, outcome.value, payload_bytes)
             self.pool.send(slot.peer, done)
 
     async def coordinator_of(self, service: ServiceName) -> Coordinator | None:
--- a/src/laburnumyard/gateway/_slot_dispatcher.py
+++ b/src/laburnumyard/gateway/_slot_dispatcher.py
@@ -132,9 +132,13 @@
         self.deliver(self.scheduler.submit(work, now, is_returned=returned))
         return work.work_id
 
-    def finish(self, work_id: WorkId, outcome: Outcome) -> None:
+    def finish(
+        self, work_id: WorkId, outcome: Outcome, payload_bytes: int = 0
+    ) -> None:
         """Release the slot of a finished request."""
-        decisions = self.scheduler.finish(work_id, outcome, boot_time())
+        decisions = self.scheduler.finish(
+            work_id, outcome, boot_time(), payload_bytes
+        )
         self.deliver(decisions)
 
     def withdraw(self, work_id: WorkId) -> None:
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -246,11 +246,13 @@
 
     number: int
     outcome: str
+    payload_bytes: int
 
 
 def _write_done(message: Done, builder: Any) -> None:
     builder.number = message.number
     builder.outcome = message.outcome
+    builder.payloadBytes = message.payload_bytes
 
 
 def _read_done(reader: Any) -> Done:
@@ -258,6 +260,7 @@
     return Done(
         number=get('number'),
         outcome=get('outcome'),
+        payload_bytes=get('payloadBytes'),
     )
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -294,6 +294,8 @@
 struct Done {
   number @0 :UInt64;
   outcome @1 :Text;
+  # Bytes of the request and the response, 0 without one.
+  payloadBytes @2 :UInt32;
 }
 
 # Tells an earlier coordinator of a service that the sender has replaced it; it
