Few gateways read the store, and only those with roles hold a session

Cause: each gateway renewed a session twice a second, watched configuration, members and coordinators, and read all targets in pages of 50 at its start; each start ended every watch of members.

Change: coordinators and the gateways named in the settings read the store. The others follow one of them by fetches that wait a second for news, and read the store themselves, spread out at random, only while none of them has current items. A gateway opens a session when it claims a role. The records of members are gone: peers are known from their links, and their cores from fetches. An item older than a complete reading is not adopted, so that a target that had left is not in use again after a restart; removals found in a listing bear its revision; a removal that may be undone after an outage is not passed on.

--- a/src/laburnumyard/gateway/_cluster_view.py
+++ b/src/laburnumyard/gateway/_cluster_view.py
@@ -15,6 +15,9 @@
 from laburnumyard.core.target_directory import Directory, TargetRecord
 from laburnumyard.gateway._platform_interface import Item
 
+# Gateways to remember; the oldest is forgotten first.
+MAX_MEMBERS = 1000
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
@@ -66,8 +69,13 @@
         Targets by identifier.
     coordinators
         Coordinators by service.
+    has_coordinators
+        Whether all coordinators are known; a service without one is then
+        vacant.
     members
-        Gateways by name.
+        Gateways that have sent messages to this one, by name.
+    max_milli_cores
+        The most processor cores of any known gateway, in thousandths.
     assignments
         Last read assignment item by sharded service.
     on_directory, on_routes, on_coordinators
@@ -77,7 +85,9 @@
     routes: RouteTable | None = None
     directory: dict[TargetId, TargetRecord] = field(default_factory=dict)
     coordinators: dict[ServiceName, Coordinator] = field(default_factory=dict)
+    has_coordinators: bool = False
     members: dict[DaemonName, Member] = field(default_factory=dict)
+    max_milli_cores: int = 0
     assignments: dict[ServiceName, Item] = field(default_factory=dict)
     on_directory: list[Callable[[], None]] = field(default_factory=list)
     on_routes: list[Callable[[], None]] = field(default_factory=list)
@@ -98,6 +108,26 @@
         self.notify(self.on_routes)
         return True
 
+    def note_member(self, member: Member) -> None:
+        """Record a gateway that has sent a message; a later start replaces it.
+
+        Parameters
+        ----------
+        member
+            The gateway; its cores are not known.
+        """
+        known = self.members.get(member.name)
+        if known and known.incarnation >= member.incarnation:
+            return
+        self.members.pop(member.name, None)
+        self.members[member.name] = member
+        if len(self.members) > MAX_MEMBERS:
+            self.members.pop(next(iter(self.members)))
+
+    def note_cores(self, milli_cores: int) -> None:
+        """Record the processor cores of a gateway, in thousandths."""
+        self.max_milli_cores = max(self.max_milli_cores, milli_cores)
+
     def adopt_directory(self, directory: Directory) -> None:
         """Replace the known targets."""
         self.directory = dict(directory)
--- a/src/laburnumyard/gateway/_coordinator_elections.py
+++ b/src/laburnumyard/gateway/_coordinator_elections.py
@@ -20,6 +20,8 @@
 
 # Interval between checks for vacant roles.
 POLL_INTERVAL_S = 0.05
+# The same without a vacant role, unless the view changes first.
+IDLE_INTERVAL_S = 1.0
 # Upper bound of the random delay before claiming a role, so that mostly one
 # write settles the election.
 ELECTION_JITTER_S = 0.05
@@ -29,6 +31,10 @@
 # Connection probes of a lost coordinator; a process is restarted within about
 # a second.
 MAX_PROBES = 8
+# Pause after the store opened no session; up to twice as long at random, since
+# all gateways try during an outage.
+SESSION_RETRY_PAUSE_S = 0.5
+MILLI_CORES = 1000
 PROBE_INTERVAL_S = 0.1
 
 
@@ -71,17 +77,17 @@
         while not self.coordination.is_leaving:
             changed = self.view.changed
             vacant = self.vacant_services()
-            if vacant and self.session.is_fresh:
+            if vacant:
                 await anyio.sleep(self.election_delay())
                 await self.claim_role(vacant[0])
                 continue
-            with anyio.move_on_after(POLL_INTERVAL_S if vacant else 1.0):
+            with anyio.move_on_after(IDLE_INTERVAL_S):
                 await changed.wait()
 
     def vacant_services(self) -> list[ServiceName]:
         """Return the services without a coordinator, in random order."""
         table = self.view.routes
-        if table is None:
+        if table is None or not self.view.has_coordinators:
             return []
         vacant = [name for name in table.services if self.is_vacant(name)]
         random.shuffle(vacant)
@@ -135,10 +141,8 @@
     def election_delay(self) -> float:
         """Return the delay before claiming a role, in seconds."""
         own_member = self.session.member
-        max_cores = max(
-            (member.cores for member in self.view.members.values()),
-            default=own_member.cores,
-        )
+        most_known = self.view.max_milli_cores / MILLI_CORES
+        max_cores = max(own_member.cores, most_known)
         handicap = len(self.coordination.roles) + 2 * max(
             0, 1 - own_member.cores / max_cores
         )
@@ -148,6 +152,9 @@
         """Claim a role, unless another gateway was faster."""
         if self.coordination.is_leaving or not self.is_vacant(service):
             return
+        if not await self.session.acquire():
+            await anyio.sleep(SESSION_RETRY_PAUSE_S * (1 + random.random()))
+            return
         key = coordinator_key(service)
         coordinator = self.view.coordinators.get(service)
         write = ConditionalWrite(
--- a/src/laburnumyard/gateway/_derived_settings.py
+++ b/src/laburnumyard/gateway/_derived_settings.py
@@ -22,6 +22,14 @@
     idle_close_after_s=IDLE_CLOSE_AFTER_S,
     sweep_interval_s=SWEEP_INTERVAL_S,
 )
+# Links for fetches mostly wait for news. A source that stops answering is
+# replaced before its items are two seconds old.
+FETCH_LINK_SETTINGS = LinkSettings(
+    probe_after_s=0.4,
+    silent_after_s=0.3,
+    idle_close_after_s=IDLE_CLOSE_AFTER_S,
+    sweep_interval_s=0.1,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/laburnumyard/gateway/_gateway_records.py
+++ b/src/laburnumyard/gateway/_gateway_records.py
@@ -1,19 +1,18 @@
 """Applies the records that gateways keep in the store."""
 
-from laburnumyard.core.ids import DaemonName, ServiceName
+from laburnumyard.core.ids import ServiceName
 from laburnumyard.gateway._cluster_view import ClusterView, Coordinator
 from laburnumyard.gateway._item_cache import ItemCache, with_removals
 from laburnumyard.gateway._platform_interface import Item
 from laburnumyard.gateway._record_encoding import (
     COORDINATOR_PREFIX,
-    MEMBER_PREFIX,
     decode_member,
 )
 from laburnumyard.telemetry import Event, log_event
 
 
 class GatewayRecords:
-    """Updates members and coordinators of the view from store items.
+    """Updates the coordinators of the view from store items.
 
     Parameters
     ----------
@@ -28,48 +27,20 @@
         self.view = view
         self.cache = cache
 
-    def apply_coordinator_listing(self, items: tuple[Item, ...]) -> None:
+    def apply_listing(self, items: tuple[Item, ...], revision: int) -> None:
         """Apply a full listing of coordinators; missing ones are removed."""
-        known = {
-            service: coordinator.epoch
-            for service, coordinator in self.view.coordinators.items()
-        }
-        self.apply_changes(with_removals(items, COORDINATOR_PREFIX, known))
-
-    def apply_member_listing(self, items: tuple[Item, ...]) -> None:
-        """Apply a full listing of members; missing ones are removed."""
-        known = dict.fromkeys(self.view.members, 0)
-        self.apply_changes(with_removals(items, MEMBER_PREFIX, known))
+        known = tuple(self.view.coordinators)
+        self.apply_changes(
+            with_removals(items, COORDINATOR_PREFIX, known, revision)
+        )
 
     def apply_changes(self, items: tuple[Item, ...]) -> None:
-        """Apply changed members and coordinators."""
+        """Apply changed coordinators."""
         for item in items:
             self.cache.update(item)
-            if item.key.startswith(MEMBER_PREFIX):
-                self.adopt_member(item)
-            elif item.key.startswith(COORDINATOR_PREFIX):
+            if item.key.startswith(COORDINATOR_PREFIX):
                 self.adopt_coordinator(item)
 
-    def adopt_member(self, item: Item) -> None:
-        """Apply the member record of a gateway."""
-        name = DaemonName(item.key.removeprefix(MEMBER_PREFIX))
-        if item.content is None:
-            known = self.view.members.pop(name, None)
-            if known:
-                log_event(Event.MEMBER, member=name, state='gone')
-            return
-        decoded = decode_member(item.content)
-        if decoded.is_error():
-            self.cache.log_malformed(item.key, decoded.error)
-            return
-        self.view.members[name] = decoded.ok
-        log_event(
-            Event.MEMBER,
-            member=name,
-            state='present',
-            incarnation=decoded.ok.incarnation,
-        )
-
     def adopt_coordinator(self, item: Item) -> None:
         """Apply the coordinator record of a service."""
         service = ServiceName(item.key.removeprefix(COORDINATOR_PREFIX))
--- a/src/laburnumyard/gateway/_item_cache.py
+++ b/src/laburnumyard/gateway/_item_cache.py
@@ -1,6 +1,6 @@
-"""Cache of store items, for peers that cannot reach the store."""
+"""Cache of store items, for gateways that do not read the store themselves."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from laburnumyard.gateway._platform_interface import Item
@@ -11,6 +11,26 @@
 MAX_REMOVED_ITEMS = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """Revisions up to which a gateway knows all items of each kind.
+
+    Parameters
+    ----------
+    config, coordinators, targets
+        Store revisions; 0 if the kind was not read or may be outdated.
+    """
+
+    config: int = 0
+    coordinators: int = 0
+    targets: int = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all kinds are known."""
+        return bool(self.config and self.coordinators and self.targets)
+
+
 @dataclass(slots=True)
 class ItemCache:
     """The newest version of each item, including removals.
@@ -49,26 +69,9 @@
             self.malformed.add(key)
             log_event(Event.FAULT, 'WARNING', key=key, problem=problem)
 
-    def encode(
-        self, number: int, after: int, complete_to: int
-    ) -> messages.StoredItems:
-        """Return the items that changed after a revision.
-
-        Parameters
-        ----------
-        number
-            Number of the request to answer.
-        after
-            Revision that the peer knows.
-        complete_to
-            Revision up to which all targets are known; 0 if that is stale.
-        """
-        rows = (
-            messages.StoredItem(item.key, item.content or b'', item.revision)
-            for item in self.items.values()
-            if item.revision > after
-        )
-        return messages.StoredItems(number, tuple(rows), complete_to)
+    def select(self, is_wanted: Callable[[Item], bool]) -> tuple[Item, ...]:
+        """Return the items that a predicate accepts."""
+        return tuple(filter(is_wanted, self.items.values()))
 
     def _trim_removed(self) -> None:
         removed = [
@@ -79,7 +82,7 @@
 
 
 def with_removals(
-    items: tuple[Item, ...], prefix: str, known: Mapping[str, int]
+    items: tuple[Item, ...], prefix: str, known: Iterable[str], revision: int
 ) -> tuple[Item, ...]:
     """Return a full listing with a removal of each known item it lacks.
 
@@ -90,22 +93,68 @@
     prefix
         Key prefix.
     known
-        Names without the prefix that were listed before, and the revision to
-        give their removal.
+        Names without the prefix that were listed before.
+    revision
+        Store revision of the listing. Gateways that know the items up to an
+        earlier one still learn of the removals.
     """
     present = {item.key for item in items}
     return (
         *items,
         *(
             Item(f'{prefix}{name}', None, revision)
-            for name, revision in known.items()
+            for name in known
             if f'{prefix}{name}' not in present
         ),
     )
 
 
-def decode_items(message: messages.StoredItems) -> Iterable[Item]:
-    """Yield the items of a peer's message."""
-    for row in message.items:
-        # Watched values are never empty, so empty content encodes a removal.
-        yield Item(row.key, row.content or None, row.revision)
+def encode_items(
+    number: int,
+    items: Iterable[Item],
+    progress: Progress,
+    milli_cores: int,
+) -> messages.StoredItems:
+    """Return items as a message to a peer.
+
+    Parameters
+    ----------
+    number
+        Number of the request to answer.
+    items
+        Items to send.
+    progress
+        Revisions up to which the receiver then knows all items.
+    milli_cores
+        The most cores of any known gateway, in thousandths.
+    """
+    rows = tuple(
+        messages.StoredItem(item.key, item.content or b'', item.revision)
+        for item in items
+    )
+    return messages.StoredItems(
+        number,
+        rows,
+        progress.targets,
+        progress.config,
+        progress.coordinators,
+        milli_cores,
+    )
+
+
+def decode_items(message: messages.StoredItems) -> tuple[Item, ...]:
+    """Return the items of a peer's message."""
+    # Watched values are never empty, so empty content encodes a removal.
+    return tuple(
+        Item(row.key, row.content or None, row.revision)
+        for row in message.items
+    )
+
+
+def progress_of(message: messages.StoredItems) -> Progress:
+    """Return the progress that a peer's message states."""
+    return Progress(
+        message.config_complete_to,
+        message.coordinators_complete_to,
+        message.complete_to,
+    )
--- a/src/laburnumyard/gateway/_record_encoding.py
+++ b/src/laburnumyard/gateway/_record_encoding.py
@@ -30,7 +30,6 @@
 )
 
 KEY_ROOT = 'laburnumyard/'
-MEMBER_PREFIX = f'{KEY_ROOT}member/'
 COORDINATOR_PREFIX = f'{KEY_ROOT}coordinator/'
 # Not below KEY_ROOT: assignments are large, and only coordinators need them.
 ASSIGNMENT_PREFIX = 'laburnumyard-assignment/'
@@ -41,11 +40,6 @@
 MAX_RECORD_BYTES = 4_194_304
 
 
-def member_key(name: DaemonName) -> str:
-    """Return the key of a member record."""
-    return f'{MEMBER_PREFIX}{name}'
-
-
 def coordinator_key(service: ServiceName) -> str:
     """Return the key that the coordinator of a service owns."""
     return f'{COORDINATOR_PREFIX}{service}'
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -2,24 +2,26 @@
 
 import gc
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from http import HTTPStatus
 
 import anyio
 from anyio.abc import TaskGroup
 
 from laburnumyard.clocks import boot_time, new_incarnation
-from laburnumyard.core.ids import DaemonName, DataCentre
+from laburnumyard.core.ids import DaemonName, DataCentre, Incarnation
 from laburnumyard.core.routes import CallerLimits
 from laburnumyard.gateway._cluster_view import ClusterView, Member
 from laburnumyard.gateway._coordinator_elections import Elections
 from laburnumyard.gateway._coordinator_roles import Coordination
 from laburnumyard.gateway._derived_settings import (
+    FETCH_LINK_SETTINGS,
     LINK_SETTINGS,
     derive_settings,
 )
 from laburnumyard.gateway._http_messages import CallerRequest, CallerResponse
 from laburnumyard.gateway._http_server import CallerServer
+from laburnumyard.gateway._item_server import ItemServer
 from laburnumyard.gateway._peer_reader import PeerReader
 from laburnumyard.gateway._platform_interface import Platform
 from laburnumyard.gateway._request_router import RequestRouter
@@ -36,6 +38,7 @@
 
 Reload = Callable[[], GatewaySettings | None]
 
+MILLI_CORES = 1000
 # Interval between reads of the settings, which may change without a signal.
 RELOAD_INTERVAL_S = 2.0
 # The load balancer removes a gateway after two failed checks, one a second,
@@ -88,12 +91,14 @@
             settings.listen.peers,
         )
         self.view = ClusterView()
+        self.view.note_cores(round(settings.machine.cores * MILLI_CORES))
         self.health = StoreHealth()
         self.session = Session(
             platform.store, self.health, settings.store, self.member
         )
         derived_settings = derive_settings(settings.bounds)
         self.link_pool = LinkPool(hello, LINK_SETTINGS)
+        self.fetch_pool = LinkPool(hello, FETCH_LINK_SETTINGS)
         self.coordination = Coordination(
             platform,
             self.view,
@@ -102,18 +107,21 @@
             self.link_pool,
             tasks,
         )
+        self.session.is_needed = self.coordination.has_roles
         self.elections = Elections(
             platform.store, self.view, self.session, self.coordination, tasks
         )
         self.watcher = StoreWatcher(
             platform, self.view, self.health, self.coordination.has_roles
         )
-        self.link_pool.on_lost.append(self.elections.suspect)
+        self.item_server = ItemServer(self.watcher)
+        for pool in (self.link_pool, self.fetch_pool):
+            pool.on_lost.append(self.elections.suspect)
         self.peer_reader = PeerReader(
             self.watcher,
             self.health,
             self.view,
-            self.link_pool,
+            self.fetch_pool,
             self.member,
             settings.machine.peers,
         )
@@ -153,14 +161,20 @@
 
     def handle_message(
         self, link: Connection, message: messages.Message
-    ) -> None:
-        """Handle a message of another gateway."""
+    ) -> Awaitable[None] | None:
+        """Handle a message of another gateway, now or in the background."""
+        if link.remote is not None:
+            self.view.note_member(
+                Member(
+                    DaemonName(link.remote.daemon),
+                    link.remote.peer_address,
+                    Incarnation(link.remote.incarnation),
+                )
+            )
         if isinstance(message, messages.FetchItems):
-            cache = self.watcher.cache
-            fresh = self.watcher.targets_complete_to
-            link.send(cache.encode(message.number, message.after, fresh))
-        else:
-            self.coordination.handle_message(message, link)
+            return self.item_server.serve(link, message)
+        self.coordination.handle_message(message, link)
+        return None
 
     def limits(self) -> CallerLimits:
         """Return the current limits for callers."""
@@ -198,7 +212,7 @@
 
     async def serve(self, signals: AsyncIterator[signal.Signals]) -> None:
         """Serve until a signal ends the process, then drain."""
-        async with self.peer_server, self.link_pool:
+        async with self.peer_server, self.link_pool, self.fetch_pool:
             await self.listen()
             self.watcher.start(self.tasks)
             for start in (
@@ -261,7 +275,7 @@
             roles=len(self.coordination.roles),
         )
         self.caller_server.announce_leaving()
-        if self.health.is_reachable:
+        if self.health.is_reachable or not self.coordination.roles:
             await self.hand_over()
         end = started + self.settings.bounds.grace_s - EXIT_RESERVE_S
         await anyio.sleep(started + LOAD_BALANCER_DELAY_S - boot_time())
--- a/src/laburnumyard/gateway/_slot_acquisition.py
+++ b/src/laburnumyard/gateway/_slot_acquisition.py
@@ -221,7 +221,7 @@
         if now - known < ASSIGNMENT_INTERVAL_S:
             return
         self.assignment_read_at[service] = now
-        if self.watcher.health.is_reachable:
+        if not self.watcher.health.is_lost:
             await self.watcher.read_assignment(service)
         item = self.view.assignments.get(service)
         if item is None:
--- a/src/laburnumyard/gateway/_store_health.py
+++ b/src/laburnumyard/gateway/_store_health.py
@@ -50,6 +50,11 @@
         """Whether the last call was answered."""
         return self.reachability is StoreReachability.REACHABLE
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call failed; False before the first one."""
+        return self.reachability is StoreReachability.LOST
+
     def record_call(self, error: StoreError | None) -> None:
         """Record the result of a call.
 
--- a/src/laburnumyard/gateway/_store_session.py
+++ b/src/laburnumyard/gateway/_store_session.py
@@ -1,4 +1,6 @@
-"""A gateway's store session, which its record and roles depend on."""
+"""A gateway's store session, which its coordinator roles depend on."""
+
+from collections.abc import Callable
 
 import anyio
 
@@ -7,23 +9,21 @@
 from laburnumyard.gateway._cluster_view import Member
 from laburnumyard.gateway._platform_interface import (
     NO_SESSION,
-    ConditionalWrite,
     MetadataStore,
-    SessionId,
     StoreFault,
 )
-from laburnumyard.gateway._record_encoding import encode_member, member_key
 from laburnumyard.gateway._store_health import StoreHealth
 from laburnumyard.schema._generated.gateway import GatewayStore
 from laburnumyard.telemetry import Event, log_event
 
 # Renewals per time to live of a session, so that two may be lost.
 RENEWALS_IN_LIFE = 3
-RETRY_PAUSE_S = 0.25
 
 
 class Session:
-    """Keeps a store session open with this gateway's member record.
+    """Keeps a store session open while this gateway has roles.
+
+    Gateways without roles have none, as each renewal is a call of the store.
 
     Parameters
     ----------
@@ -42,6 +42,8 @@
         Current session, ``NO_SESSION`` without one.
     confirmed_at
         Send time of the last renewal that the store confirmed, in seconds.
+    is_needed
+        Returns whether this gateway has roles.
     """
 
     def __init__(
@@ -59,6 +61,8 @@
         self.session_id = NO_SESSION
         self.confirmed_at = Seconds(0)
         self.is_closing = False
+        self.is_needed: Callable[[], bool] = _always
+        self.opened = anyio.Event()
 
     @property
     def is_fresh(self) -> bool:
@@ -66,44 +70,49 @@
         age = boot_time() - self.confirmed_at
         return self.session_id != NO_SESSION and age < self.settings.session_s
 
+    async def acquire(self) -> bool:
+        """Open a session if there is none; return whether one is open."""
+        if not self.is_fresh and not self.is_closing:
+            await self.open()
+        return self.is_fresh
+
     async def run(self) -> None:
-        """Open and renew a session until closed."""
+        """Renew the session while it is needed, until closed."""
         while not self.is_closing:
             if self.session_id == NO_SESSION:
-                await self.open()
+                await self.opened.wait()
             else:
                 await self.renew()
 
     async def open(self) -> None:
-        """Open a session and attach this gateway's record to it."""
+        """Open a session."""
         sent_at = boot_time()
         ttl_s = Seconds(self.settings.session_s)
         opened = await self.store.open_session(ttl_s)
         self.health.record_call(opened.error if opened.is_error() else None)
         if opened.is_error() or self.is_closing:
-            await anyio.sleep(RETRY_PAUSE_S)
             return
-        if await self.register(opened.ok):
-            self.session_id = opened.ok
-            self.confirmed_at = sent_at
-            log_event(Event.SESSION, state='opened', session=opened.ok)
-        else:
-            await anyio.sleep(RETRY_PAUSE_S)
-
-    async def register(self, session: SessionId) -> bool:
-        """Write this gateway's member record."""
-        key = member_key(self.member.name)
-        write = ConditionalWrite({}, {key: encode_member(self.member)}, session)
-        return (await self.store.compare_and_swap(write)).is_ok()
+        self.session_id = opened.ok
+        self.confirmed_at = sent_at
+        self.opened.set()
+        self.opened = anyio.Event()
+        log_event(Event.SESSION, state='opened', session=opened.ok)
 
     async def renew(self) -> None:
-        """Renew the session once, or clear it if it has ended."""
+        """Renew the session once, or clear it if it has ended or is unused."""
         await anyio.sleep(self.settings.session_s / RENEWALS_IN_LIFE)
         if self.is_closing:
             return
+        if not self.is_needed():
+            log_event(Event.SESSION, state='unused', session=self.session_id)
+            self.session_id = NO_SESSION
+            return
         sent_at = boot_time()
-        renewed = await self.store.renew_session(self.session_id)
+        session_id = self.session_id
+        renewed = await self.store.renew_session(session_id)
         self.health.record_call(renewed.error if renewed.is_error() else None)
+        if session_id != self.session_id:
+            return
         if renewed.is_ok():
             self.confirmed_at = sent_at
         elif renewed.error.fault is StoreFault.SESSION_ENDED:
@@ -123,3 +132,7 @@
             await self.store.close_session(self.session_id)
             self.session_id = NO_SESSION
             log_event(Event.SESSION, state='closed')
+
+
+def _always() -> bool:
+    return True
--- a/src/laburnumyard/gateway/_store_watcher.py
+++ b/src/laburnumyard/gateway/_store_watcher.py
@@ -1,6 +1,7 @@
-"""Watches the store: configuration, targets, members and coordinators."""
+"""Watches the store: configuration, targets and coordinators."""
 
-from collections.abc import Awaitable, Callable, Iterable
+import random
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
 
@@ -10,13 +11,11 @@
 from laburnumyard.core.ids import Seconds, ServiceName
 from laburnumyard.gateway._cluster_view import ClusterView
 from laburnumyard.gateway._gateway_records import GatewayRecords
-from laburnumyard.gateway._item_cache import ItemCache
+from laburnumyard.gateway._item_cache import ItemCache, Progress
 from laburnumyard.gateway._platform_interface import Item, Platform, StoreFault
 from laburnumyard.gateway._record_encoding import (
     ASSIGNMENT_PREFIX,
     COORDINATOR_PREFIX,
-    KEY_ROOT,
-    MEMBER_PREFIX,
     assignment_key,
 )
 from laburnumyard.gateway._store_health import StoreHealth
@@ -30,9 +29,6 @@
 # Pause that batches coordinator changes of several services; requests wait
 # 0.15 s for a coordinator.
 COORDINATOR_BATCH_S = 0.1
-# Pause that batches member changes, as each starting gateway would wake all
-# others. Members are only asked during a store outage, and a few suffice.
-MEMBER_BATCH_S = 3.0
 # Targets write about once a second and each write would end a watch, so the
 # pauses below batch their changes.
 SHORT_POLL_S = 0.5
@@ -40,10 +36,12 @@
 NON_COORDINATOR_PAUSE_S = 1.5
 # Interval between reads of stored assignments. They are only needed when
 # coordinator and store are lost at once, and change little until then.
-ASSIGNMENT_INTERVAL_S = 10.0
-# Pause after a failed call: an outage costs few calls, and its end is noticed
-# well within a second.
+ASSIGNMENT_INTERVAL_S = 20.0
+# Pause after a failed call: an outage costs few calls, and a coordinator
+# notices its end well within a second.
 RETRY_PAUSE_S = 0.3
+# The same for a gateway that coordinates nothing; it takes up to twice as long.
+NON_COORDINATOR_RETRY_PAUSE_S = 0.6
 
 
 @dataclass(slots=True)
@@ -55,7 +53,7 @@
     prefix
         Key prefix.
     apply_listing
-        Applies a full listing of the prefix.
+        Applies a full listing of the prefix, read at a revision.
     apply_changes
         Applies changed items.
     wait_s
@@ -65,7 +63,7 @@
     """
 
     prefix: str
-    apply_listing: Callable[[tuple[Item, ...]], None]
+    apply_listing: Callable[[tuple[Item, ...], int], None]
     apply_changes: Callable[[tuple[Item, ...]], None]
     wait_s: Seconds
     pause: Callable[[], float]
@@ -84,6 +82,14 @@
         View to update.
     is_coordinator
         Whether this gateway coordinates a service now.
+
+    Attributes
+    ----------
+    is_direct
+        Whether this gateway reads the store itself; otherwise it applies what
+        a peer has read.
+    news
+        Set when the configuration or a coordinator has changed.
     """
 
     def __init__(
@@ -98,10 +104,9 @@
         self.view = view
         self.health = health
         self.is_coordinator = is_coordinator
-        # Returns the revision up to which a coordinator sent the targets.
-        self.fetch_from_coordinator: Callable[[int], Awaitable[int]] = (
-            _no_coordinator
-        )
+        self.is_direct = False
+        self.mode_changed = anyio.Event()
+        self.news = anyio.Event()
         self.cache = ItemCache()
         self.gateway_records = GatewayRecords(view, self.cache)
         self.target_entries = TargetEntries(
@@ -110,6 +115,7 @@
         self.active_polls: set[anyio.CancelScope] = set()
         self.prefix_watches = self.make_prefix_watches()
         health.on_lost.append(self.cancel_long_polls)
+        health.on_lost.append(self.announce_news)
 
     def make_prefix_watches(self) -> tuple[PrefixWatch, ...]:
         """Return the watches of all prefixes; targets come last."""
@@ -117,25 +123,18 @@
         return (
             PrefixWatch(
                 wire_format.config_key,
-                self.apply_config,
+                self.apply_config_listing,
                 self.apply_config,
                 LONG_POLL_S,
                 _no_pause,
             ),
             PrefixWatch(
                 COORDINATOR_PREFIX,
-                self.gateway_records.apply_coordinator_listing,
+                self.gateway_records.apply_listing,
                 self.gateway_records.apply_changes,
                 LONG_POLL_S,
                 _coordinator_batch_pause,
             ),
-            PrefixWatch(
-                MEMBER_PREFIX,
-                self.gateway_records.apply_member_listing,
-                self.gateway_records.apply_changes,
-                LONG_POLL_S,
-                _member_batch_pause,
-            ),
             PrefixWatch(
                 wire_format.target_prefix,
                 self.target_entries.apply_listing,
@@ -146,11 +145,34 @@
         )
 
     @property
-    def complete_to(self) -> int:
-        """Revision up to which all watched prefixes are known."""
-        return min(
-            prefix_watch.revision for prefix_watch in self.prefix_watches
+    def known(self) -> Progress:
+        """Revisions up to which this gateway has applied all items."""
+        config, coordinators, targets = (
+            prefix_watch.revision if prefix_watch.is_loaded else 0
+            for prefix_watch in self.prefix_watches
         )
+        return Progress(config, coordinators, targets)
+
+    @property
+    def progress(self) -> Progress:
+        """Revisions up to which this gateway has read the store itself."""
+        if not (self.is_direct and self.health.is_reachable):
+            return Progress()
+        known = self.known
+        targets = self.target_entries.final_to(known.targets)
+        return Progress(known.config, known.coordinators, targets)
+
+    def set_direct(self, *, is_direct: bool) -> None:
+        """Start or stop reading the store."""
+        if is_direct == self.is_direct:
+            return
+        self.is_direct = is_direct
+        log_event(Event.STORE, state='read' if is_direct else 'followed')
+        if not is_direct:
+            self.cancel_long_polls()
+            self.announce_news()
+        self.mode_changed.set()
+        self.mode_changed = anyio.Event()
 
     def start(self, tasks: TaskGroup) -> None:
         """Start watching all prefixes in a task group."""
@@ -160,28 +182,38 @@
         tasks.start_soon(keep_running, 'assignments', self.poll_assignments)
 
     async def watch_prefix(self, prefix_watch: PrefixWatch) -> None:
-        """Watch one prefix until cancelled."""
+        """Watch one prefix until cancelled, while reading is on."""
         while True:
-            if prefix_watch.is_loaded:
+            if not self.is_direct:
+                await self.mode_changed.wait()
+            elif prefix_watch.is_loaded:
                 await anyio.sleep(prefix_watch.pause())
-                if not await self.read_from_coordinator(prefix_watch):
-                    await self.read_changes(prefix_watch)
+                await self.read_changes(prefix_watch)
             else:
                 await self.read_all(prefix_watch)
-            if not self.health.is_reachable:
-                await anyio.sleep(RETRY_PAUSE_S)
+            if self.is_direct and not self.health.is_reachable:
+                await anyio.sleep(self.retry_pause())
 
     async def read_all(self, prefix_watch: PrefixWatch) -> None:
         """Read a full listing of a prefix."""
         listing = await self.platform.store.scan(prefix_watch.prefix)
         self.health.record_call(listing.error if listing.is_error() else None)
         if listing.is_ok():
-            prefix_watch.apply_listing(listing.ok.items)
-            prefix_watch.revision = listing.ok.revision
-            prefix_watch.is_loaded = True
+            prefix_watch.apply_listing(listing.ok.items, listing.ok.revision)
+            self.mark_loaded(prefix_watch, listing.ok.revision)
+            self.announce_news()
+
+    def mark_loaded(self, prefix_watch: PrefixWatch, revision: int) -> None:
+        """Record that all items of a prefix are known up to a revision."""
+        prefix_watch.revision = revision
+        prefix_watch.is_loaded = True
+        if prefix_watch.prefix == COORDINATOR_PREFIX:
+            self.view.has_coordinators = True
 
     async def read_changes(self, prefix_watch: PrefixWatch) -> None:
         """Wait for changes of a prefix and apply them."""
+        if not self.is_direct:
+            return
         changes = None
         with anyio.CancelScope() as scope:
             self.active_polls.add(scope)
@@ -202,6 +234,7 @@
             prefix_watch.revision = max(
                 prefix_watch.revision, changes.ok.revision
             )
+            self.announce_news()
             return
         self.health.record_call(changes.error)
         if changes.error.fault is StoreFault.HISTORY_GONE:
@@ -210,29 +243,16 @@
             )
             prefix_watch.is_loaded = False
 
-    async def read_from_coordinator(self, prefix_watch: PrefixWatch) -> bool:
-        """Fetch target changes from a coordinator instead of the store.
-
-        Targets write continuously, and a coordinator sends a small part of
-        what the store would send.
-        """
-        is_targets = (
-            prefix_watch.prefix == self.platform.wire_format.target_prefix
-        )
-        if not is_targets or self.is_coordinator():
-            return False
-        complete_to = await self.fetch_from_coordinator(prefix_watch.revision)
-        prefix_watch.revision = max(prefix_watch.revision, complete_to)
-        return complete_to > 0
+    def announce_news(self) -> None:
+        """Wake the peers that wait for news."""
+        self.news.set()
+        self.news = anyio.Event()
 
-    @property
-    def targets_complete_to(self) -> int:
-        """Revision up to which targets were read from the store; 0 if stale."""
-        prefix_watch = self.prefix_watches[-1]
-        is_fresh = self.health.is_reachable and self.is_coordinator()
-        return (
-            prefix_watch.revision if is_fresh and prefix_watch.is_loaded else 0
-        )
+    def retry_pause(self) -> float:
+        """Return the pause after a failed call, in seconds."""
+        if self.is_coordinator():
+            return RETRY_PAUSE_S
+        return NON_COORDINATOR_RETRY_PAUSE_S * (1 + random.random())
 
     def cancel_long_polls(self) -> None:
         """Cancel long polls, which a restarted store does not know."""
@@ -244,7 +264,7 @@
         while True:
             await anyio.sleep(ASSIGNMENT_INTERVAL_S)
             table = self.view.routes
-            if table is None or not self.health.is_reachable:
+            if table is None or self.health.is_lost:
                 continue
             for service in table.keyed_services():
                 await self.read_assignment(service, may_lag=True)
@@ -273,25 +293,62 @@
             service = ServiceName(item.key.removeprefix(ASSIGNMENT_PREFIX))
             self.view.assignments[service] = item
 
-    def apply_peer_items(self, items: Iterable[Item]) -> None:
-        """Apply items that a peer has read from the store."""
-        newer_items = [
-            item
-            for item in items
-            if item.key not in self.cache.items
-            or item.revision > self.cache.items[item.key].revision
-        ]
+    def apply_peer_items(
+        self, items: Iterable[Item], progress: Progress
+    ) -> None:
+        """Apply items that a peer has read from the store.
+
+        Parameters
+        ----------
+        items
+            Items that are new to this gateway, or outdated.
+        progress
+            Revisions up to which they are complete.
+        """
+        newer_items = [item for item in items if self.is_newer(item)]
         prefix = self.platform.wire_format.target_prefix
         self.apply_config(
             _with_prefix(newer_items, self.platform.wire_format.config_key)
         )
-        self.gateway_records.apply_changes(_with_prefix(newer_items, KEY_ROOT))
+        self.gateway_records.apply_changes(
+            _with_prefix(newer_items, COORDINATOR_PREFIX)
+        )
         self.target_entries.apply_changes(_with_prefix(newer_items, prefix))
         for item in _with_prefix(newer_items, ASSIGNMENT_PREFIX):
             self.apply_assignment(item)
+        revisions = (progress.config, progress.coordinators, progress.targets)
+        for prefix_watch, revision in zip(
+            self.prefix_watches, revisions, strict=True
+        ):
+            if revision:
+                self.mark_loaded(
+                    prefix_watch, max(prefix_watch.revision, revision)
+                )
         if newer_items:
             log_event(Event.ADOPTED, document='items', count=len(newer_items))
 
+    def is_newer(self, item: Item) -> bool:
+        """Whether an item of a peer is newer than what is known.
+
+        An item that is no longer there may still be known to a peer that has
+        lost the store; it is older than the last complete reading.
+        """
+        known = self.cache.items.get(item.key)
+        if known is not None and known.revision >= item.revision:
+            return False
+        return not any(
+            prefix_watch.is_loaded
+            and item.key.startswith(prefix_watch.prefix)
+            and item.revision <= prefix_watch.revision
+            for prefix_watch in self.prefix_watches
+        )
+
+    def apply_config_listing(
+        self, items: tuple[Item, ...], revision: int
+    ) -> None:
+        """Adopt the configuration of a full listing."""
+        self.apply_config(items)
+
     def apply_config(self, items: tuple[Item, ...]) -> None:
         """Adopt a configuration if it is newer than the current one."""
         for item in items:
@@ -319,10 +376,6 @@
         return NON_COORDINATOR_PAUSE_S
 
 
-async def _no_coordinator(after: int) -> int:
-    return 0
-
-
 def _no_pause() -> float:
     return 0
 
@@ -331,9 +384,5 @@
     return COORDINATOR_BATCH_S
 
 
-def _member_batch_pause() -> float:
-    return MEMBER_BATCH_S
-
-
 def _with_prefix(items: Iterable[Item], prefix: str) -> tuple[Item, ...]:
     return tuple(item for item in items if item.key.startswith(prefix))
--- a/src/laburnumyard/gateway/_target_entries.py
+++ b/src/laburnumyard/gateway/_target_entries.py
@@ -45,18 +45,27 @@
         # Targets without an entry, and the time until which they are kept.
         self.absent_until: dict[TargetId, Seconds] = {}
 
-    def apply_listing(self, items: tuple[Item, ...]) -> None:
+    def apply_listing(self, items: tuple[Item, ...], revision: int) -> None:
         """Apply a full listing of targets; missing ones are removed."""
         prefix = self.wire_format.target_prefix
-        known = {
-            target: self.revision_of(prefix, target) for target in self.targets
-        }
-        self.apply_changes(with_removals(items, prefix, known))
+        known = tuple(self.targets)
+        self.apply_changes(with_removals(items, prefix, known, revision))
 
-    def revision_of(self, prefix: str, target: TargetId) -> int:
-        """Return a revision after that of a target's last known entry."""
-        known = self.cache.items.get(f'{prefix}{target}')
-        return known.revision + 1 if known else 0
+    def final_to(self, revision: int) -> int:
+        """Return the revision up to which no removal may be undone.
+
+        Parameters
+        ----------
+        revision
+            Revision up to which the entries are known.
+        """
+        prefix = self.wire_format.target_prefix
+        pending = (
+            self.cache.items[f'{prefix}{target}'].revision - 1
+            for target in self.absent_until
+            if f'{prefix}{target}' in self.cache.items
+        )
+        return min(pending, default=revision)
 
     def apply_changes(self, items: tuple[Item, ...]) -> None:
         """Apply changed targets."""
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -318,11 +318,19 @@
 
     number: int
     after: int
+    config_after: int
+    coordinators_after: int
+    wait_ms: int
+    milli_cores: int
 
 
 def _write_fetch_items(message: FetchItems, builder: Any) -> None:
     builder.number = message.number
     builder.after = message.after
+    builder.configAfter = message.config_after
+    builder.coordinatorsAfter = message.coordinators_after
+    builder.waitMs = message.wait_ms
+    builder.milliCores = message.milli_cores
 
 
 def _read_fetch_items(reader: Any) -> FetchItems:
@@ -330,6 +338,10 @@
     return FetchItems(
         number=get('number'),
         after=get('after'),
+        config_after=get('configAfter'),
+        coordinators_after=get('coordinatorsAfter'),
+        wait_ms=get('waitMs'),
+        milli_cores=get('milliCores'),
     )
 
 
@@ -910,6 +922,9 @@
     number: int
     items: tuple[StoredItem, ...]
     complete_to: int
+    config_complete_to: int
+    coordinators_complete_to: int
+    milli_cores: int
 
 
 def _write_stored_items(message: StoredItems, builder: Any) -> None:
@@ -919,6 +934,9 @@
     for slot, part in zip(slots, parts, strict=True):
         _write_stored_item(part, slot)
     builder.completeTo = message.complete_to
+    builder.configCompleteTo = message.config_complete_to
+    builder.coordinatorsCompleteTo = message.coordinators_complete_to
+    builder.milliCores = message.milli_cores
 
 
 def _read_stored_items(reader: Any) -> StoredItems:
@@ -927,6 +945,9 @@
         number=get('number'),
         items=tuple(map(_read_stored_item, get('items'))),
         complete_to=get('completeTo'),
+        config_complete_to=get('configCompleteTo'),
+        coordinators_complete_to=get('coordinatorsCompleteTo'),
+        milli_cores=get('milliCores'),
     )
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -309,8 +309,15 @@
 # Asks a peer for what it has read from the store, while the store is away.
 struct FetchItems {
   number @0 :UInt64;
-  # Only items of a higher revision.
+  # Only targets of a higher revision.
   after @1 :UInt64;
+  # Only a configuration of a higher revision, and such coordinators.
+  configAfter @2 :UInt64;
+  coordinatorsAfter @3 :UInt64;
+  # How long the peer may wait for either of these two to change.
+  waitMs @4 :UInt32;
+  # Processor cores of the sender, in thousandths.
+  milliCores @5 :UInt32;
 }
 
 # What a peer has read from the store, with the revision of each item.
@@ -320,6 +327,11 @@
   # Up to which revision the peer knows all targets from the store itself; 0
   # where it does not reach the store.
   completeTo @2 :UInt64;
+  # The same for the configuration and the coordinators.
+  configCompleteTo @3 :UInt64;
+  coordinatorsCompleteTo @4 :UInt64;
+  # The most processor cores of any known gateway, in thousandths.
+  milliCores @5 :UInt32;
 }
 
 struct StoredItem {
