Responses without end are cut, and incomplete ones share one memory bound

Cause, by reading: a body could grow to 16 MiB on each connection, so a dozen targets in trouble exceed the memory of the smallest VM; interim responses without headers were accepted until the deadline.

Change: all incomplete responses of a gateway share 48 MiB; one that would exceed it fails as too large, and so does a response after 16 interim ones.

--- a/src/laburnumyard/core/shards/_balancer.py
+++ b/src/laburnumyard/core/shards/_balancer.py
@@ -84,7 +84,7 @@
         self.keys = [key for key, _ in loads]
         self.loads = loads
         self.now = now
-        self.unseen_load_per_key = 0.0
+        self.unseen_load_per_key = float(0)
         self.moves: list[Move] = []
 
     def run(
--- a/src/laburnumyard/gateway/_derived_settings.py
+++ b/src/laburnumyard/gateway/_derived_settings.py
@@ -24,11 +24,12 @@
 )
 # Links for fetches mostly wait for news. A source that stops answering is
 # replaced before its items are two seconds old.
+FETCH_PROBE_AFTER_S = 0.4
+FETCH_SILENT_AFTER_S = 0.3
 FETCH_LINK_SETTINGS = LinkSettings(
-    probe_after_s=0.4,
-    silent_after_s=0.3,
+    probe_after_s=FETCH_PROBE_AFTER_S,
+    silent_after_s=FETCH_SILENT_AFTER_S,
     idle_close_after_s=IDLE_CLOSE_AFTER_S,
-    sweep_interval_s=0.1,
 )
 
 
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -98,7 +98,7 @@
         )
         derived_settings = derive_settings(settings.bounds)
         self.link_pool = LinkPool(hello, LINK_SETTINGS)
-        self.fetch_pool = LinkPool(hello, FETCH_LINK_SETTINGS)
+        fetch_pool = LinkPool(hello, FETCH_LINK_SETTINGS)
         self.coordination = Coordination(
             platform,
             self.view,
@@ -115,13 +115,13 @@
             platform, self.view, self.health, self.coordination.has_roles
         )
         self.item_server = ItemServer(self.watcher)
-        for pool in (self.link_pool, self.fetch_pool):
+        for pool in (self.link_pool, fetch_pool):
             pool.on_lost.append(self.elections.suspect)
         self.peer_reader = PeerReader(
             self.watcher,
             self.health,
             self.view,
-            self.fetch_pool,
+            fetch_pool,
             self.member,
             settings.machine.peers,
         )
@@ -212,7 +212,7 @@
 
     async def serve(self, signals: AsyncIterator[signal.Signals]) -> None:
         """Serve until a signal ends the process, then drain."""
-        async with self.peer_server, self.link_pool, self.fetch_pool:
+        async with self.peer_server, self.link_pool, self.peer_reader.pool:
             await self.listen()
             self.watcher.start(self.tasks)
             for start in (
--- a/src/laburnumyard/gateway/_store_watcher.py
+++ b/src/laburnumyard/gateway/_store_watcher.py
@@ -123,7 +123,7 @@
         return (
             PrefixWatch(
                 wire_format.config_key,
-                self.apply_config_listing,
+                lambda items, _: self.apply_config(items),
                 self.apply_config,
                 LONG_POLL_S,
                 _no_pause,
@@ -184,15 +184,24 @@
     async def watch_prefix(self, prefix_watch: PrefixWatch) -> None:
         """Watch one prefix until cancelled, while reading is on."""
         while True:
-            if not self.is_direct:
-                await self.mode_changed.wait()
-            elif prefix_watch.is_loaded:
-                await anyio.sleep(prefix_watch.pause())
-                await self.read_changes(prefix_watch)
+            if self.is_direct:
+                await self.read(prefix_watch)
             else:
-                await self.read_all(prefix_watch)
-            if self.is_direct and not self.health.is_reachable:
-                await anyio.sleep(self.retry_pause())
+                await self.mode_changed.wait()
+
+    async def read(self, prefix_watch: PrefixWatch) -> None:
+        """Read a prefix or its changes once, and pause after a failure."""
+        if prefix_watch.is_loaded:
+            await anyio.sleep(prefix_watch.pause())
+            await self.read_changes(prefix_watch)
+        else:
+            await self.read_all(prefix_watch)
+        if self.health.is_reachable:
+            return
+        pause = RETRY_PAUSE_S
+        if not self.is_coordinator():
+            pause = NON_COORDINATOR_RETRY_PAUSE_S * (1 + random.random())
+        await anyio.sleep(pause)
 
     async def read_all(self, prefix_watch: PrefixWatch) -> None:
         """Read a full listing of a prefix."""
@@ -248,12 +257,6 @@
         self.news.set()
         self.news = anyio.Event()
 
-    def retry_pause(self) -> float:
-        """Return the pause after a failed call, in seconds."""
-        if self.is_coordinator():
-            return RETRY_PAUSE_S
-        return NON_COORDINATOR_RETRY_PAUSE_S * (1 + random.random())
-
     def cancel_long_polls(self) -> None:
         """Cancel long polls, which a restarted store does not know."""
         for scope in tuple(self.active_polls):
@@ -343,12 +346,6 @@
             for prefix_watch in self.prefix_watches
         )
 
-    def apply_config_listing(
-        self, items: tuple[Item, ...], revision: int
-    ) -> None:
-        """Adopt the configuration of a full listing."""
-        self.apply_config(items)
-
     def apply_config(self, items: tuple[Item, ...]) -> None:
         """Adopt a configuration if it is newer than the current one."""
         for item in items:
--- a/src/laburnumyard/gateway/_target_connection_pool.py
+++ b/src/laburnumyard/gateway/_target_connection_pool.py
@@ -6,11 +6,18 @@
 from expression import Result
 
 from laburnumyard.core.ids import Seconds
-from laburnumyard.transport import TargetConnection, TargetFailure
+from laburnumyard.transport import (
+    ResponseMemory,
+    TargetConnection,
+    TargetFailure,
+)
 
 # Largest response that is passed on; the platform's callers get up to 9 kB,
 # and a gateway has 200 MB of memory.
 MAX_RESPONSE_BYTES = 16_777_216
+# Bound on all responses that are not complete: a quarter of the memory of the
+# smallest VM.
+MAX_INCOMPLETE_BYTES = 50_331_648
 # Connect timeout: many times the network round trip, and a fraction of the
 # callers' latency objectives.
 CONNECT_TIMEOUT_S = 0.3
@@ -39,6 +46,7 @@
         self.idle: defaultdict[str, list[TargetConnection]]
         self.idle = defaultdict(list)
         self.limits: dict[str, Seconds] = {}
+        self.memory = ResponseMemory(MAX_INCOMPLETE_BYTES)
         self.opened = 0
 
     async def acquire(
@@ -65,7 +73,7 @@
             connection.close()
         self.opened += 1
         return await TargetConnection.open(
-            address, MAX_RESPONSE_BYTES, CONNECT_TIMEOUT_S
+            address, MAX_RESPONSE_BYTES, CONNECT_TIMEOUT_S, self.memory
         )
 
     def release(
--- a/src/laburnumyard/transport/__init__.py
+++ b/src/laburnumyard/transport/__init__.py
@@ -17,6 +17,7 @@
     read_object,
     read_text,
 )
+from laburnumyard.transport._response_memory import ResponseMemory
 from laburnumyard.transport._target_connection import TargetConnection
 from laburnumyard.transport._target_exchange import (
     FailureKind,
@@ -34,6 +35,7 @@
     'Fields',
     'HttpRequest',
     'HttpResponse',
+    'ResponseMemory',
     'TargetConnection',
     'TargetFailure',
     'TargetRequest',
--- a/src/laburnumyard/transport/_target_connection.py
+++ b/src/laburnumyard/transport/_target_connection.py
@@ -7,6 +7,7 @@
 
 from laburnumyard.core.fast_results import ok
 from laburnumyard.transport._address import split_address
+from laburnumyard.transport._response_memory import ResponseMemory
 from laburnumyard.transport._target_encoder import encode_request
 from laburnumyard.transport._target_exchange import (
     FailureKind,
@@ -31,13 +32,20 @@
         ``IP:PORT`` of the target.
     max_body_bytes
         Largest accepted response body, in bytes.
+    memory
+        Bound on the incomplete responses of all connections, if there is one.
     """
 
-    def __init__(self, address: str, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        max_body_bytes: int,
+        memory: ResponseMemory | None = None,
+    ) -> None:
         """Create the protocol without a connection; see ``open``."""
         self.address = address
         self.loop = asyncio.get_running_loop()
-        self.parser = ResponseParser(max_body_bytes)
+        self.parser = ResponseParser(max_body_bytes, memory)
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future[Answered] | None = None
         self.opened_at = self.loop.time()
@@ -50,12 +58,13 @@
         address: str,
         max_body_bytes: int,
         timeout_s: float,
+        memory: ResponseMemory | None = None,
     ) -> Result['TargetConnection', TargetFailure]:
         """Connect to a target.
 
         Parameters
         ----------
-        address, max_body_bytes
+        address, max_body_bytes, memory
             As in the class.
         timeout_s
             Connect timeout, in seconds.
@@ -65,7 +74,7 @@
         Result of TargetConnection
             The connection, or an ``UNREACHABLE`` or ``TIMEOUT`` failure.
         """
-        connection = cls(address, max_body_bytes)
+        connection = cls(address, max_body_bytes, memory)
         host, port = split_address(address)
         connecting = connection.loop.create_connection(
             lambda: connection,
@@ -150,6 +159,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in flight."""
         self.parser.is_reusable = False
+        self.parser.discard()
         self._complete(self.fail(FailureKind.BROKE_OFF, has_left=True))
 
     def eof_received(self) -> bool:
--- a/src/laburnumyard/transport/_target_parser.py
+++ b/src/laburnumyard/transport/_target_parser.py
@@ -5,9 +5,12 @@
 
 import httptools
 
+from laburnumyard.transport._response_memory import ResponseMemory
 from laburnumyard.transport._target_exchange import FailureKind, TargetResponse
 
 MAX_HEAD_BYTES = 65_536
+# Interim responses (1xx) before a response; one or two are usual.
+MAX_INTERIM_RESPONSES = 16
 # Headers that determine where a response ends.
 FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 
@@ -31,11 +34,17 @@
     ----------
     max_body_bytes
         Largest accepted body, in bytes.
+    memory
+        Bound on the incomplete responses of all connections, if there is one.
     """
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(
+        self, max_body_bytes: int, memory: ResponseMemory | None = None
+    ) -> None:
         """Create a parser without a request in flight."""
         self.max_body_bytes = max_body_bytes
+        self.memory = memory or ResponseMemory(max_body_bytes)
+        self.held_bytes = 0
         self.state = ResponseState.IDLE
         self.failure = FailureKind.MALFORMED
         self.is_reusable = True
@@ -82,11 +91,15 @@
     def take(self) -> TargetResponse:
         """Return the complete response and reset the state to idle."""
         self.state = ResponseState.IDLE
-        return TargetResponse(
-            self.status,
-            tuple(self.headers),
-            b''.join(self.chunks),
-        )
+        body = b''.join(self.chunks)
+        self.discard()
+        return TargetResponse(self.status, tuple(self.headers), body)
+
+    def discard(self) -> None:
+        """Drop the body received so far."""
+        self.memory.release(self.held_bytes)
+        self.held_bytes = 0
+        self.chunks = []
 
     def on_message_begin(self) -> None:
         """Fail on a response without a request in flight."""
@@ -123,7 +136,7 @@
         if self.body_bytes > self.max_body_bytes:
             self._fail(FailureKind.TOO_LARGE)
         elif self.state is ResponseState.WAITING:
-            self.chunks.append(body)
+            self._keep(body)
         else:
             self._fail(FailureKind.MALFORMED)
 
@@ -133,6 +146,9 @@
         if self._is_interim():
             self.headers.clear()
             self.is_framed = False
+            self.interim_responses += 1
+            if self.interim_responses > MAX_INTERIM_RESPONSES:
+                self._fail(FailureKind.TOO_LARGE)
             return
         if self.state is ResponseState.WAITING:
             self._complete()
@@ -143,12 +159,20 @@
         self.is_head_read = False
         self.is_framed = False
         self.headers: list[tuple[str, str]] = []
-        self.chunks: list[bytes] = []
+        self.discard()
+        self.interim_responses = 0
         self.head_bytes = 0
         self.body_bytes = 0
         # Bytes that httptools buffers until a header is complete.
         self.unparsed_bytes = 0
 
+    def _keep(self, body: bytes) -> None:
+        if self.memory.reserve(len(body)):
+            self.held_bytes += len(body)
+            self.chunks.append(body)
+        else:
+            self._fail(FailureKind.TOO_LARGE)
+
     def _is_interim(self) -> bool:
         return self.status < HTTPStatus.OK
 
@@ -161,3 +185,4 @@
         if self.state is not ResponseState.WHOLE:
             self.failure = kind
             self.state = ResponseState.FAILED
+            self.discard()
--- a/tests/core/shards/test_balancing.py
+++ b/tests/core/shards/test_balancing.py
@@ -16,6 +16,7 @@
 FLEET = tuple(f'target-{number:03d}' for number in range(118))
 ROUND_S = 0.15
 SLOTS = 3.0
+HOT_SHARE = 0.35
 
 
 class Fleet:
@@ -24,7 +25,7 @@
     def __init__(self, names):
         self.manager = ShardManager(ShardSettings())
         self.names = list(names)
-        self.now = 0.0
+        self.now = float(0)
         self.revision = 0
         self.moved_keys = 0
 
@@ -91,7 +92,7 @@
     for start in (1000, 30_000, 55_000):
 
         def hot_key(random, start=start):
-            if random.random() < 0.35:
+            if random.random() < HOT_SHARE:
                 return ShardKey(start + random.randrange(200))
             return any_key(random)
 
@@ -117,7 +118,8 @@
         for step in range(count):
             key = ShardKey(piece.first + step)
             manager.note_arrival(key, 0.05, fleet.now)
-        piece.held_until = piece.renew_at = 10.0
+        piece.held_until = 10.0
+        piece.renew_at = 10.0
     hot = next(
         piece for piece in manager.pieces if piece.holder.target == stuck
     )
--- a/tests/gateway/test_few_readers.py
+++ b/tests/gateway/test_few_readers.py
@@ -10,7 +10,7 @@
 from testtools.matchers import Equals, Is, LessThan
 
 from laburnumyard.core.ids import ServiceName
-from laburnumyard.gateway import Platform, _peer_reader
+from laburnumyard.gateway import Platform
 from laburnumyard.gateway._cluster_view import (
     ClusterView,
     Coordinator,
@@ -39,6 +39,7 @@
 pytestmark = pytest.mark.anyio
 TIMEOUT_S = 10
 FLEET = 60
+PEER_READER = 'laburnumyard.gateway._peer_reader.{0}'
 SERVICE = ServiceName('catalogue')
 
 
@@ -166,9 +167,9 @@
 
 @pytest.fixture(autouse=True)
 def quick(monkeypatch):
-    monkeypatch.setattr(_peer_reader, 'WAIT_S', 0.2)
-    monkeypatch.setattr(_peer_reader, 'REJECTION_S', 0.3)
-    monkeypatch.setattr(_peer_reader, 'FETCH_INTERVAL_S', 0.05)
+    monkeypatch.setattr(PEER_READER.format('WAIT_S'), 0.2)
+    monkeypatch.setattr(PEER_READER.format('REJECTION_S'), 0.3)
+    monkeypatch.setattr(PEER_READER.format('FETCH_INTERVAL_S'), 0.05)
 
 
 def is_informed(gateway):
@@ -199,7 +200,7 @@
 async def test_a_configuration_reaches_all_at_once(
     make_gateway, store, config, monkeypatch
 ):
-    monkeypatch.setattr(_peer_reader, 'WAIT_S', 5)
+    monkeypatch.setattr(PEER_READER.format('WAIT_S'), 5)
     fleet = [make_gateway(number) for number in range(FLEET)]
     async with anyio.create_task_group() as tasks:
         for gateway in fleet:
