A coordinator without the store reaches no later start of a target, nor wakes up late

Change: while the session is not confirmed, a grant is sent only on a connection that has stayed open, or that is opened right after a response; and no order is sent once the store has not confirmed the session for outage_hold_s, checked before each order.

--- a/src/laburnumyard/gateway/_platform_interface.py
+++ b/src/laburnumyard/gateway/_platform_interface.py
@@ -148,9 +148,18 @@
     """Sends grants and releases of keys to targets."""
 
     async def send(
-        self, order: Order, address: str, timeout_s: Seconds
+        self,
+        order: Order,
+        address: str,
+        timeout_s: Seconds,
+        *,
+        may_reconnect: bool,
     ) -> OrderReply:
-        """Send an order and return the reply."""
+        """Send an order and return the reply.
+
+        Without ``may_reconnect`` nothing is sent to a target that may have been
+        restarted since its last reply.
+        """
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/laburnumyard/gateway/_shard_runner.py
+++ b/src/laburnumyard/gateway/_shard_runner.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from laburnumyard.clocks import boot_time
-from laburnumyard.core.ids import ServiceName
+from laburnumyard.core.ids import Seconds, ServiceName
 from laburnumyard.core.shards import (
     Assignment,
     Grant,
@@ -297,12 +297,33 @@
                 return
             self.manager.unanswered.add(current)
             answer = await self.platform.orders.send(
-                current, address, timeout_s
+                current,
+                address,
+                timeout_s,
+                may_reconnect=self.may_reconnect(current),
             )
         self.handle_reply(
             current, answer.reply, answer.handover, answer.detail, tasks
         )
 
+    def has_expired(self, now: Seconds) -> bool:
+        """Whether a successor no longer waits for orders of this coordinator.
+
+        Checked before each order, as a paused process sends what it has
+        prepared before its timers run.
+        """
+        age = now - self.session.confirmed_at
+        return age > self.manager.settings.outage_hold_s
+
+    def may_reconnect(self, order: Order) -> bool:
+        """Whether an order may reach a later start of its target.
+
+        A coordinator that lost the store may have a successor to which the
+        target released its keys. A later start of the target does not know
+        that, and would take them again.
+        """
+        return not isinstance(order, Grant) or self.session.is_fresh
+
     def refresh_order(self, order: Order, tasks: TaskGroup) -> Order | None:
         """Return an order that may be sent now, rebuilt if it is stale.
 
@@ -319,6 +340,9 @@
         is_stale = (
             isinstance(order, Grant) and now - order.sent_at > STALE_GRANT_S
         )
+        if self.has_expired(now):
+            self.manager.unanswered.discard(order)
+            return None
         if not is_stale and not is_outdated(order):
             return order
         self.manager.unanswered.discard(order)
--- a/src/laburnumyard/platform/_order_transport.py
+++ b/src/laburnumyard/platform/_order_transport.py
@@ -41,11 +41,18 @@
         self.endpoints: dict[str, Endpoint] = {}
 
     async def send(
-        self, order: Order, address: str, timeout_s: Seconds
+        self,
+        order: Order,
+        address: str,
+        timeout_s: Seconds,
+        *,
+        may_reconnect: bool = True,
     ) -> OrderReply:
         """Send an order and return the reply."""
         endpoint = self.endpoints.setdefault(address, Endpoint(address))
-        exchange_result = await endpoint.exchange(_encode(order), timeout_s)
+        exchange_result = await endpoint.exchange(
+            _encode(order), timeout_s, may_reconnect=may_reconnect
+        )
         if exchange_result.is_ok():
             return _decode_reply(exchange_result.ok, order.life.target)
         # A refused connection does not prove that the target has ended: a
