A session outlives the claim of a role, and a reply is settled by range

Change: a session is kept for its time to live after it was acquired; pieces of a reply are found by bisection.

--- a/src/laburnumyard/core/shards/_unanswered_grants.py
+++ b/src/laburnumyard/core/shards/_unanswered_grants.py
@@ -1,6 +1,8 @@
 """Grants that were sent and not answered, and how long they may hold keys."""
 
-from collections.abc import Iterable
+from bisect import bisect_left, bisect_right
+from collections.abc import Sequence
+from operator import attrgetter
 
 from laburnumyard.core.ids import Seconds
 from laburnumyard.core.shards._pieces import (
@@ -55,7 +57,7 @@
         grant: Grant,
         reply: Reply,
         hold_until: Seconds,
-        pieces: Iterable[Piece],
+        pieces: Sequence[Piece],
     ) -> None:
         """Extend the counted holds after the reply to a grant.
 
@@ -68,16 +70,16 @@
         hold_until
             When the grant has certainly expired if it arrived just now.
         pieces
-            All pieces of the current assignment.
+            All pieces of the current assignment, ordered by key.
         """
         if grant not in self.grants:
             return
         self.grants.remove(grant)
         if reply in NOT_APPLIED:
             return
-        for piece in pieces:
-            if not _overlaps(grant, piece):
-                continue
+        start = bisect_left(pieces, grant.first, key=attrgetter('last'))
+        stop = bisect_right(pieces, grant.last, key=attrgetter('first'))
+        for piece in pieces[start:stop]:
             if piece.holder == grant.life:
                 piece.may_hold_until = max(piece.may_hold_until, hold_until)
             piece.former_holders = tuple(
--- a/src/laburnumyard/gateway/_store_session.py
+++ b/src/laburnumyard/gateway/_store_session.py
@@ -63,6 +63,7 @@
         self.is_closing = False
         self.is_needed: Callable[[], bool] = _always
         self.opened = anyio.Event()
+        self.acquired_at = Seconds(0)
 
     @property
     def is_fresh(self) -> bool:
@@ -71,7 +72,11 @@
         return self.session_id != NO_SESSION and age < self.settings.session_s
 
     async def acquire(self) -> bool:
-        """Open a session if there is none; return whether one is open."""
+        """Open a session if there is none; return whether one is open.
+
+        It stays open long enough to claim a role with it.
+        """
+        self.acquired_at = boot_time()
         if not self.is_fresh and not self.is_closing:
             await self.open()
         return self.is_fresh
@@ -103,7 +108,8 @@
         await anyio.sleep(self.settings.session_s / RENEWALS_IN_LIFE)
         if self.is_closing:
             return
-        if not self.is_needed():
+        is_claiming = boot_time() - self.acquired_at < self.settings.session_s
+        if not is_claiming and not self.is_needed():
             log_event(Event.SESSION, state='unused', session=self.session_id)
             self.session_id = NO_SESSION
             return
--- a/tests/core/shards/test_orders_in_flight.py
+++ b/tests/core/shards/test_orders_in_flight.py
@@ -120,3 +120,18 @@
     manager.note_dead(life('a'))
     manager.plan(lives('b'), {}, 3.0)
     assert_that(orders_of(manager, piece, 3.0), Equals([(Grant, 'b')]))
+
+
+def test_a_late_reply_counts_for_the_parts_of_a_split_piece(manager, renewal):
+    piece = manager.piece_of(KEY)
+    middle = ShardKey((piece.first + piece.last) // 2)
+    upper = piece.split(middle)
+    manager.pieces.insert(1, upper)
+    others = [each.may_hold_until for each in manager.pieces[2:]]
+    manager.note_reply(renewal, Reply.DONE, '', 6.0)
+    held = SETTINGS.hold_s * (1 + SETTINGS.clock_slack)
+    for part in (piece, upper):
+        assert_that(part.may_hold_until >= 6.0 + held, Equals(True))
+    assert_that(
+        [each.may_hold_until for each in manager.pieces[2:]], Equals(others)
+    )
