Observability: log and count the rate limits that targets state

Three hypotheses could not be told apart, since no line showed a response's limit.

Nothing is decided by it yet: requests are sent as before.

--- /dev/null
+++ b/src/laburnumyard/core/rate_limits.py
@@ -0,0 +1,126 @@
+"""Request rates to which targets in trouble limit their callers.
+
+A target states its limit in its responses, for the fleet as a whole, and lifts
+it by responding without one.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from laburnumyard.core.ids import Seconds
+from laburnumyard.core.target_directory import TargetLife
+
+# A limit that no response has repeated for this long no longer holds. A target
+# that gets no requests cannot lift it.
+LIMIT_EXPIRY_S = 10.0
+# Limits to remember; the one that was stated longest ago is forgotten first.
+MAX_KNOWN_LIMITS = 1000
+
+
+class LimitKind(Enum):
+    """What a response says about a rate limit."""
+
+    # Without a usable response, what was stated before still holds.
+    UNKNOWN = 'unknown'
+    NONE = 'none'
+    STATED = 'stated'
+    MALFORMED = 'malformed'
+
+
+@dataclass(frozen=True, slots=True)
+class LimitStatement:
+    """What one response of a target says about its rate limit.
+
+    Parameters
+    ----------
+    kind
+        Kind of the statement.
+    per_second
+        Requests per second from the whole fleet; only for ``STATED``.
+    text
+        The raw value; only for ``MALFORMED``.
+    """
+
+    kind: LimitKind
+    per_second: float = 0
+    text: str = ''
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether it tells if the target limits its callers now."""
+        return self.kind in {LimitKind.NONE, LimitKind.STATED}
+
+
+UNKNOWN_LIMIT = LimitStatement(LimitKind.UNKNOWN)
+NO_LIMIT = LimitStatement(LimitKind.NONE)
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """A limit in force.
+
+    Parameters
+    ----------
+    per_second
+        Requests per second from the whole fleet.
+    stated_at
+        When it was last stated, in seconds.
+    """
+
+    per_second: float
+    stated_at: Seconds
+
+    def has_expired(self, now: Seconds) -> bool:
+        """Whether the limit was not repeated for ``LIMIT_EXPIRY_S``."""
+        return now - self.stated_at >= LIMIT_EXPIRY_S
+
+
+class KnownLimits:
+    """Newest known limit of each target instance.
+
+    Attributes
+    ----------
+    limits
+        Limits in force, ordered by when they were last stated.
+    """
+
+    def __init__(self) -> None:
+        """Create the object without limits."""
+        self.limits: dict[TargetLife, RateLimit] = {}
+
+    def current(self, life: TargetLife, now: Seconds) -> RateLimit | None:
+        """Return the limit of a target instance, None if it has none."""
+        limit = self.limits.get(life)
+        if limit is None or limit.has_expired(now):
+            return None
+        return limit
+
+    def record(
+        self, life: TargetLife, statement: LimitStatement, now: Seconds
+    ) -> bool:
+        """Apply a statement of a target.
+
+        Parameters
+        ----------
+        life
+            The target instance that responded.
+        statement
+            What it said.
+        now
+            When it was said, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether a limit was set, changed or lifted.
+        """
+        if not statement.is_usable:
+            return False
+        known = self.current(life, now)
+        self.limits.pop(life, None)
+        if statement.kind is LimitKind.NONE:
+            return known is not None
+        self.limits[life] = RateLimit(statement.per_second, now)
+        if len(self.limits) > MAX_KNOWN_LIMITS:
+            self.limits.pop(next(iter(self.limits)))
+        return known is None or known.per_second != statement.per_second
--- a/src/laburnumyard/gateway/_platform_interface.py
+++ b/src/laburnumyard/gateway/_platform_interface.py
@@ -8,6 +8,7 @@
 from expression import Result
 
 from laburnumyard.core.ids import AttemptId, Seconds, ShardKey, TargetId
+from laburnumyard.core.rate_limits import NO_LIMIT, LimitStatement
 from laburnumyard.core.routes import RouteTable
 from laburnumyard.core.shards import Order, Reply
 from laburnumyard.core.target_directory import TargetRecord
@@ -216,6 +217,8 @@
         Target that sent the response, None if not given.
     idle_limit_s
         Time the target keeps an idle connection, None if not given.
+    rate_limit
+        What the target says about its rate limit.
     """
 
     attempt_id: AttemptId
@@ -223,6 +226,7 @@
     is_signed: bool
     responder: TargetId | None = None
     idle_limit_s: Seconds | None = None
+    rate_limit: LimitStatement = NO_LIMIT
 
 
 class WireFormat(Protocol):
--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -15,6 +15,7 @@
     TargetId,
 )
 from laburnumyard.core.quarantine import Fingerprint, fingerprint_of
+from laburnumyard.core.rate_limits import UNKNOWN_LIMIT, LimitStatement
 from laburnumyard.core.routes import Route, WeightedServiceChooser
 from laburnumyard.core.scheduling import Outcome, Refusal
 from laburnumyard.gateway._cluster_view import ClusterView
@@ -24,6 +25,7 @@
     RequestResult,
     refuse_request,
 )
+from laburnumyard.gateway._limit_monitor import LimitMonitor
 from laburnumyard.gateway._platform_interface import (
     RequestHead,
     ResponseHead,
@@ -96,6 +98,8 @@
     refusals: int = 0
     # Size of the request and the last response, 0 before that.
     payload_bytes: int = 0
+    # What the target of the last send said about its rate limit.
+    rate_limit: LimitStatement = UNKNOWN_LIMIT
     # Whether a send without a response may have run.
     may_have_run: bool = False
     failure: RequestResult | None = None
@@ -154,6 +158,7 @@
         self.slots = slots
         self.pool = pool
         self.data_centre = data_centre
+        self.limit_monitor = LimitMonitor()
         self.chooser = WeightedServiceChooser()
         self.longest_deadlines: dict[RouteName, Seconds] = {}
 
@@ -306,22 +311,28 @@
         self, attempt: Attempt, slot: Slot, outcome: Outcome
     ) -> None:
         """Release the slot of a send and log its outcome."""
+        self.limit_monitor.record(slot.life, attempt.rate_limit)
         self.slots.release(slot, outcome, attempt.payload_bytes)
         METRICS.count(
             'sends_total', service=attempt.service, outcome=outcome.value
         )
+        limit = self.limit_monitor.current(slot.life)
+        if limit is not None:
+            METRICS.count('limited_sends_total', target=slot.life.target)
         log_decision(
             Event.SENT,
             request=attempt.attempt_id,
             target=slot.life.target,
             outcome=outcome,
             runs=attempt.runs,
+            limit='none' if limit is None else limit.per_second,
         )
 
     async def exchange(
         self, attempt: Attempt, slot: Slot
     ) -> tuple[RequestResult | None, Outcome]:
         """Send a request on a connection and classify the response."""
+        attempt.rate_limit = UNKNOWN_LIMIT
         acquired = await self.pool.acquire(
             slot.address, is_repeatable=attempt.route.is_repeatable
         )
@@ -351,6 +362,7 @@
             connection.close()
             return self.record_lost_response(attempt, 'foreign-answer')
         self.pool.release(connection, head.idle_limit_s)
+        attempt.rate_limit = _limit_statement(attempt, response, head, slot)
         if head.is_not_run:
             attempt.may_have_run = may_have_run
             attempt.runs -= 1
@@ -448,3 +460,20 @@
         return Outcome.SHED
     is_other = head.responder not in {None, slot.life.target}
     return Outcome.MISDIRECTED if is_other else Outcome.NOT_OWNER
+
+
+def _limit_statement(
+    attempt: Attempt, response: TargetResponse, head: ResponseHead, slot: Slot
+) -> LimitStatement:
+    """Return what the target of a slot says about its rate limit.
+
+    Responses that may come from another target at the address, or from none,
+    say nothing.
+    """
+    is_misdirected = response.status == HTTPStatus.MISDIRECTED_REQUEST
+    is_own = head.responder == slot.life.target or (
+        head.responder is None and not is_misdirected
+    )
+    if not is_own or head.attempt_id != attempt.attempt_id:
+        return UNKNOWN_LIMIT
+    return head.rate_limit
--- a/src/laburnumyard/platform/_wire_format.py
+++ b/src/laburnumyard/platform/_wire_format.py
@@ -13,6 +13,11 @@
     ShardKey,
     TargetId,
 )
+from laburnumyard.core.rate_limits import (
+    NO_LIMIT,
+    LimitKind,
+    LimitStatement,
+)
 from laburnumyard.core.routes import RouteTable
 from laburnumyard.core.shards import MAX_SHARD_KEY
 from laburnumyard.core.target_directory import (
@@ -41,11 +46,16 @@
 INSTANCE_ID_HEADER = 'laburnumyard-instance-id'
 SIGNATURE_HEADER = 'laburnumyard-instance-signature'
 NOT_EXECUTED_HEADER = 'laburnumyard-not-executed'
+# Requests per second that the target takes from all gateways together.
+RATE_LIMIT_HEADER = 'server-limit'
 KEEP_ALIVE_HEADER = 'keep-alive'
 KEEP_ALIVE_TIMEOUT = re.compile(r'(?:^|[,;\s])timeout=(\d{1,6})', re.IGNORECASE)
 # Longer numbers exceed any plausible deadline.
 MAX_DIGITS = 9
 WHOLE_NUMBER = re.compile(f'[0-9]{{1,{MAX_DIGITS}}}')
+DECIMAL_NUMBER = re.compile(r'[0-9]{1,15}(?:\.[0-9]{1,15})?')
+# Malformed values are logged up to this length.
+MAX_LOGGED_CHARS = 60
 ADDRESS = re.compile(r'\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}')
 TARGET_STATES = MappingProxyType({state.value: state for state in TargetState})
 MISDIRECTED_STATUS = 421
@@ -99,6 +109,7 @@
             if INSTANCE_ID_HEADER in fields
             else None,
             Seconds(float(limit.group(1))) if limit else None,
+            _read_rate_limit(headers),
         )
 
     def decode_routes(self, content: bytes) -> Result[RouteTable, str]:
@@ -145,6 +156,16 @@
     )
 
 
+def _read_rate_limit(headers: Headers) -> LimitStatement:
+    values = [text for name, text in headers if name == RATE_LIMIT_HEADER]
+    if not values:
+        return NO_LIMIT
+    if len(values) > 1 or not DECIMAL_NUMBER.fullmatch(values[0]):
+        text = ', '.join(values)[:MAX_LOGGED_CHARS]
+        return LimitStatement(LimitKind.MALFORMED, text=text)
+    return LimitStatement(LimitKind.STATED, float(values[0]))
+
+
 def _parse_whole_number(text: str) -> int | None:
     return int(text) if WHOLE_NUMBER.fullmatch(text) else None
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -7,6 +7,7 @@
 from testtools.matchers import Contains, Equals, Is
 
 from laburnumyard.core.ids import TargetId
+from laburnumyard.core.rate_limits import LimitKind
 from laburnumyard.core.target_directory import TargetState
 from laburnumyard.gateway._platform_interface import SendContext
 from laburnumyard.platform._wire_format import PlatformWireFormat
@@ -143,3 +144,25 @@
     )
     assert_that(head.idle_limit_s, Equals(9.0))
     assert_that([head.is_signed], Contains(False))
+
+
+@pytest.mark.parametrize(
+    ('values', 'kind', 'per_second'),
+    [
+        ((), LimitKind.NONE, 0),
+        (('0',), LimitKind.STATED, 0),
+        (('0.3',), LimitKind.STATED, 0.3),
+        (('1000000000',), LimitKind.STATED, 1e9),
+        (('-1',), LimitKind.MALFORMED, 0),
+        (('',), LimitKind.MALFORMED, 0),
+        (('1e9',), LimitKind.MALFORMED, 0),
+        (('nan',), LimitKind.MALFORMED, 0),
+        (('2', '3'), LimitKind.MALFORMED, 0),
+        (('9' * 60_000,), LimitKind.MALFORMED, 0),
+    ],
+)
+def test_the_rate_limit_of_a_response(wire_format, values, kind, per_second):
+    headers = tuple(('server-limit', text) for text in values)
+    statement = wire_format.read_response_head(200, headers).rate_limit
+    assert_that(statement.kind, Is(kind))
+    assert_that(statement.per_second, Equals(per_second))
