--- a/src/standins/_answers.py
+++ b/src/standins/_answers.py
@@ -30,10 +30,12 @@
     call: Call,
     content: object,
     status: int = HTTPStatus.OK,
+    headers: Headers | None = None,
 ) -> None:
     """Send a JSON answer."""
     kind = (b'content-type', b'application/json')
-    await answer(call, status, json.dumps(content).encode(), [kind])
+    body = json.dumps(content).encode()
+    await answer(call, status, body, [kind, *(headers or ())])
 
 
 async def answer_compact(
--- /dev/null
+++ b/src/standins/_gateway_target.py
@@ -0,0 +1,207 @@
+"""A target of gateways, in the format of the users' pages."""
+
+import json
+import time
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+from http import HTTPStatus
+
+import anyio
+
+from standins._answers import Headers, answer
+from standins._asgi import Call, DisconnectedError, Receive, Scope, Send
+
+MS_PER_S = 1000
+ATTEMPT_ID = b'laburnumyard-attempt-id'
+EXPECTED = b'laburnumyard-expect-instance'
+SHARD_KEY = b'laburnumyard-shard-key'
+NOT_RUN = (b'laburnumyard-not-executed', b'1')
+SIGNATURE = (b'laburnumyard-instance-signature', b'stand-in')
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """A range of keys that the target holds.
+
+    Parameters
+    ----------
+    first, last
+        The range, inclusive.
+    token
+        Its fencing token.
+    until
+        When it ends, in seconds.
+    """
+
+    first: int
+    last: int
+    token: int
+    until: float
+
+
+@dataclass(slots=True)
+class GatewayTarget:
+    """The ASGI application of one target.
+
+    Parameters
+    ----------
+    name, service, data_centre
+        Who it is, what it serves and where.
+    is_keyed
+        Whether it runs requests only for keys that it holds.
+    work_s
+        How long a request runs, in seconds.
+
+    Attributes
+    ----------
+    rate_limit
+        The limit that its responses state; empty for none.
+    arrivals
+        When each request came, in seconds.
+    tokens
+        Highest fencing token of each key range that was ever ordered.
+    fenced
+        Grants that were refused since a higher token was seen.
+    """
+
+    name: str
+    service: str
+    data_centre: str = 'lima-a'
+    is_keyed: bool = False
+    work_s: float = 0.03
+    slots: int = 3
+    address: str = ''
+    born_ms: int = field(default_factory=lambda: int(time.time() * MS_PER_S))
+    sequence: int = 0
+    state: str = 'ready'
+    rate_limit: str = ''
+    arrivals: list[float] = field(default_factory=list)
+    holds: list[Hold] = field(default_factory=list)
+    tokens: 'deque[Hold]' = field(default_factory=deque)
+    fenced: int = 0
+
+    def entry(self) -> bytes:
+        """Return what it writes to the store."""
+        self.sequence += 1
+        fields = {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.data_centre,
+            'version': 'v1',
+            'maxConcurrency': self.slots,
+            'state': self.state,
+            'warmupLeftMs': 0,
+            'sequence': self.sequence,
+            'born': self.born_ms,
+        }
+        return json.dumps(fields).encode()
+
+    def held(self, now: float) -> list[Hold]:
+        """Return the ranges that it holds now."""
+        return [hold for hold in self.holds if now < hold.until]
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer one call."""
+        call = Call(scope, receive, send)
+        try:
+            await self.route(call)
+        except DisconnectedError:
+            return
+
+    async def route(self, call: Call) -> None:
+        """Answer an order or a request."""
+        expected = call.headers.get(EXPECTED, self.name.encode()).decode()
+        if expected != self.name:
+            await self.reply(call, HTTPStatus.MISDIRECTED_REQUEST)
+            return
+        match call.path:
+            case '/-/grant':
+                await self.grant(call)
+            case '/-/release':
+                await self.release(call)
+            case _:
+                await self.run(call)
+
+    async def grant(self, call: Call) -> None:
+        """Take a range of keys, unless a higher token was seen."""
+        order = await call.read_json()
+        now = time.monotonic()
+        hold = Hold(
+            order['from'],
+            order['target'],
+            order['fence'],
+            now + order['holdMs'] / MS_PER_S,
+        )
+        is_fenced = any(
+            seen.token > hold.token and _overlaps(seen, hold)
+            for seen in self.tokens
+        )
+        if is_fenced:
+            self.fenced += 1
+            await self.reply(call, HTTPStatus.CONFLICT)
+            return
+        self.drop(hold)
+        self.holds.append(hold)
+        self.tokens.append(hold)
+        await self.reply(call, HTTPStatus.OK)
+
+    async def release(self, call: Call) -> None:
+        """Let a range of keys go."""
+        order = await call.read_json()
+        hold = Hold(order['from'], order['target'], order['fence'], 0)
+        self.drop(hold)
+        self.tokens.append(hold)
+        await self.reply(call, HTTPStatus.OK)
+
+    def drop(self, dropped: Hold) -> None:
+        """Stop holding a range; what lies beyond it is kept."""
+        kept = []
+        for hold in self.holds:
+            if _overlaps(hold, dropped):
+                kept.extend(_remainder(hold, dropped))
+            else:
+                kept.append(hold)
+        self.holds = kept
+
+    async def run(self, call: Call) -> None:
+        """Run a request."""
+        await call.read_body()
+        now = time.monotonic()
+        key = int(call.headers.get(SHARD_KEY, b'0'))
+        if self.is_keyed and not any(
+            hold.first <= key <= hold.last for hold in self.held(now)
+        ):
+            await self.reply(call, HTTPStatus.MISDIRECTED_REQUEST, [NOT_RUN])
+            return
+        self.arrivals.append(now)
+        await anyio.sleep(self.work_s)
+        await self.reply(call, HTTPStatus.OK, [SIGNATURE])
+
+    async def reply(
+        self, call: Call, status: int, headers: Headers | None = None
+    ) -> None:
+        """Send an answer with the headers that all answers have."""
+        common = [
+            (ATTEMPT_ID, call.headers.get(ATTEMPT_ID, b'')),
+            (b'laburnumyard-instance-id', self.name.encode()),
+        ]
+        if self.rate_limit:
+            common.append((b'server-limit', self.rate_limit.encode()))
+        await answer(
+            call, status, self.name.encode(), [*common, *(headers or ())]
+        )
+
+
+def _overlaps(one: Hold, other: Hold) -> bool:
+    return one.first <= other.last and other.first <= one.last
+
+
+def _remainder(hold: Hold, dropped: Hold) -> Iterator[Hold]:
+    """Yield the parts of a range that lie outside another."""
+    if hold.first < dropped.first:
+        yield replace(hold, last=dropped.first - 1)
+    if hold.last > dropped.last:
+        yield replace(hold, first=dropped.last + 1)
--- a/src/standins/_keyvalue.py
+++ b/src/standins/_keyvalue.py
@@ -1,5 +1,6 @@
 """The state of the platform stand-in's key-value service."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 MAX_VALUE_BYTES = 1024 * 1024
@@ -40,13 +41,57 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The entries and the revision of a store at one moment."""
+
+    entries: Mapping[str, Entry]
+    revision: int
+
+
 @dataclass(slots=True)
 class KeyValue:
-    """Keys, values and leases; revisions rise over the whole store."""
+    """Keys, values and leases; revisions rise over the whole store.
+
+    Attributes
+    ----------
+    removed
+        The revision at which each absent key was removed.
+    era
+        How often the store has come back from an older copy, plus one.
+    history_from
+        Changes up to this revision are forgotten.
+    """
 
     entries: dict[str, Entry] = field(default_factory=dict)
     leases: dict[str, Lease] = field(default_factory=dict)
     revision: int = 0
+    removed: dict[str, int] = field(default_factory=dict)
+    era: int = 1
+    history_from: int = 0
+
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore from."""
+        return StoreCopy(dict(self.entries), self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an older copy.
+
+        Later writes are lost, revisions are given out again, and no lease is
+        left; keys with a lease are gone.
+        """
+        self.entries = {
+            key: entry for key, entry in copy.entries.items() if not entry.lease
+        }
+        self.revision = copy.revision
+        self.history_from = copy.revision
+        self.leases.clear()
+        self.removed.clear()
+        self.era += 1
+
+    def has_history(self, after: int) -> bool:
+        """Whether all changes after a revision are known."""
+        return self.history_from <= after <= self.revision
 
     def read(self, key: str) -> Entry | None:
         """Return the entry of a key."""
@@ -82,6 +127,7 @@
             return Swap(is_applied=False, revision=current)
         self.revision += 1
         self.entries[key] = Entry(content, self.revision, lease)
+        self.removed.pop(key, None)
         return Swap(is_applied=True, revision=self.revision)
 
     def delete(self, key: str, expected: int) -> Swap:
@@ -91,6 +137,7 @@
             return Swap(is_applied=False, revision=current)
         self.revision += 1
         self.entries.pop(key)
+        self.removed[key] = self.revision
         return Swap(is_applied=True, revision=self.revision)
 
     def keys(self, prefix: str) -> dict[str, int]:
@@ -123,10 +170,14 @@
             for lease_id, lease in self.leases.items()
             if lease.until <= now
         }
-        for lease_id in lapsed:
-            self.leases.pop(lease_id)
         if lapsed:
-            self._drop_keys(lapsed)
+            self.end_leases(lapsed)
+
+    def end_leases(self, ended: set[str]) -> None:
+        """Drop leases and the keys that vanish with them."""
+        for lease_id in ended:
+            self.leases.pop(lease_id, None)
+        self._drop_keys(ended)
 
     def _drop_keys(self, lapsed: set[str]) -> None:
         doomed = [
@@ -135,3 +186,4 @@
         for key in doomed:
             self.revision += 1
             self.entries.pop(key)
+            self.removed[key] = self.revision
