Observability: log when the store comes back from an older copy

A return from a copy looked like any other outage. The client reads the era that the store states in its answers; a rise is logged (store state=restored era=N) and counted. Nothing is decided by it yet.

--- a/src/laburnumyard/gateway/_platform_interface.py
+++ b/src/laburnumyard/gateway/_platform_interface.py
@@ -1,6 +1,6 @@
 """Interface between the gateway and the platform it runs on."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NewType, Protocol
@@ -97,7 +97,16 @@
 
 
 class MetadataStore(Protocol):
-    """The platform's key-value store."""
+    """The platform's key-value store.
+
+    Attributes
+    ----------
+    on_restored
+        Called with the number of the new era when the store has come back from
+        an older copy.
+    """
+
+    on_restored: list[Callable[[int], None]]
 
     async def read(
         self, key: str, *, may_lag: bool = False
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -93,6 +93,7 @@
         self.view = ClusterView()
         self.view.note_cores(round(settings.machine.cores * MILLI_CORES))
         self.health = StoreHealth()
+        platform.store.on_restored.append(self.health.note_restored)
         self.session = Session(
             platform.store, self.health, settings.store, self.member
         )
--- a/src/laburnumyard/gateway/_store_health.py
+++ b/src/laburnumyard/gateway/_store_health.py
@@ -70,6 +70,11 @@
                 StoreReachability.LOST, f'{error.fault.value} {error.detail}'
             )
 
+    def note_restored(self, era: int) -> None:
+        """Log that the store has come back from an older copy."""
+        METRICS.count('store_changes_total', state='restored')
+        log_event(Event.STORE, 'WARNING', state='restored', era=era)
+
     def _change(self, reachability: StoreReachability, cause: str) -> None:
         before = self.reachability
         if reachability is before:
--- a/src/laburnumyard/platform/_store_client.py
+++ b/src/laburnumyard/platform/_store_client.py
@@ -2,8 +2,9 @@
 
 import binascii
 import json
+import re
 from base64 import b64decode, b64encode
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any
@@ -58,6 +59,9 @@
         ExchangeFault.BROKE_OFF: StoreFault.UNREACHABLE,
     }
 )
+# Number of times that the store has come back from an older copy.
+ERA_HEADER = 'store-era'
+ERA = re.compile('[0-9]{1,6}')
 MAX_PAGES = 100
 
 CallResult = Result[Mapping[str, Any], StoreError]
@@ -72,12 +76,21 @@
         ``IP:PORT`` of the store.
     timeout_s
         Timeout of a call, in seconds.
+
+    Attributes
+    ----------
+    era
+        Highest era that a response stated.
+    on_restored
+        Called when the store has come back from an older copy.
     """
 
     def __init__(self, address: str, timeout_s: Seconds) -> None:
         """Create a client without connections."""
         self.endpoint = Endpoint(address)
         self.timeout_s = timeout_s
+        self.era = 0
+        self.on_restored: list[Callable[[int], None]] = []
 
     async def read(
         self, key: str, *, may_lag: bool = False
@@ -186,7 +199,7 @@
     ) -> CallResult:
         request = HttpRequest('GET', f'{path}?{urlencode(query)}')
         timeout_s = self.timeout_s + wait_s
-        return _decode(await self.endpoint.exchange(request, timeout_s))
+        return self._receive(await self.endpoint.exchange(request, timeout_s))
 
     async def _call(
         self, method: str, path: str, body: Mapping[str, Any] | None
@@ -194,8 +207,24 @@
         content = b'' if body is None else json.dumps(body).encode()
         request = HttpRequest(method, path, JSON_HEADERS, content)
         exchange_result = await self.endpoint.exchange(request, self.timeout_s)
+        return self._receive(exchange_result)
+
+    def _receive(
+        self, exchange_result: Result[HttpResponse, ExchangeError]
+    ) -> CallResult:
+        """Note the era of a response and decode it."""
+        if exchange_result.is_ok():
+            text = exchange_result.ok.headers.get(ERA_HEADER, '')
+            self._note_era(int(text) if ERA.fullmatch(text) else 0)
         return _decode(exchange_result)
 
+    def _note_era(self, era: int) -> None:
+        before = self.era
+        self.era = max(before, era)
+        if 0 < before < era:
+            for callback in self.on_restored:
+                callback(era)
+
 
 def _decode(exchange_result: Result[HttpResponse, ExchangeError]) -> CallResult:
     if exchange_result.is_error():
