CONFIG: revisions of the store carry its era

What callers saw: a route that had been confirmed was answered 404, or handled by an older version, by the gateways that do not read the store.

Cause: everything that is newer or older is told by a revision of the store, and revisions go back and are given out again when it returns from a copy. A reader did not cache the configuration at revision 79, since it had one at 90, and so did not pass it on; a watch from before the return would go on in the new history. The class: an order taken from a counter whose owner may lose it.

Change: the client puts the era above the revision's bits, so each revision of a later era is newer than all earlier ones; items, watches, epochs and tokens follow without a further rule. Conditions and watches of an earlier era are answered by the client (conflict, history gone); an answer of an earlier era, or of another one than the write was sent in, is none. A return makes readers read all prefixes again; their followers wait for that. A configuration that is older than the one in force is not cached for peers.

--- a/src/laburnumyard/gateway/_cluster_view.py
+++ b/src/laburnumyard/gateway/_cluster_view.py
@@ -8,6 +8,7 @@
 from laburnumyard.core.ids import (
     DaemonName,
     Incarnation,
+    Seconds,
     ServiceName,
     TargetId,
 )
@@ -15,6 +16,7 @@
 from laburnumyard.core.routes import RouteTable
 from laburnumyard.core.target_directory import Directory, TargetRecord
 from laburnumyard.gateway._platform_interface import Item
+from laburnumyard.gateway._store_revision import era_of
 
 # Gateways to remember; the oldest is forgotten first.
 MAX_MEMBERS = 1000
@@ -58,6 +60,22 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class UnconfirmedCoordinator:
+    """A coordinator whose record was lost with the writes of the store.
+
+    Parameters
+    ----------
+    coordinator
+        The coordinator, which may still be running.
+    lost_at
+        When the loss was noticed, in seconds.
+    """
+
+    coordinator: Coordinator
+    lost_at: Seconds
+
+
 @dataclass(slots=True)
 class ClusterView:
     """Newest known routes, targets, members and coordinators.
@@ -70,6 +88,8 @@
         Targets by identifier.
     coordinators
         Coordinators by service.
+    unconfirmed
+        Last coordinator of each service whose record the store has lost.
     has_coordinators
         Whether all coordinators are known; a service without one is then
         vacant.
@@ -88,6 +108,9 @@
     routes: RouteTable | None = None
     directory: dict[TargetId, TargetRecord] = field(default_factory=dict)
     coordinators: dict[ServiceName, Coordinator] = field(default_factory=dict)
+    unconfirmed: dict[ServiceName, UnconfirmedCoordinator] = field(
+        default_factory=dict
+    )
     has_coordinators: bool = False
     members: dict[DaemonName, Member] = field(default_factory=dict)
     max_milli_cores: int = 0
@@ -112,6 +135,10 @@
         self.notify(self.on_routes)
         return True
 
+    def has_newer_routes(self, table: RouteTable) -> bool:
+        """Whether a newer route table is in force than the given one."""
+        return self.routes is not None and table.version < self.routes.version
+
     def note_member(self, member: Member) -> None:
         """Record a gateway that has sent a message; a later start replaces it.
 
@@ -148,11 +175,15 @@
         self.notify(self.on_coordinators)
         return True
 
-    def drop_coordinator(self, service: ServiceName, epoch: int) -> None:
+    def drop_coordinator(
+        self, service: ServiceName, epoch: int, now: Seconds
+    ) -> None:
         """Remove the coordinator of an epoch, or of an earlier one."""
         known = self.coordinators.get(service)
         if known and known.epoch <= epoch:
             self.coordinators.pop(service)
+            if era_of(known.epoch) < era_of(epoch):
+                self.unconfirmed[service] = UnconfirmedCoordinator(known, now)
             self.notify(self.on_coordinators)
 
     def notify(self, listeners: list[Callable[[], None]]) -> None:
@@ -161,3 +192,8 @@
             listener()
         self.changed.set()
         self.changed = anyio.Event()
+
+
+def is_same_process(one: Member, other: Member) -> bool:
+    """Whether two records are of one process of a gateway."""
+    return (one.name, one.incarnation) == (other.name, other.incarnation)
--- a/src/laburnumyard/gateway/_gateway_records.py
+++ b/src/laburnumyard/gateway/_gateway_records.py
@@ -1,5 +1,6 @@
 """Applies the records that gateways keep in the store."""
 
+from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import ServiceName
 from laburnumyard.gateway._cluster_view import ClusterView, Coordinator
 from laburnumyard.gateway._item_cache import ItemCache, with_removals
@@ -45,7 +46,7 @@
         """Apply the coordinator record of a service."""
         service = ServiceName(item.key.removeprefix(COORDINATOR_PREFIX))
         if item.content is None:
-            self.view.drop_coordinator(service, item.revision)
+            self.view.drop_coordinator(service, item.revision, boot_time())
             log_event(Event.COORDINATOR, service=service, state='none')
             return
         decoded = decode_member(item.content)
--- a/src/laburnumyard/gateway/_item_server.py
+++ b/src/laburnumyard/gateway/_item_server.py
@@ -37,9 +37,7 @@
         view.note_cores(fetch.milli_cores)
         wait_s = min(MAX_WAIT_S, fetch.wait_ms / MS_PER_SECOND)
         with anyio.move_on_after(wait_s):
-            while self.watcher.progress.is_complete and not self.has_news(
-                fetch
-            ):
+            while self.is_awaiting_news(fetch):
                 await self.watcher.news.wait()
         progress = self.watcher.progress
         items = self.watcher.cache.select(
@@ -49,6 +47,12 @@
             encode_items(fetch.number, items, progress, view.max_milli_cores)
         )
 
+    def is_awaiting_news(self, fetch: messages.FetchItems) -> bool:
+        """Whether there is nothing to tell a peer yet."""
+        if self.watcher.is_reloading:
+            return self.watcher.health.is_reachable
+        return self.watcher.progress.is_complete and not self.has_news(fetch)
+
     def has_news(self, fetch: messages.FetchItems) -> bool:
         """Whether the configuration or a coordinator changed for a peer."""
         progress = self.watcher.progress
--- a/src/laburnumyard/gateway/_platform_interface.py
+++ b/src/laburnumyard/gateway/_platform_interface.py
@@ -61,7 +61,7 @@
     content
         Value, None if the key was removed.
     revision
-        Revision of the last change.
+        Revision of the last change, with its era.
     """
 
     key: str
@@ -101,11 +101,14 @@
 
     Attributes
     ----------
+    era
+        Highest era that a response stated; 0 if unknown.
     on_restored
         Called with the number of the new era when the store has come back from
         an older copy.
     """
 
+    era: int
     on_restored: list[Callable[[int], None]]
 
     async def read(
--- a/src/laburnumyard/gateway/_store_health.py
+++ b/src/laburnumyard/gateway/_store_health.py
@@ -36,14 +36,21 @@
         Time of the last change, in seconds.
     regained_at
         End of the last outage, None without one.
+    era
+        Era that began with the last return of the store from an older copy; 0
+        without one.
     on_lost
         Called when the store becomes unreachable.
+    on_restored
+        Called when it has come back from an older copy.
     """
 
     reachability: StoreReachability = StoreReachability.UNKNOWN
     since: Seconds = field(default_factory=boot_time)
     regained_at: Seconds | None = None
+    era: int = 0
     on_lost: list[Callable[[], None]] = field(default_factory=list)
+    on_restored: list[Callable[[], None]] = field(default_factory=list)
 
     @property
     def is_reachable(self) -> bool:
@@ -71,9 +78,13 @@
             )
 
     def note_restored(self, era: int) -> None:
-        """Log that the store has come back from an older copy."""
+        """Record that the store has come back from an older copy."""
+        self.regained_at = boot_time()
+        self.era = era
         METRICS.count('store_changes_total', state='restored')
         log_event(Event.STORE, 'WARNING', state='restored', era=era)
+        for callback in self.on_restored:
+            callback()
 
     def _change(self, reachability: StoreReachability, cause: str) -> None:
         before = self.reachability
--- a/src/laburnumyard/gateway/_store_watcher.py
+++ b/src/laburnumyard/gateway/_store_watcher.py
@@ -90,6 +90,9 @@
         a peer has read.
     news
         Set when the configuration or a coordinator has changed.
+    is_reloading
+        Whether the store has come back from an older copy and was not read
+        completely since.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         self.health = health
         self.is_coordinator = is_coordinator
         self.is_direct = False
+        self.is_reloading = False
         self.mode_changed = anyio.Event()
         self.news = anyio.Event()
         self.cache = ItemCache()
@@ -116,6 +120,7 @@
         self.prefix_watches = self.make_prefix_watches()
         health.on_lost.append(self.cancel_long_polls)
         health.on_lost.append(self.announce_news)
+        health.on_restored.append(self.reload)
 
     def make_prefix_watches(self) -> tuple[PrefixWatch, ...]:
         """Return the watches of all prefixes; targets come last."""
@@ -140,7 +145,7 @@
                 self.target_entries.apply_listing,
                 self.target_entries.apply_changes,
                 SHORT_POLL_S,
-                self.target_pause,
+                partial(_target_pause, self.is_coordinator),
             ),
         )
 
@@ -216,6 +221,7 @@
         """Record that all items of a prefix are known up to a revision."""
         prefix_watch.revision = revision
         prefix_watch.is_loaded = True
+        self.is_reloading = self.is_reloading and not self.known.is_complete
         if prefix_watch.prefix == COORDINATOR_PREFIX:
             self.view.has_coordinators = True
 
@@ -252,6 +258,13 @@
             )
             prefix_watch.is_loaded = False
 
+    def reload(self) -> None:
+        """Read everything again, since an older copy replaced it."""
+        self.is_reloading = self.is_direct
+        for prefix_watch in self.prefix_watches:
+            prefix_watch.is_loaded = False
+        self.cancel_long_polls()
+
     def announce_news(self) -> None:
         """Wake the peers that wait for news."""
         self.news.set()
@@ -308,7 +321,11 @@
         progress
             Revisions up to which they are complete.
         """
-        newer_items = [item for item in items if self.is_newer(item)]
+        newer_items = [
+            item
+            for item in items
+            if _is_newer(item, self.cache, self.prefix_watches)
+        ]
         prefix = self.platform.wire_format.target_prefix
         self.apply_config(
             _with_prefix(newer_items, self.platform.wire_format.config_key)
@@ -330,47 +347,58 @@
         if newer_items:
             log_event(Event.ADOPTED, document='items', count=len(newer_items))
 
-    def is_newer(self, item: Item) -> bool:
-        """Whether an item of a peer is newer than what is known.
-
-        An item that is no longer there may still be known to a peer that has
-        lost the store; it is older than the last complete reading.
-        """
-        known = self.cache.items.get(item.key)
-        if known is not None and known.revision >= item.revision:
-            return False
-        return not any(
-            prefix_watch.is_loaded
-            and item.key.startswith(prefix_watch.prefix)
-            and item.revision <= prefix_watch.revision
-            for prefix_watch in self.prefix_watches
-        )
-
     def apply_config(self, items: tuple[Item, ...]) -> None:
         """Adopt a configuration if it is newer than the current one."""
         for item in items:
-            if (
-                item.key != self.platform.wire_format.config_key
-                or not item.content
-            ):
-                continue
-            self.cache.update(item)
-            decoded = self.platform.wire_format.decode_routes(item.content)
-            if decoded.is_error():
-                self.cache.log_malformed(item.key, decoded.error)
-            elif self.view.adopt_routes(decoded.ok):
-                log_event(
-                    Event.ADOPTED,
-                    document='configuration',
-                    version=decoded.ok.version,
-                    revision=item.revision,
-                )
+            if item.key == self.platform.wire_format.config_key:
+                self.adopt_config(item)
+
+    def adopt_config(self, item: Item) -> None:
+        """Adopt and cache a configuration, unless it is outdated.
 
-    def target_pause(self) -> float:
-        """Return the pause between reads of the targets, in seconds."""
-        if self.is_coordinator():
-            return COORDINATOR_PAUSE_S
-        return NON_COORDINATOR_PAUSE_S
+        An older copy of the store may have an older one at a later revision.
+        """
+        if not item.content:
+            return
+        decoded = self.platform.wire_format.decode_routes(item.content)
+        if decoded.is_error():
+            self.cache.log_malformed(item.key, decoded.error)
+            return
+        if self.view.has_newer_routes(decoded.ok):
+            return
+        self.cache.update(item)
+        if self.view.adopt_routes(decoded.ok):
+            log_event(
+                Event.ADOPTED,
+                document='configuration',
+                version=decoded.ok.version,
+                revision=item.revision,
+            )
+
+
+def _is_newer(
+    item: Item, cache: ItemCache, prefix_watches: Iterable[PrefixWatch]
+) -> bool:
+    """Whether an item of a peer is newer than what is known.
+
+    An item that is no longer there may still be known to a peer that has
+    lost the store; it is older than the last complete reading.
+    """
+    known = cache.items.get(item.key)
+    if known is not None and known.revision >= item.revision:
+        return False
+    return not any(
+        prefix_watch.is_loaded
+        and item.key.startswith(prefix_watch.prefix)
+        and item.revision <= prefix_watch.revision
+        for prefix_watch in prefix_watches
+    )
+
+
+def _target_pause(is_coordinator: Callable[[], bool]) -> float:
+    if is_coordinator():
+        return COORDINATOR_PAUSE_S
+    return NON_COORDINATOR_PAUSE_S
 
 
 def _no_pause() -> float:
--- a/src/laburnumyard/platform/_store_client.py
+++ b/src/laburnumyard/platform/_store_client.py
@@ -5,6 +5,8 @@
 import re
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any
@@ -21,6 +23,11 @@
     StoreError,
     StoreFault,
 )
+from laburnumyard.gateway._store_revision import (
+    era_of,
+    position_of,
+    revision_in,
+)
 from laburnumyard.platform._document_fields import MS_PER_SECOND, read_name
 from laburnumyard.transport import (
     Endpoint,
@@ -64,7 +71,16 @@
 ERA = re.compile('[0-9]{1,6}')
 MAX_PAGES = 100
 
-CallResult = Result[Mapping[str, Any], StoreError]
+
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """Fields of a response and the era that it belongs to."""
+
+    fields: Mapping[str, Any]
+    era: int
+
+
+CallResult = Result[StoreAnswer, StoreError]
 
 
 class PlatformStore:
@@ -102,7 +118,7 @@
             query['serializable'] = '1'
         call_result = await self._get(KEY_PATH, query)
         if call_result.is_ok():
-            return _decode_checked(_read_item, call_result.ok)
+            return _decode_checked(_read_found_item, call_result.ok)
         if call_result.error.fault is StoreFault.SESSION_ENDED:
             return Ok(Item(key, None, 0))
         return Error(call_result.error)
@@ -110,7 +126,7 @@
     async def scan(self, prefix: str) -> Result[Changes, StoreError]:
         """Return all items under a prefix."""
         items: list[Item] = []
-        revision = None
+        revision = 0
         query = {'prefix': prefix}
         for _ in range(MAX_PAGES):
             call_result = await self._get(RANGE_PATH, query)
@@ -123,47 +139,59 @@
             # Pages are not one snapshot, so a watch has to start at the
             # revision of the first one.
             revision = revision or page.ok.revision
-            if call_result.ok.get('morePages') is not True or not page.ok.items:
+            has_more = call_result.ok.fields.get('morePages') is True
+            if not has_more or not page.ok.items:
                 break
             query = {'prefix': prefix, 'after': items[-1].key}
-        return Ok(Changes(tuple(items), revision or 0))
+        if revision and era_of(revision) != self.era:
+            return Error(StoreError(StoreFault.HISTORY_GONE))
+        return Ok(Changes(tuple(items), revision))
 
     async def watch(
         self, prefix: str, after: int, wait_s: Seconds
     ) -> Result[Changes, StoreError]:
-        """Wait for changes after a revision and return them."""
+        """Wait for changes after a revision and return them.
+
+        A revision of another era has no changes: the store may have given out
+        its number again.
+        """
+        self._note_era(era_of(after))
+        if era_of(after) != self.era:
+            return Error(StoreError(StoreFault.HISTORY_GONE))
         query = {
             'prefix': prefix,
-            'after': str(after),
+            'after': str(position_of(after)),
             'waitMs': str(int(wait_s * MS_PER_SECOND)),
         }
         call_result = await self._get(WATCH_PATH, query, wait_s)
         if call_result.is_error():
             return Error(call_result.error)
+        if call_result.ok.era != era_of(after):
+            return Error(StoreError(StoreFault.HISTORY_GONE))
         return _decode_checked(_read_events, call_result.ok)
 
     async def compare_and_swap(
         self, write: ConditionalWrite
     ) -> Result[int, StoreError]:
-        """Apply a conditional write and return its revision."""
-        body = {
-            'expectedRevision': [
-                {'key': key, 'revision': revision}
-                for key, revision in write.expected.items()
-            ],
-            'puts': [
-                {
-                    'key': key,
-                    'value': b64encode(content).decode(),
-                    'lease': write.session,
-                }
-                for key, content in write.puts.items()
-            ],
-            'remove': [],
-        }
-        call_result = await self._call('POST', TRANSACTION_PATH, body)
+        """Apply a conditional write and return its revision.
+
+        A condition of an earlier era is a conflict, and so is a write that was
+        sent in an earlier era than answered: its conditions may have held by
+        chance.
+        """
+        era = self.era
+        if any(
+            revision and era_of(revision) != era
+            for revision in write.expected.values()
+        ):
+            return Error(StoreError(StoreFault.CONFLICT, detail='earlier era'))
+        call_result = await self._call(
+            'POST', TRANSACTION_PATH, _encode_write(write)
+        )
         if call_result.is_error():
             return Error(call_result.error)
+        if era and call_result.ok.era != era:
+            return Error(StoreError(StoreFault.CONFLICT, may_apply=True))
         return _decode_checked(_read_revision, call_result.ok)
 
     async def open_session(
@@ -212,11 +240,17 @@
     def _receive(
         self, exchange_result: Result[HttpResponse, ExchangeError]
     ) -> CallResult:
-        """Note the era of a response and decode it."""
-        if exchange_result.is_ok():
-            text = exchange_result.ok.headers.get(ERA_HEADER, '')
-            self._note_era(int(text) if ERA.fullmatch(text) else 0)
-        return _decode(exchange_result)
+        """Decode a response, unless a later era has begun."""
+        if exchange_result.is_error():
+            return Error(_store_error(exchange_result.error))
+        response = exchange_result.ok
+        text = response.headers.get(ERA_HEADER, '')
+        era = int(text) if ERA.fullmatch(text) else self.era
+        self._note_era(era)
+        if era < self.era:
+            detail = f'response of era {era}, known is {self.era}'
+            return Error(StoreError(StoreFault.HISTORY_GONE, True, detail))
+        return _decode(response, era)
 
     def _note_era(self, era: int) -> None:
         before = self.era
@@ -226,16 +260,35 @@
                 callback(era)
 
 
-def _decode(exchange_result: Result[HttpResponse, ExchangeError]) -> CallResult:
-    if exchange_result.is_error():
-        error = exchange_result.error
-        fault = FAULTS_BY_EXCHANGE_FAULT.get(error.fault, StoreFault.MALFORMED)
-        return Error(StoreError(fault, error.has_left, error.detail))
-    answer = exchange_result.ok
-    if answer.status == HTTPStatus.OK:
-        return _decode_checked(_read_body, answer.body)
-    fault = FAULTS_BY_STATUS.get(answer.status, StoreFault.MALFORMED)
-    return Error(StoreError(fault, detail=f'status {answer.status}'))
+def _store_error(error: ExchangeError) -> StoreError:
+    fault = FAULTS_BY_EXCHANGE_FAULT.get(error.fault, StoreFault.MALFORMED)
+    return StoreError(fault, error.has_left, error.detail)
+
+
+def _decode(response: HttpResponse, era: int) -> CallResult:
+    if response.status == HTTPStatus.OK:
+        fields = _decode_checked(_read_body, response.body)
+        return fields.map(partial(StoreAnswer, era=era))
+    fault = FAULTS_BY_STATUS.get(response.status, StoreFault.MALFORMED)
+    return Error(StoreError(fault, detail=f'status {response.status}'))
+
+
+def _encode_write(write: ConditionalWrite) -> Mapping[str, Any]:
+    return {
+        'expectedRevision': [
+            {'key': key, 'revision': position_of(revision)}
+            for key, revision in write.expected.items()
+        ],
+        'puts': [
+            {
+                'key': key,
+                'value': b64encode(content).decode(),
+                'lease': write.session,
+            }
+            for key, content in write.puts.items()
+        ],
+        'remove': [],
+    }
 
 
 def _decode_checked(read: Any, raw: Any) -> Result[Any, StoreError]:
@@ -250,7 +303,11 @@
     return read_object(parse_json(raw)) if raw else {}
 
 
-def _read_item(raw: Any) -> Item:
+def _read_found_item(answer: StoreAnswer) -> Item:
+    return _read_item(answer.fields, answer.era)
+
+
+def _read_item(raw: Any, era: int) -> Item:
     fields = read_object(raw)
     content = None
     if fields.get('removed') is not True:
@@ -258,7 +315,7 @@
     return Item(
         read_name(fields, 'key'),
         content,
-        read_count(fields, 'revision'),
+        revision_in(era, read_count(fields, 'revision')),
     )
 
 
@@ -271,24 +328,31 @@
         raise ValueError(f'value is not valid base64: {fault}') from fault
 
 
-def _read_page(fields: Mapping[str, Any]) -> Changes:
-    items = tuple(map(_read_item, read_list(fields.get('items'))))
-    return Changes(items, read_count(fields, 'asOf'))
+def _read_page(answer: StoreAnswer) -> Changes:
+    return _read_changes(answer, 'items')
 
 
-def _read_events(fields: Mapping[str, Any]) -> Changes:
-    items = tuple(map(_read_item, read_list(fields.get('events'))))
-    # `asOf` is the revision up to which the events are complete.
-    return Changes(items, read_count(fields, 'asOf'))
+def _read_events(answer: StoreAnswer) -> Changes:
+    return _read_changes(answer, 'events')
+
+
+def _read_changes(answer: StoreAnswer, name: str) -> Changes:
+    items = tuple(
+        _read_item(raw, answer.era)
+        for raw in read_list(answer.fields.get(name))
+    )
+    # `asOf` is the revision up to which the items are complete.
+    position = read_count(answer.fields, 'asOf')
+    return Changes(items, revision_in(answer.era, position))
 
 
-def _read_revision(fields: Mapping[str, Any]) -> int:
-    return read_count(fields, 'revision')
+def _read_revision(answer: StoreAnswer) -> int:
+    return revision_in(answer.era, read_count(answer.fields, 'revision'))
 
 
-def _read_session(fields: Mapping[str, Any]) -> SessionId:
-    return SessionId(read_count(fields, 'lease'))
+def _read_session(answer: StoreAnswer) -> SessionId:
+    return SessionId(read_count(answer.fields, 'lease'))
 
 
-def _discard(_: Mapping[str, Any]) -> None:
+def _discard(_: StoreAnswer) -> None:
     """Discard the result of a call."""
