CONFIG: an older copy of the store brings no target back that has left

Targets saw: one that had left, or had said so, got requests again after the store had come back from a copy that still listed it.

The listing after the return was taken for the state of now, though the entry in it was older than what the gateway had seen.

Change: entries of one target are ordered by its start and its count of writes across eras. An older one is ignored; a target that was removed in an earlier era is used again once it writes again. A target with an earlier start time that goes on writing is current, since the time of day may be set back.

--- a/src/laburnumyard/core/target_directory.py
+++ b/src/laburnumyard/core/target_directory.py
@@ -1,7 +1,7 @@
 """Directory of targets, from the records that they publish."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from laburnumyard.core.ids import DataCentre, Seconds, ServiceName, TargetId
@@ -50,6 +50,8 @@
         Whether it accepts new requests.
     warm_up_left_s
         Remaining time of slow responses after its start, in seconds.
+    sequence
+        Number of its writes since its start; it orders entries of one start.
     """
 
     life: TargetLife
@@ -59,6 +61,7 @@
     slots: int
     state: TargetState
     warm_up_left_s: Seconds
+    sequence: int = field(default=0, compare=False)
 
     @property
     def target(self) -> TargetId:
--- a/src/laburnumyard/gateway/_store_watcher.py
+++ b/src/laburnumyard/gateway/_store_watcher.py
@@ -333,7 +333,9 @@
         self.gateway_records.apply_changes(
             _with_prefix(newer_items, COORDINATOR_PREFIX)
         )
-        self.target_entries.apply_changes(_with_prefix(newer_items, prefix))
+        self.target_entries.apply_changes(
+            _with_prefix(newer_items, prefix), is_from_peer=True
+        )
         for item in _with_prefix(newer_items, ASSIGNMENT_PREFIX):
             self.apply_assignment(item)
         revisions = (progress.config, progress.coordinators, progress.targets)
--- a/src/laburnumyard/gateway/_target_entries.py
+++ b/src/laburnumyard/gateway/_target_entries.py
@@ -4,6 +4,7 @@
 from laburnumyard.core.ids import Seconds, TargetId
 from laburnumyard.core.target_directory import TargetRecord
 from laburnumyard.gateway._cluster_view import ClusterView
+from laburnumyard.gateway._entry_versions import EntryVersions
 from laburnumyard.gateway._item_cache import ItemCache, with_removals
 from laburnumyard.gateway._platform_interface import Item, WireFormat
 from laburnumyard.gateway._store_health import StoreHealth
@@ -42,6 +43,7 @@
         self.cache = cache
         self.health = health
         self.targets: dict[TargetId, TargetRecord] = {}
+        self.versions = EntryVersions()
         # Targets without an entry, and the time until which they are kept.
         self.absent_until: dict[TargetId, Seconds] = {}
 
@@ -67,11 +69,13 @@
         )
         return min(pending, default=revision)
 
-    def apply_changes(self, items: tuple[Item, ...]) -> None:
-        """Apply changed targets."""
+    def apply_changes(
+        self, items: tuple[Item, ...], *, is_from_peer: bool = False
+    ) -> None:
+        """Apply changed targets, read from the store or by a peer."""
         before = dict(self.targets)
         for item in items:
-            self.apply_target(item)
+            self.apply_target(item, is_from_peer=is_from_peer)
         now = boot_time()
         for target, until in tuple(self.absent_until.items()):
             if now >= until:
@@ -81,11 +85,12 @@
         if self.targets != before:
             self.view.adopt_directory(self.targets)
 
-    def apply_target(self, item: Item) -> None:
+    def apply_target(self, item: Item, *, is_from_peer: bool) -> None:
         """Apply the entry of one target."""
         prefix = self.wire_format.target_prefix
         target = TargetId(item.key.removeprefix(prefix))
         if item.content is None:
+            self.versions.record_removal(target, item.revision)
             self.cache.update(item)
             if target in self.targets:
                 returned = self.health.regained_at or -RETURN_GRACE_S
@@ -97,6 +102,11 @@
             # A malformed entry, such as one of another writer, is ignored.
             self.cache.log_malformed(item.key, decoded.error)
             return
+        if self.versions.is_outdated(
+            decoded.ok, item.revision, is_from_peer=is_from_peer
+        ):
+            return
+        self.versions.record(decoded.ok, item.revision)
         self.absent_until.pop(target, None)
         known = self.targets.get(target)
         self.targets[target] = decoded.ok
--- a/src/laburnumyard/platform/_wire_format.py
+++ b/src/laburnumyard/platform/_wire_format.py
@@ -142,8 +142,7 @@
     slots = read_count(fields, 'maxConcurrency')
     if not slots:
         raise ValueError('maxConcurrency is 0; it must be at least 1')
-    # `sequence` counts the writes of the target and `version` is its software
-    # version; neither affects routing.
+    # `version` is the software version of the target.
     warm_up_ms = read_amount(fields, 'warmupLeftMs')
     return TargetRecord(
         TargetLife(TargetId(target), read_count(fields, 'born')),
@@ -153,6 +152,7 @@
         slots,
         TARGET_STATES[state],
         Seconds(warm_up_ms / MS_PER_SECOND),
+        read_count(fields, 'sequence') if 'sequence' in fields else 0,
     )
 
 
