CONFIG: a coordinator keeps its assignment when the store loses it

Callers and targets saw: two targets held the same keys for seconds, under equal or falling fencing tokens, and up to a fifth of the requests was refused.

Cause: the coordinator's write conflicted, it read the assignment again and took the older copy for its own; its memory was the only record of the moves since. The class: a copy of one's own state is trusted above the state.

Change: assignments say in which era they were written. A coordinator whose record or assignment the store has lost keeps its role, claims it anew with a second's priority, and stores what it has. A new coordinator that finds an assignment of an earlier era doubts every holder: it waits until targets have registered again, fences all grants with one release of all keys at each target, and grants only then; silent targets are waited for. It also waits for the coordinator whose record was lost. A record of this process without a role, which a lost answer leaves too, is claimed again.

--- a/src/laburnumyard/core/shards/_manager.py
+++ b/src/laburnumyard/core/shards/_manager.py
@@ -33,6 +33,7 @@
 )
 from laburnumyard.core.shards._settings import ShardSettings
 from laburnumyard.core.shards._unanswered_grants import UnansweredGrants
+from laburnumyard.core.shards._unknown_holders import UnknownHolders
 from laburnumyard.core.target_directory import TargetLife
 
 # A target that answers no order for this long loses its pieces, in seconds;
@@ -59,6 +60,8 @@
         Target instances that have ended and hold nothing.
     unanswered
         Grants that were sent and not answered.
+    unknown_holders
+        Target instances that may hold any key, since the assignment was lost.
     restarted
         Target instances that a later one at the same address has replaced.
         Their grants are not renewed. The later instance may hold their pieces
@@ -75,6 +78,7 @@
         self.load = KeyLoad()
         self.dead: set[TargetLife] = set()
         self.restarted: set[TargetLife] = set()
+        self.unknown_holders = UnknownHolders()
         self.unanswered = UnansweredGrants()
         self.unresponsive_since: dict[TargetLife, Seconds] = {}
         self.paused_until: WeakKeyDictionary[Piece, Seconds]
@@ -267,14 +271,7 @@
             pending = self.unanswered.lives(piece)
             piece.drop_expired_formers(self.dead, pending, now)
         if piece.phase is Phase.RELEASING:
-            piece.has_order_in_flight = True
-            yield Release(
-                piece,
-                piece.former_holders[0].life,
-                piece.first,
-                piece.last,
-                piece.token,
-            )
+            yield from _release(piece, self.unknown_holders)
         elif piece.holder not in self.dead:
             if piece.holder not in self.restarted and piece.needs_grant(now):
                 yield self._grant(piece, now)
@@ -345,3 +342,16 @@
             self.unresponsive_since.setdefault(life, now)
         else:
             self.unresponsive_since.pop(life, None)
+
+
+def _release(piece: Piece, unknown_holders: UnknownHolders) -> Iterator[Order]:
+    if unknown_holders.includes_holder_of(piece):
+        return
+    piece.has_order_in_flight = True
+    yield Release(
+        piece,
+        piece.former_holders[0].life,
+        piece.first,
+        piece.last,
+        piece.token,
+    )
--- a/src/laburnumyard/gateway/_coordinator_elections.py
+++ b/src/laburnumyard/gateway/_coordinator_elections.py
@@ -5,6 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import DaemonName, ServiceName
 from laburnumyard.gateway._cluster_view import ClusterView, Coordinator
 from laburnumyard.gateway._connection_probe import refuses_connections
@@ -36,6 +37,9 @@
 SESSION_RETRY_PAUSE_S = 0.5
 MILLI_CORES = 1000
 PROBE_INTERVAL_S = 0.1
+# Time that a coordinator has to claim its role again after the store lost its
+# record; it alone knows what it has assigned since.
+RECLAIM_WAIT_S = 1.0
 
 
 class Elections:
@@ -78,8 +82,10 @@
             changed = self.view.changed
             vacant = self.vacant_services()
             if vacant:
-                await anyio.sleep(self.election_delay())
-                await self.claim_role(vacant[0])
+                service = min(vacant, key=self.is_not_held)
+                if self.is_not_held(service):
+                    await anyio.sleep(self.election_delay())
+                await self.claim_role(service)
                 continue
             with anyio.move_on_after(IDLE_INTERVAL_S):
                 await changed.wait()
@@ -96,18 +102,32 @@
     def is_vacant(self, service: ServiceName) -> bool:
         """Whether a service has no coordinator, or one that has ended."""
         coordinator = self.view.coordinators.get(service)
-        if (
-            coordinator is None
-            or self.ended_epochs.get(service) == coordinator.epoch
-        ):
+        if coordinator is None:
+            return not self.awaits_reclaim(service)
+        if self.ended_epochs.get(service) == coordinator.epoch:
             return True
         own_member = self.session.member
-        has_same_name = coordinator.member.name == own_member.name
+        if coordinator.member.name != own_member.name:
+            return False
+        # A record of this process without a role is from an older copy of the
+        # store, or of a claim whose answer was lost.
         return (
-            has_same_name
-            and coordinator.member.incarnation < own_member.incarnation
+            coordinator.member.incarnation < own_member.incarnation
+            or self.is_not_held(service)
         )
 
+    def is_not_held(self, service: ServiceName) -> bool:
+        """Whether this gateway does not coordinate a service."""
+        return self.coordination.dispatcher_of(service) is None
+
+    def awaits_reclaim(self, service: ServiceName) -> bool:
+        """Whether the coordinator whose record was lost may claim it again."""
+        unconfirmed = self.view.unconfirmed.get(service)
+        if unconfirmed is None:
+            return False
+        age = boot_time() - unconfirmed.lost_at
+        return self.is_not_held(service) and age < RECLAIM_WAIT_S
+
     def suspect(self, name: DaemonName) -> None:
         """Probe a gateway whose link was lost."""
         for service, coordinator in self.view.coordinators.items():
@@ -170,6 +190,8 @@
             claimed.is_error()
             and claimed.error.fault is not StoreFault.CONFLICT
         ):
+            if claimed.error.fault is StoreFault.SESSION_ENDED:
+                self.session.note_ended(write.session)
             log_event(
                 Event.COORDINATOR,
                 'WARNING',
--- a/src/laburnumyard/gateway/_coordinator_roles.py
+++ b/src/laburnumyard/gateway/_coordinator_roles.py
@@ -1,5 +1,6 @@
 """Services that this gateway coordinates, and messages between gateways."""
 
+from collections.abc import Sized
 from dataclasses import dataclass, field, replace
 from functools import partial, singledispatchmethod
 from types import MappingProxyType
@@ -22,7 +23,12 @@
 from laburnumyard.core.scheduling import Outcome, Refusal, Scheduler, WorkId
 from laburnumyard.core.shards import MAX_SHARD_KEY, ShardManager
 from laburnumyard.core.target_directory import records_of
-from laburnumyard.gateway._cluster_view import ClusterView, Coordinator, Member
+from laburnumyard.gateway._cluster_view import (
+    ClusterView,
+    Coordinator,
+    Member,
+    is_same_process,
+)
 from laburnumyard.gateway._derived_settings import DerivedSettings
 from laburnumyard.gateway._limit_messages import (
     decode_limits,
@@ -37,6 +43,7 @@
     SlotRefused,
     SlotRequest,
 )
+from laburnumyard.gateway._store_revision import era_of
 from laburnumyard.gateway._store_session import Session
 from laburnumyard.gateway._task_supervision import keep_running
 from laburnumyard.schema._generated import messages
@@ -65,12 +72,15 @@
         Store revision at which the role was acquired.
     dispatcher
         Scheduler of the service and its waiting requests.
+    runner
+        Manages the keys of the service; None if they have no owners.
     scope
         Cancel scope of the tasks of the role.
     """
 
     epoch: int
     dispatcher: SlotDispatcher
+    runner: ShardRunner | None = None
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
 
@@ -133,7 +143,12 @@
         return role.dispatcher if role else None
 
     def assume_role(self, service: ServiceName, epoch: int) -> None:
-        """Start coordinating a service."""
+        """Start coordinating a service, or go on with it in a new epoch."""
+        if service in self.roles:
+            self.confirm_role(service, epoch)
+            own_role = Coordinator(self.session.member, epoch)
+            self.view.adopt_coordinator(service, own_role)
+            return
         spec = self.view.routes and self.view.routes.services.get(service)
         manager = None
         if spec and spec.is_keyed:
@@ -163,6 +178,7 @@
                 manager,
             )
             runner.stand_down = self.stand_down
+            role.runner = runner
             self.tasks.start_soon(self.run_role, role, runner)
         self.view.adopt_coordinator(service, own_role)
 
@@ -188,12 +204,38 @@
         )
         role.dispatcher.close()
 
+    def confirm_role(self, service: ServiceName, epoch: int) -> None:
+        """Go on with a role in an epoch of a later era of the store."""
+        role = self.roles[service]
+        log_event(
+            Event.COORDINATOR,
+            service=service,
+            state='confirmed',
+            epoch=epoch,
+            before=role.epoch,
+        )
+        role.epoch = epoch
+        if role.runner is not None:
+            # The runner reads what is stored, and replaces what is older.
+            role.runner.epoch = epoch
+            role.runner.is_stale = True
+
     def drop_lost_roles(self) -> None:
-        """Drop roles whose epoch is no longer the newest known one."""
+        """Drop roles whose epoch is no longer the newest known one.
+
+        If the store has lost the record of a role, the role is kept until it is
+        claimed again or another gateway has it.
+        """
         for service, role in tuple(self.roles.items()):
             coordinator = self.view.coordinators.get(service)
-            if coordinator is None or coordinator.epoch != role.epoch:
-                self.drop_role(service, 'superseded')
+            if coordinator is None:
+                if era_of(role.epoch) >= self.session.health.era:
+                    self.drop_role(service, 'superseded')
+            elif coordinator.epoch != role.epoch:
+                if is_same_process(coordinator.member, self.session.member):
+                    self.confirm_role(service, coordinator.epoch)
+                else:
+                    self.drop_role(service, 'superseded')
 
     def drop_outdated_roles(self) -> None:
         """Drop all roles after ``outage_hold_s`` without the store."""
@@ -240,7 +282,7 @@
             link.on_closed.append(self.withdraw_link_requests)
         work_id = dispatcher.submit(
             decode_slot_request(message),
-            partial(self.send_permit, link, number),
+            partial(_send_permit, link, number, self.remote),
         )
         remote_requests[number] = RemoteRequest(dispatcher, work_id)
 
@@ -285,13 +327,6 @@
         if role is None or role.epoch >= message.epoch:
             link.send(messages.Pong(message.number))
 
-    def send_permit(
-        self, link: Link, number: int, slot_answer: SlotAnswer
-    ) -> None:
-        """Answer a slot request of another gateway."""
-        gateways = len(self.remote) + 1
-        link.send(_encode_permit(number, slot_answer, gateways))
-
     async def stand_down(
         self, member: Member, service: ServiceName, epoch: int
     ) -> bool:
@@ -350,6 +385,13 @@
     )
 
 
+def _send_permit(
+    link: Link, number: int, links: Sized, slot_answer: SlotAnswer
+) -> None:
+    # This gateway sends requests too.
+    link.send(_encode_permit(number, slot_answer, len(links) + 1))
+
+
 def _encode_permit(
     number: int, slot_answer: SlotAnswer, gateways: int
 ) -> messages.Permit:
--- /dev/null
+++ b/src/laburnumyard/gateway/_key_recovery.py
@@ -0,0 +1,109 @@
+"""Frees the keys of a service after the store has lost its assignment."""
+
+from collections.abc import Mapping
+
+import anyio
+from expression import Result
+
+from laburnumyard.core.ids import FencingToken, Seconds, ShardKey
+from laburnumyard.core.shards import (
+    MAX_SHARD_KEY,
+    Release,
+    Reply,
+    ShardManager,
+)
+from laburnumyard.core.target_directory import TargetLife
+from laburnumyard.gateway._platform_interface import Item, TargetOrders
+from laburnumyard.gateway._record_encoding import StoredAssignment
+from laburnumyard.gateway._store_revision import era_of
+
+# A release is answered only after running requests end.
+RELEASE_TIMEOUT_S = 2.5
+RETRY_PAUSE_S = 0.2
+
+
+def is_outdated_copy(
+    item: Item,
+    decoded: Result[StoredAssignment, str],
+    known_revision: int,
+    era: int,
+) -> bool:
+    """Whether the store has lost an assignment that was read or written.
+
+    Parameters
+    ----------
+    item, decoded
+        What is stored now.
+    known_revision
+        Revision of the assignment that was read or written; 0 for none.
+    era
+        Current era of the store.
+    """
+    if not known_revision or era_of(known_revision) >= era:
+        return False
+    return item.content is None or (decoded.is_ok() and decoded.ok.is_restored)
+
+
+class KeyRecovery:
+    """Has targets release all keys that they may hold.
+
+    Parameters
+    ----------
+    orders
+        Transport of orders.
+    manager
+        Assignment of the keys.
+    addresses
+        Addresses of the target instances.
+    """
+
+    def __init__(
+        self,
+        orders: TargetOrders,
+        manager: ShardManager,
+        addresses: Mapping[TargetLife, str],
+    ) -> None:
+        """Create the object; see ``run``."""
+        self.orders = orders
+        self.manager = manager
+        self.addresses = addresses
+
+    async def run(self) -> None:
+        """Free the keys at all targets that may hold any."""
+        async with anyio.create_task_group() as tasks:
+            for life in tuple(self.manager.unknown_holders.lives):
+                tasks.start_soon(self.release_all, life)
+
+    async def release_all(self, life: TargetLife) -> None:
+        """Have a target release all keys.
+
+        Without an answer, its grants are waited for: pieces drop holders whose
+        grants have expired.
+        """
+        while life not in self.manager.dead and self.may_hold_keys(life):
+            order = Release(
+                # The order is for all keys, not for this piece.
+                self.manager.pieces[0],
+                life,
+                ShardKey(0),
+                ShardKey(MAX_SHARD_KEY),
+                FencingToken(self.manager.revision),
+            )
+            answer = await self.orders.send(
+                order,
+                self.addresses[life],
+                Seconds(RELEASE_TIMEOUT_S),
+                may_reconnect=True,
+            )
+            if answer.reply in {Reply.DONE, Reply.GONE}:
+                break
+            await anyio.sleep(RETRY_PAUSE_S)
+        self.manager.unknown_holders.note_released(life, self.manager.pieces)
+
+    def may_hold_keys(self, life: TargetLife) -> bool:
+        """Whether a target may still hold a key."""
+        return any(
+            former.life == life
+            for piece in self.manager.pieces
+            for former in piece.former_holders
+        )
--- a/src/laburnumyard/gateway/_record_encoding.py
+++ b/src/laburnumyard/gateway/_record_encoding.py
@@ -22,6 +22,7 @@
 from laburnumyard.core.target_directory import TargetLife
 from laburnumyard.gateway._cluster_view import Member
 from laburnumyard.gateway._platform_interface import Item
+from laburnumyard.gateway._store_revision import era_of
 from laburnumyard.transport import (
     read_count,
     read_list,
@@ -70,6 +71,7 @@
     pieces: Iterable[Piece],
     writer: Member,
     addresses: Mapping[TargetLife, str],
+    era: int,
 ) -> bytes:
     """Return an assignment as compressed JSON.
 
@@ -80,6 +82,7 @@
     rows = [_piece_row(piece, lives) for piece in pieces]
     fields = {
         'writer': json.loads(encode_member(writer)),
+        'era': era,
         'lives': [
             [life.target, life.started_at_ms, addresses.get(life, '')]
             for life in lives
@@ -102,11 +105,15 @@
     addresses
         Addresses of holders and former holders; a target that has left the
         directory may still hold keys.
+    is_restored
+        Whether it was written in an earlier era of the store, which has lost
+        what was written after it.
     """
 
     assignment: Assignment
     writer: Member
     addresses: Mapping[TargetLife, str]
+    is_restored: bool = False
 
 
 def decode_assignment(item: Item) -> Result[StoredAssignment, str]:
@@ -134,7 +141,13 @@
         for row in read_list(fields.get('pieces'))
     )
     writer = _read_member(json.dumps(fields.get('writer')).encode())
-    return StoredAssignment(Assignment(revision, pieces), writer, addresses)
+    era = int(fields.get('era', era_of(revision)))
+    return StoredAssignment(
+        Assignment(revision, pieces),
+        writer,
+        addresses,
+        era < era_of(revision),
+    )
 
 
 def _read_life(row: Any) -> tuple[TargetLife, str]:
--- a/src/laburnumyard/gateway/_shard_runner.py
+++ b/src/laburnumyard/gateway/_shard_runner.py
@@ -8,7 +8,11 @@
 from anyio.abc import TaskGroup
 
 from laburnumyard.clocks import boot_time
-from laburnumyard.core.ids import Seconds, ServiceName
+from laburnumyard.core.ids import (
+    Seconds,
+    ServiceName,
+    TargetId,
+)
 from laburnumyard.core.shards import (
     Assignment,
     Grant,
@@ -27,6 +31,12 @@
     records_of,
 )
 from laburnumyard.gateway._cluster_view import ClusterView, Member
+from laburnumyard.gateway._key_recovery import (
+    RELEASE_TIMEOUT_S,
+    RETRY_PAUSE_S,
+    KeyRecovery,
+    is_outdated_copy,
+)
 from laburnumyard.gateway._platform_interface import (
     ConditionalWrite,
     Platform,
@@ -40,7 +50,9 @@
     encode_assignment,
 )
 from laburnumyard.gateway._slot_dispatcher import SlotDispatcher
+from laburnumyard.gateway._store_revision import era_of
 from laburnumyard.gateway._store_session import Session
+from laburnumyard.gateway._target_entries import RETURN_GRACE_S
 from laburnumyard.telemetry import Event, log_event
 
 # Interval between checks for due orders; a tenth of a second is short compared
@@ -49,15 +61,13 @@
 # Interval between balancing rounds: well below the half second in which a hot
 # spot must be detected. With 0.25 s, 2 % of the value of a load wave was lost.
 BALANCE_INTERVAL_S = 0.15
-# A grant is answered immediately, a release only after running requests end.
+# A grant is answered immediately.
 GRANT_TIMEOUT_S = 0.4
-RELEASE_TIMEOUT_S = 2.5
 # A grant that was queued longer is rebuilt: its duration counts from when it
 # was built, with 0.3 s for the network.
 STALE_GRANT_S = 0.1
 # Each concurrent order needs a connection, and targets accept few.
 MAX_CONCURRENT_RELEASES = 4
-RETRY_PAUSE_S = 0.2
 # A target that is warming up takes about twice as long per request.
 COLD_PACE = 2.0
 
@@ -172,6 +182,11 @@
         self.grant_locks: dict[str, anyio.Semaphore] = {}
         self.release_locks: dict[str, anyio.Semaphore] = {}
         self.is_stale = False
+        # Whether the store has an older assignment than this coordinator.
+        self.needs_save = False
+        # Whether targets may hold keys that the stored assignment does not
+        # name, since the store has lost later ones.
+        self.is_restored = False
         # Whether no earlier coordinator sends orders any more.
         self.is_sole_coordinator = False
         # Writer of the stored assignment when it was last read.
@@ -183,11 +198,18 @@
         """Load the stored assignment and manage it until cancelled."""
         self.dispatcher = dispatcher
         predecessor = await self.take_over()
-        if predecessor is not None:
-            await self.claim_assignment()
+        predecessors = [predecessor] if predecessor else []
+        if self.is_restored:
+            predecessors.extend(await self.claim_restored())
+        elif predecessor is not None:
+            await self.claim_assignment(())
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.await_predecessor, predecessor)
+            tasks.start_soon(self.await_predecessors, predecessors)
             tasks.start_soon(self.send_due_orders, tasks)
+            recovery = KeyRecovery(
+                self.platform.orders, self.manager, self.lives
+            )
+            tasks.start_soon(recovery.run)
             await self.balance(tasks)
 
     async def take_over(self) -> Member | None:
@@ -198,6 +220,7 @@
                 break
             await anyio.sleep(RETRY_PAUSE_S)
         if read.ok.content is None:
+            self.is_restored = self.service in self.view.unconfirmed
             return None
         decoded = decode_assignment(read.ok)
         if decoded.is_error():
@@ -209,6 +232,7 @@
             )
             self.manager.revision = read.ok.revision
             return None
+        self.is_restored = decoded.ok.is_restored
         assignment, writer = self.adopt_assignment(decoded.ok)
         log_event(
             Event.SHARDS,
@@ -218,16 +242,41 @@
             revision=assignment.revision,
             pieces=len(assignment.pieces),
             writer=writer.name,
+            restored=self.is_restored,
         )
         return writer
 
-    async def claim_assignment(self) -> None:
+    async def claim_restored(self) -> list[Member]:
+        """Fence all grants that the store may have lost.
+
+        Returns
+        -------
+        list of Member
+            Coordinator that the store may have lost, if any.
+        """
+        # Entries of targets may have been lost too.
+        await anyio.sleep(RETURN_GRACE_S)
+        serving = self.refresh_targets()
+        lives = {record.target: record.life for record in serving}
+        if not self.manager.pieces:
+            self.manager.plan(lives, {}, boot_time())
+        manager = self.manager
+        outage_hold = manager.settings.outage_hold_s
+        until = boot_time() + outage_hold + manager.settings.max_hold_s
+        moves = manager.unknown_holders.expect(
+            manager.pieces, set(self.lives) - manager.dead, Seconds(until)
+        )
+        await self.claim_assignment(moves)
+        lost = self.view.unconfirmed.get(self.service)
+        return [lost.coordinator.member] if lost else []
+
+    async def claim_assignment(self, moves: Iterable[Move]) -> None:
         """Write the assignment with this gateway as its writer.
 
         The next coordinator waits only for the stored writer to stop, so
         this gateway must be stored before it sends orders.
         """
-        while not await self.save(()):
+        while not await self.save(moves):
             await anyio.sleep(RETRY_PAUSE_S)
             if self.is_stale:
                 await self.reread()
@@ -244,12 +293,13 @@
             self.lives.setdefault(life, address)
         return stored.assignment, stored.writer
 
-    async def await_predecessor(self, predecessor: Member | None) -> None:
-        """Wait until the earlier coordinator stops, then shorten the waits."""
-        while predecessor is not None:
-            if await self.has_predecessor_stopped(predecessor):
-                break
-            await anyio.sleep(RETRY_PAUSE_S)
+    async def await_predecessors(self, predecessors: Iterable[Member]) -> None:
+        """Wait until earlier coordinators stop, then shorten the waits."""
+        for predecessor in predecessors:
+            has_stopped = False
+            while not has_stopped:
+                has_stopped = await self.has_predecessor_stopped(predecessor)
+                await anyio.sleep(0 if has_stopped else RETRY_PAUSE_S)
         self.is_sole_coordinator = True
         self.manager.note_predecessor_gone(boot_time())
         log_event(
@@ -257,7 +307,7 @@
             service=self.service,
             state='predecessor-gone',
             epoch=self.epoch,
-            predecessor=predecessor.name if predecessor else 'none',
+            predecessor=','.join(each.name for each in predecessors) or 'none',
         )
 
     async def has_predecessor_stopped(self, predecessor: Member) -> bool:
@@ -391,16 +441,17 @@
         while True:
             if self.is_stale:
                 await self.reread()
+            if self.needs_save:
+                self.needs_save = not await self.save(())
+                await anyio.sleep(BALANCE_INTERVAL_S)
+                continue
             serving = self.refresh_targets()
             now = boot_time()
             lives = {record.target: record.life for record in serving}
             capacities = {
                 record.target: self.capacity(record) for record in serving
             }
-            quiet = frozenset()
-            if self.dispatcher:
-                limiter = self.dispatcher.scheduler.limiter
-                quiet = limiter.quiet_targets(now)
+            quiet = _quiet_targets(self.dispatcher, now)
             moves = self.manager.plan(lives, capacities, now, quiet)
             if moves or self.manager.has_stale_former_holders():
                 await self.save(moves)
@@ -451,7 +502,10 @@
             },
             {
                 assignment_key(self.service): encode_assignment(
-                    pieces, self.session.member, self.lives
+                    pieces,
+                    self.session.member,
+                    self.lives,
+                    era_of(self.epoch),
                 ),
             },
         )
@@ -494,20 +548,39 @@
         if read.ok.revision == self.manager.revision:
             return
         decoded = decode_assignment(read.ok)
-        if decoded.is_error():
+        state = 'read-again'
+        era = self.session.health.era
+        if is_outdated_copy(read.ok, decoded, self.manager.revision, era):
+            self.manager.revision = read.ok.revision
+            self.needs_save = True
+            state = 'kept'
+        elif decoded.is_ok():
+            self.adopt_again(decoded.ok)
+        else:
             log_event(Event.FAULT, 'ERROR', problem=decoded.error)
             return
-        assignment, writer = self.adopt_assignment(decoded.ok)
-        if self.is_sole_coordinator and writer == self.session.member:
-            self.manager.note_predecessor_gone(boot_time())
         log_event(
             Event.SHARDS,
             service=self.service,
-            state='read-again',
-            revision=assignment.revision,
-            writer=writer.name,
+            state=state,
+            revision=read.ok.revision,
+            writer=self.writer.name if self.writer else 'none',
         )
 
+    def adopt_again(self, stored: StoredAssignment) -> None:
+        """Replace the assignment by one that was read again."""
+        _, writer = self.adopt_assignment(stored)
+        if self.is_sole_coordinator and writer == self.session.member:
+            self.manager.note_predecessor_gone(boot_time())
+
+
+def _quiet_targets(
+    dispatcher: SlotDispatcher | None, now: Seconds
+) -> frozenset[TargetId]:
+    if dispatcher is None:
+        return frozenset()
+    return dispatcher.scheduler.limiter.quiet_targets(now)
+
 
 def _started_at(record: TargetRecord) -> int:
     return record.life.started_at_ms
--- a/src/laburnumyard/gateway/_store_session.py
+++ b/src/laburnumyard/gateway/_store_session.py
@@ -10,6 +10,7 @@
 from laburnumyard.gateway._platform_interface import (
     NO_SESSION,
     MetadataStore,
+    SessionId,
     StoreFault,
 )
 from laburnumyard.gateway._store_health import StoreHealth
@@ -131,6 +132,11 @@
             )
             self.session_id = NO_SESSION
 
+    def note_ended(self, session_id: SessionId) -> None:
+        """Record that the store does not know a session."""
+        if session_id == self.session_id:
+            self.session_id = NO_SESSION
+
     async def close(self) -> None:
         """End the session, which releases this gateway's roles."""
         self.is_closing = True
--- a/tests/gateway/ownership_simulation.py
+++ b/tests/gateway/ownership_simulation.py
@@ -26,6 +26,7 @@
 )
 from laburnumyard.gateway._shard_runner import ShardRunner
 from laburnumyard.gateway._slot_dispatcher import SlotDispatcher
+from laburnumyard.gateway._store_health import StoreHealth
 from tests.support.sole import only
 
 SERVICE = ServiceName('catalogue')
@@ -144,6 +145,7 @@
         simulation.epoch = simulation.revision
         self.epoch = simulation.epoch
         self.view = ClusterView()
+        self.health = StoreHealth()
         self.update_targets()
         self.manager = ShardManager(SETTINGS)
         platform = Platform(self, self, None)
--- /dev/null
+++ b/tests/gateway/test_lost_assignment.py
@@ -0,0 +1,118 @@
+"""Coordinators of keys after the store has lost their writes."""
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from laburnumyard.core.shards import Reply
+from laburnumyard.gateway._cluster_view import (
+    Coordinator,
+    UnconfirmedCoordinator,
+)
+from laburnumyard.gateway._platform_interface import Item
+from laburnumyard.gateway._record_encoding import decode_assignment
+from laburnumyard.gateway._store_revision import era_of, revision_in
+from tests.gateway.test_shard_runner import (
+    ANOTHER,
+    FIRST,
+    SERVICE,
+    all_served,
+    make_runner,
+    orders,
+    run_until,
+    store,
+    view,
+)
+
+__all__ = ('make_runner', 'orders', 'store', 'view')
+pytestmark = pytest.mark.anyio
+TIMEOUT_S = 15
+
+
+@pytest.fixture
+def restored(store):
+    """Start the store in its first era; return what brings a copy back."""
+    store.revision = revision_in(1, 100)
+
+    def restore(item):
+        store.revision = revision_in(2, 70)
+        store.item = Item(item.key, item.content, revision_in(2, 60))
+
+    return restore
+
+
+async def test_a_coordinator_keeps_its_assignment(
+    make_runner, store, orders, restored
+):
+    runner, dispatcher = make_runner(epoch=revision_in(1, 5))
+    first = None
+    with anyio.fail_after(TIMEOUT_S):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(runner.run, dispatcher)
+            while not all_served(runner.manager):
+                await anyio.sleep(0.01)
+            first = store.item
+            holders = [piece.holder for piece in runner.manager.pieces]
+            assert_that(await runner.save(()), Is(True))
+            restored(first)
+            orders.given.clear()
+            runner.session.health.era = 2
+            runner.epoch = revision_in(2, 71)
+            runner.is_stale = True
+            while era_of(runner.manager.revision) < 2 or runner.needs_save:
+                await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+    kept = [piece.holder for piece in runner.manager.pieces]
+    assert_that(kept, Equals(holders))
+    stored = decode_assignment(store.item).ok
+    assert_that(stored.is_restored, Is(False))
+    assert_that('Release' in {given[0] for given in orders.given}, Is(False))
+    runner.session.health.era = 0
+
+
+async def test_a_new_coordinator_frees_all_keys_first(
+    make_runner, store, orders, restored
+):
+    runner, dispatcher = make_runner(epoch=revision_in(1, 5))
+    await run_until(runner, dispatcher, all_served)
+    restored(store.item)
+    orders.given.clear()
+    runner, dispatcher = make_runner(epoch=revision_in(2, 71), session=ANOTHER)
+    await run_until(runner, dispatcher, all_served)
+    given = [(kind, target) for kind, target, _ in orders.given]
+    released = [target for kind, target in given if kind == 'Release']
+    assert_that(sorted(released), Equals(['1', '2']))
+    first_grant = given.index(
+        next(each for each in given if each[0] == 'Grant')
+    )
+    assert_that(first_grant, Equals(2))
+    tokens = {era_of(piece.token) for piece in runner.manager.pieces}
+    assert_that(tokens, Equals({2}))
+
+
+async def test_a_silent_target_keeps_its_keys_from_others(
+    make_runner, store, orders, restored
+):
+    runner, dispatcher = make_runner(epoch=revision_in(1, 5))
+    await run_until(runner, dispatcher, all_served)
+    restored(store.item)
+    orders.given.clear()
+    orders.replies['2'] = Reply.UNKNOWN
+    runner, dispatcher = make_runner(epoch=revision_in(2, 71), session=ANOTHER)
+    with anyio.move_on_after(4):
+        await runner.run(dispatcher)
+    granted = {target for kind, target, _ in orders.given if kind == 'Grant'}
+    assert_that(granted, Equals({'2'}))
+
+
+async def test_an_assignment_that_the_store_lost_whole(
+    make_runner, store, orders, view, restored
+):
+    store.revision = revision_in(2, 70)
+    lost = Coordinator(FIRST.member, revision_in(1, 5))
+    view.unconfirmed[SERVICE] = UnconfirmedCoordinator(lost, 0)
+    runner, dispatcher = make_runner(epoch=revision_in(2, 71))
+    await run_until(runner, dispatcher, all_served)
+    kinds = [given[0] for given in orders.given]
+    assert_that(kinds[:2], Equals(['Release', 'Release']))
--- a/tests/gateway/test_shard_runner.py
+++ b/tests/gateway/test_shard_runner.py
@@ -38,6 +38,7 @@
     restarted_lives,
 )
 from laburnumyard.gateway._slot_dispatcher import SlotDispatcher
+from laburnumyard.gateway._store_health import StoreHealth
 from tests.support.sole import only
 
 pytestmark = pytest.mark.anyio
@@ -90,6 +91,7 @@
         self.member = member
         self.is_fresh = True
         self.store_age_s = 0
+        self.health = StoreHealth()
 
     @property
     def confirmed_at(self):
@@ -244,7 +246,7 @@
     port = server.extra(anyio.abc.SocketAttribute.local_port)
     member = Member('lima-b-1', f'127.0.0.1:{port}', 1)
     async with server:
-        await runner.await_predecessor(member)
+        await runner.await_predecessors([member])
     assert_that(told, Equals([('lima-b-1', 5)]))
 
 
@@ -266,7 +268,7 @@
     )
     runner, _ = make_runner()
     with anyio.fail_after(TIMEOUT_S):
-        await runner.await_predecessor(PREDECESSOR)
+        await runner.await_predecessors([PREDECESSOR])
 
 
 async def test_no_order_is_given_before_the_store_names_the_coordinator(
