--- a/tests/gateway/test_lost_assignment.py
+++ b/tests/gateway/test_lost_assignment.py
@@ -43,15 +43,14 @@
 
 
 async def test_a_coordinator_keeps_its_assignment(
-    make_runner, store, orders, restored
+    make_runner, store, orders, restored, wait_until
 ):
     runner, dispatcher = make_runner(epoch=revision_in(1, 5))
     first = None
     with anyio.fail_after(TIMEOUT_S):
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(runner.run, dispatcher)
-            while not all_served(runner.manager):
-                await anyio.sleep(0.01)
+            await wait_until(lambda: all_served(runner.manager))
             first = store.item
             holders = [piece.holder for piece in runner.manager.pieces]
             assert_that(await runner.save(()), Is(True))
@@ -60,8 +59,12 @@
             runner.session.health.era = 2
             runner.epoch = revision_in(2, 71)
             runner.is_stale = True
-            while era_of(runner.manager.revision) < 2 or runner.needs_save:
-                await anyio.sleep(0.01)
+            await wait_until(
+                lambda: (
+                    era_of(runner.manager.revision) == 2
+                    and not runner.needs_save
+                )
+            )
             tasks.cancel_scope.cancel()
     kept = [piece.holder for piece in runner.manager.pieces]
     assert_that(kept, Equals(holders))
