--- a/src/standins/_gateway_target.py
+++ b/src/standins/_gateway_target.py
@@ -16,6 +16,7 @@
 ATTEMPT_ID = b'laburnumyard-attempt-id'
 EXPECTED = b'laburnumyard-expect-instance'
 SHARD_KEY = b'laburnumyard-shard-key'
+MAX_TAKEN = 20_000
 NOT_RUN = (b'laburnumyard-not-executed', b'1')
 SIGNATURE = (b'laburnumyard-instance-signature', b'stand-in')
 
@@ -40,6 +41,25 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A grant that gave a target keys.
+
+    Parameters
+    ----------
+    at
+        When it came, in seconds.
+    target
+        The target.
+    hold
+        What it gave.
+    """
+
+    at: float
+    target: str
+    hold: Hold
+
+
 @dataclass(slots=True)
 class GatewayTarget:
     """The ASGI application of one target.
@@ -63,6 +83,8 @@
         Highest fencing token of each key range that was ever ordered.
     fenced
         Grants that were refused since a higher token was seen.
+    taken
+        Grants that were not renewals.
     """
 
     name: str
@@ -80,6 +102,9 @@
     holds: list[Hold] = field(default_factory=list)
     tokens: 'deque[Hold]' = field(default_factory=deque)
     fenced: int = 0
+    taken: 'deque[Taken]' = field(
+        default_factory=lambda: deque(maxlen=MAX_TAKEN)
+    )
 
     def entry(self) -> bytes:
         """Return what it writes to the store."""
@@ -143,6 +168,14 @@
             self.fenced += 1
             await self.reply(call, HTTPStatus.CONFLICT)
             return
+        is_renewal = any(
+            held.token == hold.token
+            and held.first <= hold.first
+            and hold.last <= held.last
+            for held in self.held(now)
+        )
+        if not is_renewal:
+            self.taken.append(Taken(now, self.name, hold))
         self.drop(hold)
         self.holds.append(hold)
         self.tokens.append(hold)
