LIMIT: a load pattern of limited targets in virtual time

Nine targets at 120 requests a second, two of which limit their callers to 0, 2 or 5 a second: their keys move, and both stay within the users' bound.

--- a/src/standins/service_model.py
+++ b/src/standins/service_model.py
@@ -6,7 +6,7 @@
 """
 
 import heapq
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from itertools import count
@@ -21,6 +21,11 @@
     ShardKey,
     TargetId,
 )
+from laburnumyard.core.rate_limits import (
+    NO_LIMIT,
+    LimitKind,
+    LimitStatement,
+)
 from laburnumyard.core.scheduling import (
     Decision,
     Outcome,
@@ -121,6 +126,13 @@
         Whether keys move; without it they stay as they were dealt.
     shed_share
         The part of their requests that targets shed by chance.
+
+    Attributes
+    ----------
+    limits
+        Requests a second that targets state as their limit.
+    arrivals_at
+        When each target got requests, in seconds.
     """
 
     def __init__(
@@ -134,6 +146,8 @@
     ) -> None:
         """Deal the keys."""
         self.shed_share = shed_share
+        self.limits: dict[str, float] = {}
+        self.arrivals_at: defaultdict[str, list[float]] = defaultdict(list)
         self.random = Random(len(paces))
         self.returned: set[Arrival] = set()
         self.paces = dict(paces)
@@ -236,6 +250,7 @@
         if self.random.random() < self.shed_share:
             self.at(self.now + ORDER_DELAY_S, lambda: self.shed(work))
             return
+        self.arrivals_at[target].append(self.now)
         takes = self.arrivals[work.work_id].work_s * self.paces[target]
         self.at(self.now + takes, lambda: self.finish(work))
 
@@ -266,8 +281,14 @@
         elif took <= TIMEOUT_S:
             self.result.earned += LATE_VALUE
         self.result.answers[str(work.target)] += 1
+        limit = self.limits.get(str(work.target))
+        stated = NO_LIMIT
+        if limit is not None:
+            stated = LimitStatement(LimitKind.STATED, limit)
         self.carry_out(
-            self.scheduler.finish(work.work_id, Outcome.ANSWERED, self.now)
+            self.scheduler.finish(
+                work.work_id, Outcome.ANSWERED, self.now, 0, stated
+            )
         )
 
     def tick(self) -> None:
@@ -286,11 +307,14 @@
             if name not in self.draining
         ]
         lives = {record.target: record.life for record in records}
+        times = self.scheduler.times
+        targets = self.scheduler.targets
         capacities = {
-            record.target: self.slots / self.scheduler.times.pace(record.target)
+            record.target: targets[record.target].capacity(times, self.now)
             for record in records
         }
-        moves = self.manager.plan(lives, capacities, self.now)
+        quiet = self.scheduler.limiter.quiet_targets(self.now)
+        moves = self.manager.plan(lives, capacities, self.now, quiet)
         if moves:
             self.result.moves += len(moves)
             self.manager.preview(moves)
--- a/tests/core/test_load_patterns.py
+++ b/tests/core/test_load_patterns.py
@@ -61,6 +61,10 @@
     return adjacent_keys(random)
 
 
+def uniform_keys(random, now):
+    return random.randrange(KEYS)
+
+
 def steady(rate):
     return lambda now: rate
 
@@ -146,3 +150,23 @@
     monkeypatch.setattr(_budget, 'FIRST_TRY_PART', 1)
     single_try = simulate(seed, steady(105), hot_spot, shed_share=0.55)
     assert_that(balanced.share > single_try.share, Is(True))
+
+
+# Requests for the keys of targets that limit their callers wait there, or flood
+# them, instead of moving to targets with room.
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('limit', [0, 2.0, 5.0])
+def test_targets_that_limit_their_callers(seed, limit):
+    model = ServiceModel(RELATIVE_TIMES)
+    limited = ('target-0', 'target-4')
+    model.at(2, lambda: model.limits.update(dict.fromkeys(limited, limit)))
+    load = make_load(seed, steady(120), uniform_keys)
+    result = model.run(load, DURATION_S)
+    for name in limited:
+        late = [at for at in model.arrivals_at[name] if at >= 5]
+        most = max(
+            (sum(first <= at < first + 4 for at in late) for first in late),
+            default=0,
+        )
+        assert_that(most, LessThan(1.5 * limit * 4 + 5 + 1))
+    assert_that(result.share, GreaterThan(HIGH_LOAD_SHARE))
