LIMIT: what limited targets cannot take is refused at once, pooled too

With all targets limited, the capacity for the expected wait had a floor of one slot, so pooled requests waited until they were too late, and came back after 20 ms. The capacity is the limits' now, such refusals are named rate-limited, and Retry-After is the wait at that rate. The new case of test_send_rates.py failed before. Assignments of keys still plan for half of a limit.

--- a/src/laburnumyard/core/scheduling/_scheduler.py
+++ b/src/laburnumyard/core/scheduling/_scheduler.py
@@ -329,7 +329,7 @@
             if not slots.losses
         )
         seconds = sum(self.times.expect(work.route, None) for work in works)
-        return Seconds(seconds / max(1.0, capacity))
+        return Seconds(seconds / (capacity or 1))
 
     def _is_too_late(self, work: Work, wait: Seconds, now: Seconds) -> bool:
         lateness_allowance = self.settings.late_share * (
@@ -362,9 +362,14 @@
         return self._overload_reason(work, now)
 
     def _overload_reason(self, work: Work, now: Seconds) -> Refusal:
-        if work.key is None or self.placement is None:
-            return Refusal.OVERLOADED
-        owner = self.placement.destination(work.key)
-        slots = self.targets.get(owner) if owner else None
-        is_limited = slots is not None and slots.rate(now) is not None
+        candidates = list(self.targets.values())
+        if work.key is not None and self.placement:
+            owner = self.placement.destination(work.key)
+            candidates = [
+                slots for slots in candidates if slots.record.target == owner
+            ]
+        is_limited = any(
+            slots.has_free_slot(now) and not slots.has_room(now)
+            for slots in candidates
+        )
         return Refusal.RATE_LIMITED if is_limited else Refusal.OVERLOADED
--- a/src/laburnumyard/core/scheduling/_target_slots.py
+++ b/src/laburnumyard/core/scheduling/_target_slots.py
@@ -16,8 +16,7 @@
 SHED_PAUSE_S = 0.05
 # Weight of a new outcome in the moving failure rate; about the last 8 count.
 FAILURE_GAIN = 0.12
-# Part of a rate limit that is planned for: arrivals are random, and requests
-# for keys that a limited target holds cannot go elsewhere.
+# Part of the capacity of a limited target that keys are assigned for.
 PLANNED_RATE_FRACTION = 0.5
 # Outcomes after which a target or the path to it may be lost.
 LOSS_OUTCOMES = frozenset(
@@ -55,16 +54,19 @@
 
     def has_room(self, now: Seconds) -> bool:
         """Whether a request may be sent to the target now."""
+        rate = self.rate(now)
+        has_token = rate is None or rate.has_token(now)
+        return has_token and self.has_free_slot(now)
+
+    def has_free_slot(self, now: Seconds) -> bool:
+        """Whether the target has a free slot, whatever its rate limit."""
         if self.record.state is TargetState.DRAINING:
             return False
         if now < self.paused_until:
             return False
         # A lost target is probed with one request at a time.
         limit = 1 if self.losses else self.record.slots
-        if self.running >= limit:
-            return False
-        rate = self.rate(now)
-        return rate is None or rate.has_token(now)
+        return self.running < limit
 
     def rate(self, now: Seconds) -> SendRate | None:
         """Return the send rate, None if the target states no limit."""
@@ -76,8 +78,18 @@
         rate = self.rate(now)
         if rate is None:
             return capacity
-        planned = PLANNED_RATE_FRACTION * rate.per_second
-        return min(capacity, planned * times.mean())
+        return min(capacity, rate.per_second * times.mean())
+
+    def planned_capacity(self, times: RunTimes, now: Seconds) -> float:
+        """Return the capacity to plan the assignment of keys for.
+
+        A limited target gets less than its limit: arrivals are random, and
+        requests for its keys cannot go elsewhere.
+        """
+        capacity = self.capacity(times, now)
+        if self.rate(now) is None:
+            return capacity
+        return PLANNED_RATE_FRACTION * capacity
 
     def occupy(self, now: Seconds) -> None:
         """Count a request that is sent now."""
--- a/src/laburnumyard/core/scheduling/_work.py
+++ b/src/laburnumyard/core/scheduling/_work.py
@@ -38,7 +38,7 @@
     NO_TARGET = 'no-target'
     NO_OWNER = 'no-owner'
     OVERLOADED = 'overloaded'
-    # The only target that may serve it limits its callers.
+    # Targets that could serve it have free slots, but limit their callers.
     RATE_LIMITED = 'rate-limited'
     RETRY_BUDGET = 'retry-budget'
     QUARANTINED = 'quarantined'
--- a/src/laburnumyard/gateway/_shard_runner.py
+++ b/src/laburnumyard/gateway/_shard_runner.py
@@ -480,7 +480,7 @@
         slots = scheduler.targets.get(record.target)
         if slots is None:
             return float(record.slots)
-        capacity = slots.capacity(scheduler.times, boot_time())
+        capacity = slots.planned_capacity(scheduler.times, boot_time())
         if record.warm_up_left_s > 0:
             return min(capacity, record.slots / COLD_PACE)
         return capacity
--- a/src/standins/service_model.py
+++ b/src/standins/service_model.py
@@ -310,8 +310,8 @@
         times = self.scheduler.times
         targets = self.scheduler.targets
         capacities = {
-            record.target: targets[record.target].capacity(times, self.now)
-            for record in records
+            target: targets[target].planned_capacity(times, self.now)
+            for target in lives
         }
         quiet = self.scheduler.limiter.quiet_targets(self.now)
         moves = self.manager.plan(lives, capacities, self.now, quiet)
--- a/tests/core/scheduling/test_send_rates.py
+++ b/tests/core/scheduling/test_send_rates.py
@@ -179,6 +179,20 @@
     assert_that([each.target for each in sent], Equals([TargetId('two')] * 3))
 
 
+# Requests wait until they are too late, though no target will take them.
+def test_what_limited_targets_cannot_take_is_refused_at_once():
+    service = make_scheduler()
+    for name in ('one', 'two'):
+        service.limiter.record(TargetLife(TargetId(name), 1), stated(1), 0)
+    decisions = [
+        service.submit(make_work(2), 2, is_returned=False) for _ in range(9)
+    ]
+    refused = [each for found in decisions for each in found]
+    refused = [each for each in refused if isinstance(each, Refuse)]
+    assert_that(len(refused), GreaterThan(5))
+    assert_that(max(each.retry_after_s for each in refused), GreaterThan(0.2))
+
+
 def test_a_new_coordinator_adopts_what_gateways_know():
     service = make_scheduler()
     service.limiter.adopt(LIFE, RateLimit(1, 0))
