CONFIG: a failed claim of a restored assignment frees all keys too

Found by reading. When the first write of a new coordinator failed, the assignment was read again, which replaces the pieces; the moves that fence all grants still named the old ones, so the new ones were granted without a release. They are made anew for each try, and a record of an earlier era by this process counts as no claim. test_a_failed_claim_frees_all_keys_too failed before.

--- a/src/laburnumyard/gateway/_key_recovery.py
+++ b/src/laburnumyard/gateway/_key_recovery.py
@@ -1,13 +1,15 @@
 """Frees the keys of a service after the store has lost its assignment."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 import anyio
 from expression import Result
 
+from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import FencingToken, Seconds, ShardKey
 from laburnumyard.core.shards import (
     MAX_SHARD_KEY,
+    Move,
     Release,
     Reply,
     ShardManager,
@@ -44,6 +46,27 @@
     return item.content is None or (decoded.is_ok() and decoded.ok.is_restored)
 
 
+def fencing_moves(
+    manager: ShardManager, lives: Collection[TargetLife]
+) -> list[Move]:
+    """Return the moves that fence all grants which the store may have lost.
+
+    They refer to the current pieces, which a failed write may replace.
+
+    Parameters
+    ----------
+    manager
+        Assignment of the keys.
+    lives
+        All known target instances.
+    """
+    outage_hold = manager.settings.outage_hold_s
+    until = boot_time() + outage_hold + manager.settings.max_hold_s
+    return manager.unknown_holders.expect(
+        manager.pieces, set(lives) - manager.dead, Seconds(until)
+    )
+
+
 class KeyRecovery:
     """Has targets release all keys that they may hold.
 
--- a/src/laburnumyard/gateway/_shard_runner.py
+++ b/src/laburnumyard/gateway/_shard_runner.py
@@ -35,6 +35,7 @@
     RELEASE_TIMEOUT_S,
     RETRY_PAUSE_S,
     KeyRecovery,
+    fencing_moves,
     is_outdated_copy,
 )
 from laburnumyard.gateway._platform_interface import (
@@ -202,7 +203,7 @@
         if self.is_restored:
             predecessors.extend(await self.claim_restored())
         elif predecessor is not None:
-            await self.claim_assignment(())
+            await self.claim_assignment()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.await_predecessors, predecessors)
             tasks.start_soon(self.send_due_orders, tasks)
@@ -247,7 +248,7 @@
         return writer
 
     async def claim_restored(self) -> list[Member]:
-        """Fence all grants that the store may have lost.
+        """Claim an assignment of which the store may have lost the last part.
 
         Returns
         -------
@@ -260,28 +261,29 @@
         lives = {record.target: record.life for record in serving}
         if not self.manager.pieces:
             self.manager.plan(lives, {}, boot_time())
-        manager = self.manager
-        outage_hold = manager.settings.outage_hold_s
-        until = boot_time() + outage_hold + manager.settings.max_hold_s
-        moves = manager.unknown_holders.expect(
-            manager.pieces, set(self.lives) - manager.dead, Seconds(until)
-        )
-        await self.claim_assignment(moves)
+        await self.claim_assignment()
         lost = self.view.unconfirmed.get(self.service)
         return [lost.coordinator.member] if lost else []
 
-    async def claim_assignment(self, moves: Iterable[Move]) -> None:
+    async def claim_assignment(self) -> None:
         """Write the assignment with this gateway as its writer.
 
         The next coordinator waits only for the stored writer to stop, so
         this gateway must be stored before it sends orders.
         """
-        while not await self.save(moves):
+        is_claimed = False
+        while not is_claimed:
+            moves: Iterable[Move] = ()
+            if self.is_restored:
+                moves = fencing_moves(self.manager, self.lives)
+            if await self.save(moves):
+                return
             await anyio.sleep(RETRY_PAUSE_S)
             if self.is_stale:
                 await self.reread()
-            if self.writer == self.session.member:
-                return
+            # An applied write without an answer.
+            is_own = self.writer == self.session.member
+            is_claimed = is_own and not self.is_restored
 
     def adopt_assignment(
         self, stored: StoredAssignment
@@ -569,6 +571,7 @@
 
     def adopt_again(self, stored: StoredAssignment) -> None:
         """Replace the assignment by one that was read again."""
+        self.is_restored = stored.is_restored
         _, writer = self.adopt_assignment(stored)
         if self.is_sole_coordinator and writer == self.session.member:
             self.manager.note_predecessor_gone(boot_time())
--- a/tests/gateway/test_lost_assignment.py
+++ b/tests/gateway/test_lost_assignment.py
@@ -2,6 +2,7 @@
 
 import anyio
 import pytest
+from expression import Error
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
@@ -10,7 +11,11 @@
     Coordinator,
     UnconfirmedCoordinator,
 )
-from laburnumyard.gateway._platform_interface import Item
+from laburnumyard.gateway._platform_interface import (
+    Item,
+    StoreError,
+    StoreFault,
+)
 from laburnumyard.gateway._record_encoding import decode_assignment
 from laburnumyard.gateway._store_revision import era_of, revision_in
 from tests.gateway.test_shard_runner import (
@@ -74,14 +79,15 @@
     runner.session.health.era = 0
 
 
+@pytest.mark.parametrize('session', [FIRST, ANOTHER])
 async def test_a_new_coordinator_frees_all_keys_first(
-    make_runner, store, orders, restored
+    make_runner, store, orders, restored, session
 ):
     runner, dispatcher = make_runner(epoch=revision_in(1, 5))
     await run_until(runner, dispatcher, all_served)
     restored(store.item)
     orders.given.clear()
-    runner, dispatcher = make_runner(epoch=revision_in(2, 71), session=ANOTHER)
+    runner, dispatcher = make_runner(epoch=revision_in(2, 71), session=session)
     await run_until(runner, dispatcher, all_served)
     given = [(kind, target) for kind, target, _ in orders.given]
     released = [target for kind, target in given if kind == 'Release']
@@ -94,6 +100,31 @@
     assert_that(tokens, Equals({2}))
 
 
+# A write that fails has the assignment read again, which replaces the pieces;
+# those are granted without a release.
+@pytest.mark.parametrize('session', [FIRST, ANOTHER])
+async def test_a_failed_claim_frees_all_keys_too(
+    make_runner, store, orders, restored, session
+):
+    runner, dispatcher = make_runner(epoch=revision_in(1, 5))
+    await run_until(runner, dispatcher, all_served)
+    restored(store.item)
+    orders.given.clear()
+    swap = store.compare_and_swap
+
+    async def conflict_once(write):
+        store.compare_and_swap = swap
+        item = store.item
+        store.item = Item(item.key, item.content, item.revision + 1)
+        return Error(StoreError(StoreFault.CONFLICT))
+
+    store.compare_and_swap = conflict_once
+    runner, dispatcher = make_runner(epoch=revision_in(2, 71), session=session)
+    await run_until(runner, dispatcher, all_served)
+    kinds = [given[0] for given in orders.given]
+    assert_that(kinds[:2], Equals(['Release', 'Release']))
+
+
 async def test_a_silent_target_keeps_its_keys_from_others(
     make_runner, store, orders, restored
 ):
