--- a/src/standins/gateway_cluster.py
+++ b/src/standins/gateway_cluster.py
@@ -88,7 +88,9 @@
     process: 'subprocess.Popen[bytes] | None' = None
 
     def start(self) -> None:
-        """Start the process; its log is appended to."""
+        """Start the process, unless it runs; its log is appended to."""
+        if self.is_running:
+            return
         with self.log.open('ab') as output:
             self.process = subprocess.Popen(
                 (sys.executable, '-m', 'laburnumyard.platform'),
@@ -97,9 +99,14 @@
                 stderr=output,
             )
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it is there."""
-        if self.process is not None and self.process.poll() is None:
+        if self.process is not None and self.is_running:
             self.process.send_signal(number)
 
     def kill(self) -> None:
@@ -222,11 +229,7 @@
 
     def running(self) -> list[GatewayProcess]:
         """Return the gateways whose process runs."""
-        return [
-            gateway
-            for gateway in self.gateways
-            if gateway.process is not None and gateway.process.poll() is None
-        ]
+        return [gateway for gateway in self.gateways if gateway.is_running]
 
     async def load(
         self, per_second: float, duration_s: float, path: str = '/benches/1'
