--- a/tests/processes/test_gateway_rate_limits.py
+++ b/tests/processes/test_gateway_rate_limits.py
@@ -68,6 +68,21 @@
         assert_that(len(limited.arrivals) - before, GreaterThan(4 * LIMIT))
 
 
+# A target that lifted its rate limit gets nothing while the others have room.
+async def test_target_that_lifts_its_rate_limit_gets_work_at_light_load(
+    tmp_path,
+):
+    async with running_gateways(tmp_path, targets(keyed=True)) as cluster:
+        limited = cluster.targets[0]
+        limited.rate_limit = str(LIMIT)
+        await cluster.load(60, 4)
+        limited.rate_limit = ''
+        await cluster.load(60, 3)
+        before = len(limited.arrivals)
+        await cluster.load(60, 2)
+        assert_that(len(limited.arrivals) - before, GreaterThan(4 * LIMIT))
+
+
 # A malformed rate limit ends a gateway or keeps the target from its work.
 @pytest.mark.parametrize('stated', ['-1', 'soon', '9' * 5000])
 async def test_malformed_rate_limit_changes_nothing(tmp_path, stated):
