--- a/src/laburnumyard/telemetry/_metrics.py
+++ b/src/laburnumyard/telemetry/_metrics.py
@@ -1,15 +1,13 @@
-"""Counters and latency histograms in the Prometheus text format."""
+"""Counters and latency summaries in the Prometheus text format."""
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterator
+from statistics import quantiles
 
-from hdrh.histogram import HdrHistogram
-
-MS_PER_SECOND = 1000
-# Histogram limit; longer latencies, beyond any deadline, count as this one.
-MAX_LATENCY_MS = 60_000
-SIGNIFICANT_DIGITS = 2
-PERCENTILES = (50, 90, 99, 99.9)
+PERMILLE = 1000
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+# Latencies per service from which quantiles are computed.
+WINDOW_SAMPLES = 2048
 # Label values such as service and target names are external input; series
 # beyond this limit are counted together.
 MAX_SERIES = 2000
@@ -18,13 +16,47 @@
 Series = tuple[tuple[str, str], ...]
 
 
+class LatencySummary:
+    """Quantiles of the most recent latencies of a service.
+
+    The standard library computes them: gateways are deployed where no compiler
+    is, and the histogram library has no binary for each processor.
+    """
+
+    def __init__(self) -> None:
+        """Create a summary without samples."""
+        self.count = 0
+        self.recent: deque[float] = deque(maxlen=WINDOW_SAMPLES)
+
+    def record(self, seconds: float) -> None:
+        """Add a latency, in seconds."""
+        self.count += 1
+        self.recent.append(seconds)
+
+    def quantiles(self) -> list[tuple[float, float]]:
+        """Return pairs of quantile and latency, in seconds.
+
+        Raises
+        ------
+        IndexError
+            If there is no sample; record one first.
+        """
+        # A single sample is all quantiles; the library wants two.
+        samples = [*self.recent, self.recent[-1]]
+        cuts = quantiles(samples, n=PERMILLE, method='inclusive')
+        return [
+            (quantile, cuts[round(quantile * PERMILLE) - 1])
+            for quantile in QUANTILES
+        ]
+
+
 class Metrics:
-    """Counters and latency histograms of one process."""
+    """Counters and latency summaries of one process."""
 
     def __init__(self) -> None:
         """Create an empty set of metrics."""
         self.counters: Counter[tuple[str, Series]] = Counter()
-        self.latencies: dict[str, HdrHistogram] = {}
+        self.latencies: dict[str, LatencySummary] = {}
 
     def count(self, name: str, **labels: object) -> None:
         """Increment a counter.
@@ -44,12 +76,9 @@
 
     def observe(self, service: str, seconds: float) -> None:
         """Record the latency of a request to a service, in seconds."""
-        histogram = self.latencies.get(service)
-        if histogram is None:
-            histogram = HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
-            self.latencies[service] = histogram
-        milliseconds = max(1, min(MAX_LATENCY_MS, int(seconds * MS_PER_SECOND)))
-        histogram.record_value(milliseconds)
+        if service not in self.latencies:
+            self.latencies[service] = LatencySummary()
+        self.latencies[service].record(seconds)
 
     def render(self) -> str:
         """Return all metrics as text, one line per series."""
@@ -61,19 +90,14 @@
 
     def _latency_lines(self) -> Iterator[str]:
         name = 'laburnumyard_request_duration_seconds'
-        for service, histogram in sorted(self.latencies.items()):
-            for percentile in PERCENTILES:
-                reached = histogram.get_value_at_percentile(percentile)
+        for service, summary in sorted(self.latencies.items()):
+            for quantile, latency in summary.quantiles():
                 labels = _labels(
-                    (
-                        ('service', service),
-                        ('quantile', str(percentile / 100)),
-                    )
+                    (('service', service), ('quantile', str(quantile)))
                 )
-                yield f'{name}{labels} {reached / MS_PER_SECOND}'
-            count = histogram.get_total_count()
+                yield f'{name}{labels} {latency}'
             labels = _labels((('service', service),))
-            yield f'{name}_count{labels} {count}'
+            yield f'{name}_count{labels} {summary.count}'
 
 
 def _labels(series: Series) -> str:
