DRAIN: the sender does not send to a target that it knows is leaving

Callers' requests reached targets 2 s after these had said that they leave. A permit of a coordinator that lost the store names such targets until its session has ended, and followers learned of them after up to 2.5 s. The sender now compares with its own records last, and tells the coordinator; followers hear of a leaving target at once; readers read targets each 1.0 s.

--- a/src/laburnumyard/core/scheduling/_target_slots.py
+++ b/src/laburnumyard/core/scheduling/_target_slots.py
@@ -51,6 +51,8 @@
     failure_rate: float = 0
     losses: int = 0
     paused_until: float = 0
+    # Sequence of the record when a sender knew that the target is leaving.
+    left_at_sequence: int | None = None
 
     def has_room(self, now: Seconds) -> bool:
         """Whether a request may be sent to the target now."""
@@ -60,14 +62,23 @@
 
     def has_free_slot(self, now: Seconds) -> bool:
         """Whether the target has a free slot, whatever its rate limit."""
-        if self.record.state is TargetState.DRAINING:
-            return False
-        if now < self.paused_until:
+        if self.is_leaving or now < self.paused_until:
             return False
         # A lost target is probed with one request at a time.
         limit = 1 if self.losses else self.record.slots
         return self.running < limit
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the target leaves, by its record or by a sender's word.
+
+        A later record counts more than what a sender knew.
+        """
+        if self.record.state is TargetState.DRAINING:
+            return True
+        left_at = self.left_at_sequence
+        return left_at is not None and self.record.sequence <= left_at
+
     def rate(self, now: Seconds) -> SendRate | None:
         """Return the send rate, None if the target states no limit."""
         return self.limiter.rate_of(self.record.life, now)
@@ -112,6 +123,9 @@
         is_count_complete
             Whether ``running`` includes all requests at the target.
         """
+        if outcome is Outcome.LEAVING:
+            self.left_at_sequence = self.record.sequence
+            return
         failed = outcome in FAILURE_OUTCOMES
         self.failure_rate += FAILURE_GAIN * (failed - self.failure_rate)
         if outcome in LOSS_OUTCOMES:
--- a/src/laburnumyard/core/scheduling/_work.py
+++ b/src/laburnumyard/core/scheduling/_work.py
@@ -27,6 +27,8 @@
     MISDIRECTED = 'misdirected'
     NOT_OWNER = 'not-owner'
     UNREACHABLE = 'unreachable'
+    # The sender knew that the target is leaving, and did not send.
+    LEAVING = 'leaving'
     BROKE_OFF = 'broke-off'
     TIMED_OUT = 'timed-out'
     CANCELLED = 'cancelled'
--- a/src/laburnumyard/gateway/_cluster_view.py
+++ b/src/laburnumyard/gateway/_cluster_view.py
@@ -14,12 +14,19 @@
 )
 from laburnumyard.core.rate_limits import KnownLimits
 from laburnumyard.core.routes import RouteTable
-from laburnumyard.core.target_directory import Directory, TargetRecord
+from laburnumyard.core.target_directory import (
+    Directory,
+    TargetLife,
+    TargetRecord,
+    TargetState,
+)
 from laburnumyard.gateway._platform_interface import Item
 from laburnumyard.gateway._store_revision import era_of
 
 # Gateways to remember; the oldest is forgotten first.
 MAX_MEMBERS = 1000
+# Targets that left to remember; the oldest is forgotten first.
+MAX_DEPARTED = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +93,8 @@
         Current route table, None before the first one.
     directory
         Targets by identifier.
+    departed
+        Targets that were in the directory and left it.
     coordinators
         Coordinators by service.
     unconfirmed
@@ -107,6 +116,7 @@
 
     routes: RouteTable | None = None
     directory: dict[TargetId, TargetRecord] = field(default_factory=dict)
+    departed: dict[TargetLife, None] = field(default_factory=dict)
     coordinators: dict[ServiceName, Coordinator] = field(default_factory=dict)
     unconfirmed: dict[ServiceName, UnconfirmedCoordinator] = field(
         default_factory=dict
@@ -161,9 +171,26 @@
 
     def adopt_directory(self, directory: Directory) -> None:
         """Replace the known targets."""
+        before = {record.life for record in self.directory.values()}
+        current = {record.life for record in directory.values()}
+        self.departed.update(dict.fromkeys(before - current))
+        for life in current & self.departed.keys():
+            self.departed.pop(life)
+        while len(self.departed) > MAX_DEPARTED:
+            self.departed.pop(next(iter(self.departed)))
         self.directory = dict(directory)
         self.notify(self.on_directory)
 
+    def is_leaving(self, life: TargetLife) -> bool:
+        """Whether a target is known to leave, or to have left.
+
+        A target of which nothing is known is not: others learn of it first.
+        """
+        record = self.directory.get(life.target)
+        if record is not None and record.life == life:
+            return record.state is TargetState.DRAINING
+        return life in self.departed
+
     def adopt_coordinator(
         self, service: ServiceName, coordinator: Coordinator
     ) -> bool:
--- a/src/laburnumyard/gateway/_item_server.py
+++ b/src/laburnumyard/gateway/_item_server.py
@@ -54,8 +54,14 @@
         return self.watcher.progress.is_complete and not self.has_news(fetch)
 
     def has_news(self, fetch: messages.FetchItems) -> bool:
-        """Whether the configuration or a coordinator changed for a peer."""
+        """Whether a peer has to learn of a change at once.
+
+        These are a configuration, a coordinator, and a target that leaves.
+        """
         progress = self.watcher.progress
+        departure = self.watcher.target_entries.departure_revision
+        if fetch.after < departure <= progress.targets:
+            return True
         return (
             progress.config > fetch.config_after
             or progress.coordinators > fetch.coordinators_after
--- a/src/laburnumyard/gateway/_peer_reader.py
+++ b/src/laburnumyard/gateway/_peer_reader.py
@@ -21,8 +21,7 @@
 from laburnumyard.wire import UNNAMED_PREFIX, LinkPool, Peer
 
 MS_PER_SECOND = 1000
-# Longest wait for news in one fetch. A leaving target is known from the answer,
-# and must get no request two seconds after it was stored.
+# Longest wait for news in one fetch.
 WAIT_S = 1.0
 # Interval between fetches of a gateway that reads the store, while the store is
 # unreachable: a configuration must be in force two seconds after it was stored.
--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -342,6 +342,12 @@
             attempt.refusals += 1
             return None, Outcome.UNREACHABLE
         connection = acquired.ok
+        # The coordinator may have lost the store, or the target has left while
+        # the connection was opened.
+        if self.view.is_leaving(slot.life):
+            connection.close()
+            attempt.refusals += 1
+            return None, Outcome.LEAVING
         attempt.runs += 1
         attempt.sends += 1
         may_have_run = attempt.may_have_run
--- a/src/laburnumyard/gateway/_store_watcher.py
+++ b/src/laburnumyard/gateway/_store_watcher.py
@@ -33,7 +33,8 @@
 # pauses below batch their changes.
 SHORT_POLL_S = 0.5
 COORDINATOR_PAUSE_S = 0.4
-NON_COORDINATOR_PAUSE_S = 1.5
+# Its followers hear of a leaving target one trip later.
+NON_COORDINATOR_PAUSE_S = 1.0
 # Interval between reads of stored assignments. They are only needed when
 # coordinator and store are lost at once, and change little until then.
 ASSIGNMENT_INTERVAL_S = 20.0
@@ -89,7 +90,7 @@
         Whether this gateway reads the store itself; otherwise it applies what
         a peer has read.
     news
-        Set when the configuration or a coordinator has changed.
+        Set when something was read from the store.
     is_reloading
         Whether the store has come back from an older copy and was not read
         completely since.
--- a/src/laburnumyard/gateway/_target_entries.py
+++ b/src/laburnumyard/gateway/_target_entries.py
@@ -2,7 +2,7 @@
 
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import Seconds, TargetId
-from laburnumyard.core.target_directory import TargetRecord
+from laburnumyard.core.target_directory import TargetRecord, TargetState
 from laburnumyard.gateway._cluster_view import ClusterView
 from laburnumyard.gateway._entry_versions import EntryVersions
 from laburnumyard.gateway._item_cache import ItemCache, with_removals
@@ -46,6 +46,8 @@
         self.versions = EntryVersions()
         # Targets without an entry, and the time until which they are kept.
         self.absent_until: dict[TargetId, Seconds] = {}
+        # Revision of the last entry that took a target out of use.
+        self.departure_revision = 0
 
     def apply_listing(self, items: tuple[Item, ...], revision: int) -> None:
         """Apply a full listing of targets; missing ones are removed."""
@@ -74,6 +76,7 @@
     ) -> None:
         """Apply changed targets, read from the store or by a peer."""
         before = dict(self.targets)
+        prefix = self.wire_format.target_prefix
         for item in items:
             self.apply_target(item, is_from_peer=is_from_peer)
         now = boot_time()
@@ -81,10 +84,15 @@
             if now >= until:
                 self.absent_until.pop(target)
                 self.targets.pop(target, None)
+                self.note_departure(self.cache.items[f'{prefix}{target}'])
                 log_event(Event.TARGET, target=target, state='gone')
         if self.targets != before:
             self.view.adopt_directory(self.targets)
 
+    def note_departure(self, item: Item) -> None:
+        """Record that an entry, or its removal, took a target out of use."""
+        self.departure_revision = max(self.departure_revision, item.revision)
+
     def apply_target(self, item: Item, *, is_from_peer: bool) -> None:
         """Apply the entry of one target."""
         prefix = self.wire_format.target_prefix
@@ -110,6 +118,8 @@
         self.absent_until.pop(target, None)
         known = self.targets.get(target)
         self.targets[target] = decoded.ok
+        if known != decoded.ok and decoded.ok.state is TargetState.DRAINING:
+            self.note_departure(item)
         if known != decoded.ok:
             self.cache.update(item)
         if known is None or (known.life, known.state) != (
