--- a/src/laburnumyard/core/scheduling/__init__.py
+++ b/src/laburnumyard/core/scheduling/__init__.py
@@ -9,6 +9,7 @@
 )
 from laburnumyard.core.scheduling._target_slots import TargetSlots
 from laburnumyard.core.scheduling._work import (
+    OWN_SENDER,
     Decision,
     Outcome,
     Refusal,
@@ -19,6 +20,7 @@
 )
 
 __all__ = (
+    'OWN_SENDER',
     'BudgetMeter',
     'Decision',
     'Outcome',
--- a/src/laburnumyard/core/scheduling/_scheduler.py
+++ b/src/laburnumyard/core/scheduling/_scheduler.py
@@ -17,6 +17,7 @@
 from laburnumyard.core.scheduling._crash_attribution import CrashAttribution
 from laburnumyard.core.scheduling._run_times import RunTimes
 from laburnumyard.core.scheduling._send_rate import RateLimiter
+from laburnumyard.core.scheduling._sender_failures import SenderFailures
 from laburnumyard.core.scheduling._settings import SchedulerSettings
 from laburnumyard.core.scheduling._target_cost import PayloadSizes, TargetCost
 from laburnumyard.core.scheduling._target_slots import TargetSlots
@@ -86,6 +87,7 @@
         self.budget = BudgetMeter(settings.retry_budget)
         self.crash_attribution = CrashAttribution()
         self.limiter = RateLimiter()
+        self.senders = SenderFailures()
         self.targets: dict[TargetId, TargetSlots] = {}
         self.waiting: list[Work] = []
         self.running: dict[WorkId, Work] = {}
@@ -152,8 +154,11 @@
         slots = self.targets.get(work.target)
         if slots:
             slots.running -= 1
-            is_count_complete = self.settings.is_only_scheduler
-            slots.note(outcome, now, is_count_complete=is_count_complete)
+            slots.note(
+                self.senders.judge(work.sender, work.target, outcome, now),
+                now,
+                is_count_complete=self.settings.is_only_scheduler,
+            )
             self.limiter.record(slots.record.life, rate_limit, now)
             self.crash_attribution.note(work, slots.record.life, outcome, now)
             if outcome is Outcome.NOT_OWNER and self.placement:
--- a/src/laburnumyard/core/scheduling/_work.py
+++ b/src/laburnumyard/core/scheduling/_work.py
@@ -6,6 +6,7 @@
 
 from laburnumyard.core.ids import (
     AttemptId,
+    DaemonName,
     DataCentre,
     RouteName,
     Seconds,
@@ -14,6 +15,8 @@
 )
 
 WorkId = NewType('WorkId', int)
+# Sender of requests that enter where the scheduler runs.
+OWN_SENDER = DaemonName('')
 
 
 class Outcome(Enum):
@@ -77,6 +80,8 @@
         Equal for requests with the same content; empty if unknown.
     sends
         How many targets it has reached so far.
+    sender
+        The gateway that sends it.
     """
 
     work_id: WorkId
@@ -91,6 +96,7 @@
     excluded: frozenset[TargetId] = frozenset()
     fingerprint: bytes = b''
     sends: int = 0
+    sender: DaemonName = OWN_SENDER
     target: TargetId | None = None
     sent_at: float = 0
     order: tuple[float, ...] = field(default=())
--- a/src/laburnumyard/gateway/_coordinator_elections.py
+++ b/src/laburnumyard/gateway/_coordinator_elections.py
@@ -7,6 +7,7 @@
 
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import DaemonName, ServiceName
+from laburnumyard.core.reachability import TargetReach
 from laburnumyard.gateway._cluster_view import ClusterView, Coordinator
 from laburnumyard.gateway._connection_probe import refuses_connections
 from laburnumyard.gateway._coordinator_roles import Coordination
@@ -29,6 +30,9 @@
 # Extra delay per held role and for a VM with fewer cores, so that other
 # gateways can claim the role first.
 HANDICAP_DELAY_S = 0.1
+# Extra delay for a gateway that reaches no target: it can give no orders, and
+# claims a role only if no other gateway does.
+TARGETS_LOST_DELAY_S = 1.0
 # Connection probes of a lost coordinator; a process is restarted within about
 # a second.
 MAX_PROBES = 8
@@ -57,6 +61,11 @@
         Runs the claimed roles.
     tasks
         Task group that runs the probes.
+
+    Attributes
+    ----------
+    reach
+        Whether this gateway reaches targets.
     """
 
     def __init__(
@@ -75,6 +84,7 @@
         self.tasks = tasks
         # Epoch of each coordinator whose process is known to have ended.
         self.ended_epochs: dict[ServiceName, int] = {}
+        self.reach = TargetReach()
 
     async def run(self) -> None:
         """Claim vacant roles until this gateway leaves."""
@@ -166,7 +176,10 @@
         handicap = len(self.coordination.roles) + 2 * max(
             0, 1 - own_member.cores / max_cores
         )
-        return random.random() * ELECTION_JITTER_S + handicap * HANDICAP_DELAY_S
+        delay = handicap * HANDICAP_DELAY_S
+        if self.reach.is_lost:
+            delay += TARGETS_LOST_DELAY_S
+        return random.random() * ELECTION_JITTER_S + delay
 
     async def claim_role(self, service: ServiceName) -> None:
         """Claim a role, unless another gateway was faster."""
--- a/src/laburnumyard/gateway/_coordinator_roles.py
+++ b/src/laburnumyard/gateway/_coordinator_roles.py
@@ -20,7 +20,13 @@
     ShardKey,
     TargetId,
 )
-from laburnumyard.core.scheduling import Outcome, Refusal, Scheduler, WorkId
+from laburnumyard.core.scheduling import (
+    OWN_SENDER,
+    Outcome,
+    Refusal,
+    Scheduler,
+    WorkId,
+)
 from laburnumyard.core.shards import MAX_SHARD_KEY, ShardManager
 from laburnumyard.core.target_directory import records_of
 from laburnumyard.gateway._cluster_view import (
@@ -244,11 +250,11 @@
             for service in tuple(self.roles):
                 self.drop_role(service, 'store-lost-too-long')
 
-    def leave(self) -> None:
-        """Drop every role and acquire none any more."""
-        self.is_leaving = True
+    def leave(self, reason: str = 'leaving', *, is_final: bool = True) -> None:
+        """Drop every role and, if that is final, acquire none any more."""
+        self.is_leaving = self.is_leaving or is_final
         for service in tuple(self.roles):
-            self.drop_role(service, 'leaving')
+            self.drop_role(service, reason)
 
     def update_targets(self) -> None:
         """Pass each dispatcher the targets of its service."""
@@ -280,8 +286,9 @@
             remote_requests = {}
             self.remote[link] = remote_requests
             link.on_closed.append(self.withdraw_link_requests)
+        sender = DaemonName(link.remote.daemon) if link.remote else OWN_SENDER
         work_id = dispatcher.submit(
-            decode_slot_request(message),
+            replace(decode_slot_request(message), sender=sender),
             partial(_send_permit, link, number, self.remote),
         )
         remote_requests[number] = RemoteRequest(dispatcher, work_id)
--- a/src/laburnumyard/gateway/_item_cache.py
+++ b/src/laburnumyard/gateway/_item_cache.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from laburnumyard.gateway._cluster_view import Member
 from laburnumyard.gateway._platform_interface import Item
 from laburnumyard.schema._generated import messages
 from laburnumyard.telemetry import Event, log_event
@@ -114,6 +115,7 @@
     items: Iterable[Item],
     progress: Progress,
     milli_cores: int,
+    members: Iterable[Member] = (),
 ) -> messages.StoredItems:
     """Return items as a message to a peer.
 
@@ -127,6 +129,8 @@
         Revisions up to which the receiver then knows all items.
     milli_cores
         The most cores of any known gateway, in thousandths.
+    members
+        Some known gateways.
     """
     rows = tuple(
         messages.StoredItem(item.key, item.content or b'', item.revision)
@@ -139,6 +143,10 @@
         progress.config,
         progress.coordinators,
         milli_cores,
+        tuple(
+            messages.GatewayRef(member.name, member.address, member.incarnation)
+            for member in members
+        ),
     )
 
 
--- a/src/laburnumyard/gateway/_item_server.py
+++ b/src/laburnumyard/gateway/_item_server.py
@@ -1,5 +1,7 @@
 """Serves the items that this gateway reads from the store to its peers."""
 
+import random
+
 import anyio
 
 from laburnumyard.gateway._item_cache import Progress, encode_items
@@ -12,6 +14,9 @@
 MS_PER_SECOND = 1000
 # Upper bound on the wait for news that a peer may ask for.
 MAX_WAIT_S = 5.0
+# Gateways that are named in each answer, so that followers know of others when
+# they need one to forward requests.
+MEMBERS = 3
 
 
 class ItemServer:
@@ -43,8 +48,12 @@
         items = self.watcher.cache.select(
             lambda item: self.is_wanted(item, fetch, progress)
         )
+        known = list(view.members.values())
+        members = random.sample(known, min(MEMBERS, len(known)))
         link.send(
-            encode_items(fetch.number, items, progress, view.max_milli_cores)
+            encode_items(
+                fetch.number, items, progress, view.max_milli_cores, members
+            )
         )
 
     def is_awaiting_news(self, fetch: messages.FetchItems) -> bool:
--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -2,8 +2,10 @@
 
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from itertools import count
 
 import anyio
+from expression import Error, Ok, Result
 
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import (
@@ -16,6 +18,7 @@
 )
 from laburnumyard.core.quarantine import Fingerprint, fingerprint_of
 from laburnumyard.core.rate_limits import UNKNOWN_LIMIT, LimitStatement
+from laburnumyard.core.reachability import TargetReach
 from laburnumyard.core.routes import Route, WeightedServiceChooser
 from laburnumyard.core.scheduling import Outcome, Refusal
 from laburnumyard.gateway._cluster_view import ClusterView
@@ -32,11 +35,13 @@
     SendContext,
     WireFormat,
 )
+from laburnumyard.gateway._relay import RelayClient
 from laburnumyard.gateway._slot_acquisition import Slot, Slots
 from laburnumyard.gateway._slot_dispatcher import SlotRefused, SlotRequest
 from laburnumyard.gateway._target_connection_pool import TargetConnectionPool
 from laburnumyard.telemetry import METRICS, Event, log_decision
 from laburnumyard.transport import (
+    TargetConnection,
     TargetFailure,
     TargetRequest,
     TargetResponse,
@@ -103,6 +108,8 @@
     # Whether a send without a response may have run.
     may_have_run: bool = False
     failure: RequestResult | None = None
+    # Whether a peer may serve it; false for a request that a peer relayed.
+    may_relay: bool = True
 
     @property
     def attempt_id(self) -> AttemptId:
@@ -142,6 +149,13 @@
         Connections to targets, kept alive.
     data_centre
         Data centre of this gateway.
+    reach
+        Whether this gateway reaches targets; updated with each send.
+
+    Attributes
+    ----------
+    relay
+        Serves requests through peers while no target is reached.
     """
 
     def __init__(
@@ -151,8 +165,12 @@
         slots: Slots,
         pool: TargetConnectionPool,
         data_centre: DataCentre,
+        reach: TargetReach | None = None,
     ) -> None:
         """Create a router without requests."""
+        self.reach = reach or TargetReach()
+        self.relay: RelayClient | None = None
+        self.send_numbers = count()
         self.wire_format = wire_format
         self.view = view
         self.slots = slots
@@ -182,9 +200,21 @@
         return result.response
 
     async def process(
-        self, request: CallerRequest, head: RequestHead
+        self,
+        request: CallerRequest,
+        head: RequestHead,
+        *,
+        may_relay: bool = True,
     ) -> RequestResult:
-        """Route a request and return its result."""
+        """Route a request and return its result.
+
+        Parameters
+        ----------
+        request, head
+            The request and its parsed fields.
+        may_relay
+            Whether a peer may serve it; a peer's request goes no further.
+        """
         table = self.view.routes
         if table is None:
             return refuse_request('no-configuration', MIN_RETRY_S)
@@ -194,6 +224,7 @@
                 CallerResponse(HTTPStatus.NOT_FOUND), 'no-route'
             )
         attempt = self.start_attempt(request, head, route)
+        attempt.may_relay = may_relay
         log_decision(
             Event.ROUTED,
             request=head.attempt_id,
@@ -268,6 +299,8 @@
     async def try_targets(self, attempt: Attempt) -> RequestResult:
         """Try one target after another until there is a result."""
         while True:
+            if self.must_relay(attempt):
+                return await self.serve_by_peer(attempt)
             slot = await self.slots.acquire(self.slot_request(attempt))
             if isinstance(slot, Slot):
                 result = await self.send(attempt, slot)
@@ -278,6 +311,27 @@
             if not attempt.may_retry():
                 return self.exhausted_result(attempt)
 
+    def must_relay(self, attempt: Attempt) -> bool:
+        """Whether a peer has to serve a request."""
+        is_run_once = attempt.may_have_run and not attempt.route.is_repeatable
+        return self.reach.is_lost and attempt.may_relay and not is_run_once
+
+    async def serve_by_peer(self, attempt: Attempt) -> RequestResult:
+        """Return the result of a request that a peer serves."""
+        if self.relay is None:
+            return self.exhausted_result(attempt)
+        result = await self.relay.serve(
+            attempt.request,
+            attempt.head,
+            attempt.expires_at,
+            is_repeatable=attempt.route.is_repeatable,
+        )
+        is_refused = result.response.status == HTTPStatus.SERVICE_UNAVAILABLE
+        if is_refused and attempt.may_have_run:
+            # A refusal would promise that the request did not run.
+            return self.exhausted_result(attempt)
+        return result
+
     def slot_request(self, attempt: Attempt) -> SlotRequest:
         """Return the slot request for the next send."""
         now = boot_time()
@@ -335,30 +389,27 @@
     ) -> tuple[RequestResult | None, Outcome]:
         """Send a request on a connection and classify the response."""
         attempt.rate_limit = UNKNOWN_LIMIT
-        acquired = await self.pool.acquire(
-            slot.address, is_repeatable=attempt.route.is_repeatable
-        )
-        if acquired.is_error():
-            attempt.refusals += 1
-            return None, Outcome.UNREACHABLE
-        connection = acquired.ok
-        # The coordinator may have lost the store, or the target has left while
-        # the connection was opened.
-        if self.view.is_leaving(slot.life):
-            connection.close()
-            attempt.refusals += 1
-            return None, Outcome.LEAVING
+        opened = await self.open_connection(attempt, slot)
+        if opened.is_error():
+            return None, opened.error
+        connection = opened.ok
         attempt.runs += 1
         attempt.sends += 1
         may_have_run = attempt.may_have_run
         attempt.may_have_run = True
-        send_result = await connection.send(
-            self.encode(attempt, slot),
-            max(0, attempt.time_left) + LATE_RESPONSE_GRACE_S,
-        )
+        number = next(self.send_numbers)
+        self.reach.note_sent(number, boot_time())
+        try:
+            send_result = await connection.send(
+                self.encode(attempt, slot),
+                max(0, attempt.time_left) + LATE_RESPONSE_GRACE_S,
+            )
+        finally:
+            self.reach.note_ended(number)
         if send_result.is_error():
             attempt.may_have_run = may_have_run or send_result.error.has_left
             return self.record_failure(attempt, send_result.error)
+        self.reach.note_reached(slot.address, boot_time())
         response = send_result.ok
         attempt.payload_bytes = len(attempt.request.body) + len(response.body)
         head = self.wire_format.read_response_head(
@@ -378,6 +429,30 @@
             return None, _refusal(response.status, head, slot)
         return self.read_response(attempt, response, head)
 
+    async def open_connection(
+        self, attempt: Attempt, slot: Slot
+    ) -> Result[TargetConnection, Outcome]:
+        """Return a connection to the target of a slot, or why there is none."""
+        if self.must_relay(attempt):
+            return Error(Outcome.CANCELLED)
+        acquired = await self.pool.acquire(
+            slot.address, is_repeatable=attempt.route.is_repeatable
+        )
+        if acquired.is_error():
+            self.reach.note_failure(slot.address, boot_time())
+            attempt.refusals += 1
+            return Error(Outcome.UNREACHABLE)
+        connection = acquired.ok
+        if not connection.requests:
+            self.reach.note_reached(slot.address, boot_time())
+        # The coordinator may have lost the store, or the target has left while
+        # the connection was opened.
+        if self.view.is_leaving(slot.life):
+            connection.close()
+            attempt.refusals += 1
+            return Error(Outcome.LEAVING)
+        return Ok(connection)
+
     def encode(self, attempt: Attempt, slot: Slot) -> TargetRequest:
         """Return the request as it is sent to the target."""
         request = attempt.request
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -3,6 +3,7 @@
 import gc
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 from http import HTTPStatus
 
 import anyio
@@ -10,6 +11,7 @@
 
 from laburnumyard.clocks import boot_time, new_incarnation
 from laburnumyard.core.ids import DaemonName, DataCentre, Incarnation
+from laburnumyard.core.reachability import TargetReach
 from laburnumyard.core.routes import CallerLimits
 from laburnumyard.gateway._cluster_view import ClusterView, Member
 from laburnumyard.gateway._coordinator_elections import Elections
@@ -24,6 +26,8 @@
 from laburnumyard.gateway._item_server import ItemServer
 from laburnumyard.gateway._peer_reader import PeerReader
 from laburnumyard.gateway._platform_interface import Platform
+from laburnumyard.gateway._reach_monitor import ReachMonitor
+from laburnumyard.gateway._relay import RelayClient, RelayServer
 from laburnumyard.gateway._request_router import RequestRouter
 from laburnumyard.gateway._slot_acquisition import Slots
 from laburnumyard.gateway._store_health import StoreHealth
@@ -92,10 +96,12 @@
         )
         self.view = ClusterView()
         self.view.note_cores(round(settings.machine.cores * MILLI_CORES))
-        self.health = StoreHealth()
-        platform.store.on_restored.append(self.health.note_restored)
+        health = StoreHealth()
+        self.reach_monitor = ReachMonitor(self.view, TargetReach())
+        self.reach_monitor.on_lost.append(self.yield_roles)
+        platform.store.on_restored.append(health.note_restored)
         self.session = Session(
-            platform.store, self.health, settings.store, self.member
+            platform.store, health, settings.store, self.member
         )
         derived_settings = derive_settings(settings.bounds)
         self.link_pool = LinkPool(hello, LINK_SETTINGS)
@@ -112,15 +118,16 @@
         self.elections = Elections(
             platform.store, self.view, self.session, self.coordination, tasks
         )
+        self.elections.reach = self.reach_monitor.reach
         self.watcher = StoreWatcher(
-            platform, self.view, self.health, self.coordination.has_roles
+            platform, self.view, health, self.coordination.has_roles
         )
         self.item_server = ItemServer(self.watcher)
         for pool in (self.link_pool, fetch_pool):
             pool.on_lost.append(self.elections.suspect)
         self.peer_reader = PeerReader(
             self.watcher,
-            self.health,
+            health,
             self.view,
             fetch_pool,
             self.member,
@@ -146,12 +153,30 @@
             self.slots,
             self.connection_pool,
             DataCentre(daemon.data_centre),
+            self.reach_monitor.reach,
+        )
+        self.router.relay = RelayClient(
+            self.view, self.link_pool, self.peer_reader.readers
+        )
+        self.relay_server = RelayServer(
+            platform.wire_format,
+            partial(self.router.process, may_relay=False),
+            self.reach_monitor.reach,
         )
         self.caller_server = CallerServer(self.router.serve, self.limits, tasks)
         self.readiness_server = CallerServer(
             self.serve_readiness, CallerLimits, tasks
         )
-        self.is_leaving = False
+
+    @property
+    def health(self) -> StoreHealth:
+        """Reachability of the store."""
+        return self.session.health
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the process is about to stop."""
+        return self.relay_server.is_leaving
 
     @property
     def is_ready(self) -> bool:
@@ -174,6 +199,10 @@
             )
         if isinstance(message, messages.FetchItems):
             return self.item_server.serve(link, message)
+        if isinstance(message, messages.Submit):
+            return self.relay_server.serve(link, message)
+        if isinstance(message, messages.Cancel):
+            self.relay_server.cancel(link, message.number)
         self.coordination.handle_message(message, link)
         return None
 
@@ -222,6 +251,7 @@
                 self.elections.run,
                 self.slots.tick,
                 self.peer_reader.run,
+                self.reach_monitor.run,
                 self.watch_settings,
             ):
                 self.tasks.start_soon(keep_running, start.__qualname__, start)
@@ -268,7 +298,7 @@
     async def drain(self) -> None:
         """Hand over the roles and finish the requests in flight."""
         started = boot_time()
-        self.is_leaving = True
+        self.relay_server.is_leaving = True
         log_event(
             Event.STOPPING,
             daemon=self.member.name,
@@ -283,6 +313,7 @@
         self.caller_server.close_idle()
         with anyio.move_on_after(max(0, end - boot_time())):
             await self.caller_server.idle.wait()
+            await self.relay_server.wait_idle()
         if self.coordination.roles:
             await self.hand_over()
         log_event(
@@ -292,6 +323,13 @@
             took_s=round(boot_time() - started, 2),
         )
 
+    def yield_roles(self) -> None:
+        """Leave the roles to gateways that reach targets."""
+        self.connection_pool.close()
+        if self.coordination.roles and self.health.is_reachable:
+            self.coordination.leave('targets-lost', is_final=False)
+            self.tasks.start_soon(self.session.end)
+
     async def hand_over(self) -> None:
         """Drop all roles so that other gateways can claim them.
 
--- a/src/laburnumyard/gateway/_slot_dispatcher.py
+++ b/src/laburnumyard/gateway/_slot_dispatcher.py
@@ -8,6 +8,7 @@
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import (
     AttemptId,
+    DaemonName,
     DataCentre,
     RouteName,
     Seconds,
@@ -17,6 +18,7 @@
 )
 from laburnumyard.core.rate_limits import UNKNOWN_LIMIT, LimitStatement
 from laburnumyard.core.scheduling import (
+    OWN_SENDER,
     Decision,
     Outcome,
     Refusal,
@@ -50,6 +52,8 @@
         Hash that is equal for requests with the same content.
     sends
         Number of targets the request was already sent to.
+    sender
+        Gateway that will send it; empty for this one.
     """
 
     service: ServiceName
@@ -64,6 +68,7 @@
     excluded: frozenset[TargetId] = frozenset()
     fingerprint: bytes = b''
     sends: int = 0
+    sender: DaemonName = OWN_SENDER
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +132,7 @@
             slot_request.excluded,
             slot_request.fingerprint,
             slot_request.sends,
+            slot_request.sender,
         )
         self.replies[work.work_id] = reply
         returned = slot_request.is_returned
--- a/src/laburnumyard/gateway/_store_session.py
+++ b/src/laburnumyard/gateway/_store_session.py
@@ -138,11 +138,16 @@
             self.session_id = NO_SESSION
 
     async def close(self) -> None:
-        """End the session, which releases this gateway's roles."""
+        """End the session for good, which releases this gateway's roles."""
         self.is_closing = True
+        await self.end()
+
+    async def end(self) -> None:
+        """End the session, which releases this gateway's roles."""
         if self.session_id != NO_SESSION:
-            await self.store.close_session(self.session_id)
+            session_id = self.session_id
             self.session_id = NO_SESSION
+            await self.store.close_session(session_id)
             log_event(Event.SESSION, state='closed')
 
 
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -348,6 +348,30 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class GatewayRef:
+    """The message ``GatewayRef`` of messages.capnp."""
+
+    name: str
+    address: str
+    incarnation: int
+
+
+def _write_gateway_ref(message: GatewayRef, builder: Any) -> None:
+    builder.name = message.name
+    builder.address = message.address
+    builder.incarnation = message.incarnation
+
+
+def _read_gateway_ref(reader: Any) -> GatewayRef:
+    get = reader._get
+    return GatewayRef(
+        name=get('name'),
+        address=get('address'),
+        incarnation=get('incarnation'),
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Gossip:
     """The message ``Gossip`` of messages.capnp."""
@@ -931,6 +955,7 @@
     config_complete_to: int
     coordinators_complete_to: int
     milli_cores: int
+    members: tuple[GatewayRef, ...]
 
 
 def _write_stored_items(message: StoredItems, builder: Any) -> None:
@@ -943,6 +968,10 @@
     builder.configCompleteTo = message.config_complete_to
     builder.coordinatorsCompleteTo = message.coordinators_complete_to
     builder.milliCores = message.milli_cores
+    parts = message.members
+    slots = builder.init('members', len(parts))
+    for slot, part in zip(slots, parts, strict=True):
+        _write_gateway_ref(part, slot)
 
 
 def _read_stored_items(reader: Any) -> StoredItems:
@@ -954,6 +983,7 @@
         config_complete_to=get('configCompleteTo'),
         coordinators_complete_to=get('coordinatorsCompleteTo'),
         milli_cores=get('milliCores'),
+        members=tuple(map(_read_gateway_ref, get('members'))),
     )
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -352,6 +352,14 @@
   coordinatorsCompleteTo @4 :UInt64;
   # The most processor cores of any known gateway, in thousandths.
   milliCores @5 :UInt32;
+  # Some gateways that the peer knows, at random.
+  members @6 :List(GatewayRef);
+}
+
+struct GatewayRef {
+  name @0 :Text;
+  address @1 :Text;
+  incarnation @2 :UInt64;
 }
 
 struct StoredItem {
--- a/src/laburnumyard/telemetry/_log.py
+++ b/src/laburnumyard/telemetry/_log.py
@@ -45,6 +45,7 @@
     ANSWERED = 'answered'
     CANCELLED = 'cancelled'
     SESSION = 'session'
+    REACH = 'reach'
     RELOADED = 'reloaded'
     FAULT = 'fault'
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -14,7 +14,11 @@
 )
 from laburnumyard.core.routes import Route, RouteShare, RouteTable
 from laburnumyard.core.scheduling import Refusal
-from laburnumyard.core.target_directory import TargetLife
+from laburnumyard.core.target_directory import (
+    TargetLife,
+    TargetRecord,
+    TargetState,
+)
 from laburnumyard.gateway._cluster_view import ClusterView
 from laburnumyard.gateway._http_messages import CallerRequest
 from laburnumyard.gateway._request_router import RequestRouter
@@ -131,6 +135,19 @@
     )
 
 
+def record_at(address):
+    """Return the record of a ready target, named as ``FakeSlots`` does."""
+    return TargetRecord(
+        TargetLife(TargetId(f'i-{address}'), 1),
+        ServiceName('catalogue'),
+        address,
+        DataCentre('lima-a'),
+        3,
+        TargetState.READY,
+        Seconds(0),
+    )
+
+
 @pytest.fixture
 def config():
     """A configuration document of the operator."""
--- a/tests/gateway/test_leaving_targets.py
+++ b/tests/gateway/test_leaving_targets.py
@@ -8,12 +8,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from laburnumyard.core.ids import DataCentre, Seconds, ServiceName, TargetId
-from laburnumyard.core.target_directory import (
-    TargetLife,
-    TargetRecord,
-    TargetState,
-)
+from laburnumyard.core.target_directory import TargetState
 from laburnumyard.gateway import Platform
 from laburnumyard.gateway._cluster_view import ClusterView
 from laburnumyard.gateway._item_server import ItemServer
@@ -28,6 +23,7 @@
     make_request,
     make_route,
     make_router,
+    record_at,
 )
 from tests.platform.conftest import encode_entry
 
@@ -48,24 +44,12 @@
     return FakeTarget()
 
 
-def record_of(target):
-    return TargetRecord(
-        TargetLife(TargetId(f'i-{target.address}'), 1),
-        ServiceName('catalogue'),
-        target.address,
-        DataCentre('lima-a'),
-        3,
-        TargetState.READY,
-        Seconds(0),
-    )
-
-
 async def serve_after(change, leaving_target, other_target):
     """Serve a request whose first slot is of a target that has changed."""
     async with leaving_target.running(), other_target.running():
         slots = FakeSlots(leaving_target.address, other_target.address)
         router = make_router(slots, ORDER)
-        record = record_of(leaving_target)
+        record = record_at(leaving_target.address)
         router.view.adopt_directory({record.target: record})
         router.view.adopt_directory(change(record))
         response = await router.serve(make_request())
