FAULT, LOST: one odd entry of a target ends nothing

Another writer's entry with a number of 400 digits ended the watch of all targets again and again, and useless addresses raised in the middle of requests. Entries were checked by other rules than those of their use.

--- a/src/laburnumyard/platform/_document_fields.py
+++ b/src/laburnumyard/platform/_document_fields.py
@@ -4,8 +4,6 @@
 malformed.
 """
 
-import math
-
 from laburnumyard.transport import Fields, read_text
 
 MS_PER_SECOND = 1000
@@ -27,7 +25,8 @@
     amount = fields.get(name)
     if isinstance(amount, bool) or not isinstance(amount, int | float):
         raise TypeError(f'{name} must be a number')
-    if not math.isfinite(amount) or not 0 <= amount <= MAX_AMOUNT:
+    # NaN is in no range, and integers may be too large for a float.
+    if not 0 <= amount <= MAX_AMOUNT:
         raise ValueError(f'{name} is {amount!r:.40}, expected 0 to 1e12')
     return float(amount)
 
@@ -35,6 +34,7 @@
 def read_version(fields: Fields, name: str) -> int:
     """Return the number of a configuration version such as ``r12``."""
     text = read_name(fields, name)
-    if not text.startswith('r') or not text[1:].isdecimal():
+    is_number = text[1:].isascii() and text[1:].isdecimal()
+    if not text.startswith('r') or not is_number:
         raise ValueError(f'{name} is {text!r:.40}, expected r and digits')
     return int(text[1:])
--- a/src/laburnumyard/platform/_wire_format.py
+++ b/src/laburnumyard/platform/_wire_format.py
@@ -37,7 +37,12 @@
     read_name,
 )
 from laburnumyard.platform._route_decoding import read_routes
-from laburnumyard.transport import parse_json, read_count, read_object
+from laburnumyard.transport import (
+    parse_json,
+    parse_target_address,
+    read_count,
+    read_object,
+)
 
 ATTEMPT_ID_HEADER = 'laburnumyard-attempt-id'
 DEADLINE_MS_HEADER = 'laburnumyard-deadline-ms'
@@ -56,7 +61,6 @@
 DECIMAL_NUMBER = re.compile(r'[0-9]{1,15}(?:\.[0-9]{1,15})?')
 # Malformed values are logged up to this length.
 MAX_LOGGED_CHARS = 60
-ADDRESS = re.compile(r'\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}')
 TARGET_STATES = MappingProxyType({state.value: state for state in TargetState})
 MISDIRECTED_STATUS = 421
 
@@ -133,9 +137,7 @@
 
 def _read_target(target: str, content: bytes) -> TargetRecord:
     fields = read_object(parse_json(content))
-    address = read_name(fields, 'address')
-    if not ADDRESS.fullmatch(address):
-        raise ValueError(f'address is {address!r:.60}, expected IP:PORT')
+    address = parse_target_address(read_name(fields, 'address'))
     state = read_name(fields, 'state')
     if state not in TARGET_STATES:
         raise ValueError(f'state is {state!r:.60}, expected ready or draining')
--- a/src/laburnumyard/transport/__init__.py
+++ b/src/laburnumyard/transport/__init__.py
@@ -1,6 +1,9 @@
 """HTTP clients for targets and for the platform's services."""
 
-from laburnumyard.transport._address import split_address
+from laburnumyard.transport._address import (
+    parse_target_address,
+    split_address,
+)
 from laburnumyard.transport._endpoint import (
     Endpoint,
     ExchangeError,
@@ -41,6 +44,7 @@
     'TargetRequest',
     'TargetResponse',
     'parse_json',
+    'parse_target_address',
     'read_boolean',
     'read_count',
     'read_list',
--- a/src/laburnumyard/transport/_json_fields.py
+++ b/src/laburnumyard/transport/_json_fields.py
@@ -61,9 +61,13 @@
 
 
 def read_text(fields: Fields, name: str, max_length: int) -> str:
-    """Return a string of at most ``max_length`` characters."""
+    """Return a string of at most ``max_length`` characters.
+
+    A lone surrogate, which no message can carry, raises ``ValueError``.
+    """
     text = fields.get(name)
     if isinstance(text, str) and len(text) <= max_length:
+        text.encode()
         return text
     raise TypeError(
         f'{name} must be a string of at most {max_length} characters'
