REFUSED, TWICE: a repeated refusal is not believed for the next request

A faulty target wrote an earlier refusal once more on a kept connection; callers were told not run, or the request went to a second target, while it ran.

--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -98,6 +98,7 @@
     expires_at: Seconds
     fingerprint: Fingerprint
     tried: set[TargetId] = field(default_factory=set)
+    sent_to: set[str] = field(default_factory=set)
     sends: int = 0
     runs: int = 0
     refusals: int = 0
@@ -393,6 +394,7 @@
         if opened.is_error():
             return None, opened.error
         connection = opened.ok
+        attempt.sent_to.add(slot.address)
         attempt.runs += 1
         attempt.sends += 1
         may_have_run = attempt.may_have_run
@@ -415,9 +417,8 @@
         head = self.wire_format.read_response_head(
             response.status, response.headers
         )
-        if head.attempt_id and head.attempt_id != attempt.attempt_id:
-            # The response belongs to another request, so the connection is
-            # out of step and cannot be trusted.
+        if _may_be_of_another(attempt, connection, head):
+            # The connection may be out of step and cannot be trusted.
             connection.close()
             return self.record_lost_response(attempt, 'foreign-answer')
         self.pool.release(connection, head.idle_limit_s)
@@ -436,7 +437,10 @@
         if self.must_relay(attempt):
             return Error(Outcome.CANCELLED)
         acquired = await self.pool.acquire(
-            slot.address, is_repeatable=attempt.route.is_repeatable
+            slot.address,
+            is_repeatable=attempt.route.is_repeatable,
+            # A response to an earlier send of the request has its id too.
+            allows_idle=slot.address not in attempt.sent_to,
         )
         if acquired.is_error():
             self.reach.note_failure(slot.address, boot_time())
@@ -545,6 +549,19 @@
     return Outcome.MISDIRECTED if is_other else Outcome.NOT_OWNER
 
 
+def _may_be_of_another(
+    attempt: Attempt, connection: TargetConnection, head: ResponseHead
+) -> bool:
+    """Whether a response may belong to another request of the connection.
+
+    A refusal without an id on a kept connection may be an earlier one that was
+    repeated; it would promise that a running request does not run.
+    """
+    if head.attempt_id:
+        return head.attempt_id != attempt.attempt_id
+    return head.is_not_run and connection.requests > 1
+
+
 def _limit_statement(
     attempt: Attempt, response: TargetResponse, head: ResponseHead, slot: Slot
 ) -> LimitStatement:
--- a/src/laburnumyard/gateway/_target_connection_pool.py
+++ b/src/laburnumyard/gateway/_target_connection_pool.py
@@ -50,7 +50,11 @@
         self.opened = 0
 
     async def acquire(
-        self, address: str, *, is_repeatable: bool
+        self,
+        address: str,
+        *,
+        is_repeatable: bool,
+        allows_idle: bool = True,
     ) -> Result[TargetConnection, TargetFailure]:
         """Return a pooled or new connection for one request.
 
@@ -60,13 +64,15 @@
             ``IP:PORT`` of the target.
         is_repeatable
             Whether the request may safely run twice.
+        allows_idle
+            Whether a connection that was used before may be returned.
         """
         now = asyncio.get_running_loop().time()
         limit = self.limits.get(address, DEFAULT_IDLE_TIMEOUT_S)
         if not is_repeatable:
             limit = min(limit, RECENT_USE_S)
         idle_connections = self.idle[address]
-        while idle_connections:
+        while allows_idle and idle_connections:
             connection = idle_connections.pop()
             if connection.is_reusable and now - connection.used_at < limit:
                 return Result.Ok(connection)
