RECOVER: gateway processes that are cut off from all targets, in three ways

A stand-in runs a gateway whose links to targets hang, are reset, or live on while new ones are refused.

--- a/src/standins/gateway_cluster.py
+++ b/src/standins/gateway_cluster.py
@@ -26,6 +26,7 @@
 from standins._gateway_store import GatewayStore
 from standins._gateway_target import GatewayTarget
 from standins._serve import bind, serving
+from standins.partitioned_gateway import CUT_VARIABLE, Cut
 
 HOST = 'shop.example'
 HEARTBEAT_S = 0.4
@@ -93,12 +94,28 @@
             return
         with self.log.open('ab') as output:
             self.process = subprocess.Popen(
-                (sys.executable, '-m', 'laburnumyard.platform'),
-                env={**os.environ, 'LABURNUMYARD_CONFIG': str(self.settings)},
+                (sys.executable, '-m', 'standins.partitioned_gateway'),
+                env={
+                    **os.environ,
+                    'LABURNUMYARD_CONFIG': str(self.settings),
+                    CUT_VARIABLE: str(self.cut_file),
+                },
                 stdout=output,
                 stderr=output,
             )
 
+    @property
+    def cut_file(self) -> Path:
+        """The file that tells how links to targets are cut."""
+        return self.settings.with_suffix('.cut')
+
+    def cut(self, cut: Cut, targets: Iterable[GatewayTarget]) -> None:
+        """Cut the links of the gateway to targets, or heal them."""
+        lines = [cut.value, *(target.address for target in targets)]
+        written = self.cut_file.with_suffix('.new')
+        written.write_text('\n'.join(lines))
+        written.replace(self.cut_file)
+
     @property
     def is_running(self) -> bool:
         """Whether the process runs."""
@@ -343,6 +360,7 @@
         }
         gateway.settings.write_text(SETTINGS.format(**fields))
         cluster.gateways.append(gateway)
+        gateway.cut(Cut.NONE, cluster.targets)
         gateway.start()
 
 
