--- a/src/laburnumyard/gateway/_relay.py
+++ b/src/laburnumyard/gateway/_relay.py
@@ -34,7 +34,10 @@
 # are probed several times meanwhile.
 RETRY_AFTER_S = 0.5
 # Peers among which the one with the fewest requests is taken.
-CHOICES = 2
+CHOICES = 4
+# A coordinator is taken only if the others have so many more requests: it works
+# for all gateways, and ends their service if it cannot keep up.
+COORDINATOR_HANDICAP = 2
 
 _BROKE_OFF = RequestResult(
     CallerResponse(HTTPStatus.BAD_GATEWAY), 'peer-broke-off'
@@ -166,7 +169,15 @@
         if not peers:
             return None
         chosen = random.sample(peers, min(CHOICES, len(peers)))
-        return min(chosen, key=lambda peer: self.in_flight[peer.address])
+        return min(chosen, key=self.load_of)
+
+    def load_of(self, peer: Peer) -> int:
+        """Return the requests of this gateway at a peer, for comparison."""
+        load = self.in_flight[peer.address]
+        coordinators = self.view.coordinators.values()
+        if any(each.member.address == peer.address for each in coordinators):
+            return load + COORDINATOR_HANDICAP
+        return load
 
     def peers(self) -> list[Peer]:
         """Return all known gateways but this one."""
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -9,7 +9,11 @@
 from testtools.matchers import Contains, Equals, Is
 
 from laburnumyard.core.reachability import TargetReach
-from laburnumyard.gateway._cluster_view import ClusterView
+from laburnumyard.gateway._cluster_view import (
+    ClusterView,
+    Coordinator,
+    Member,
+)
 from laburnumyard.gateway._http_messages import CallerResponse, RequestResult
 from laburnumyard.gateway._reach_monitor import ReachMonitor
 from laburnumyard.gateway._relay import RelayClient, RelayServer
@@ -142,6 +146,24 @@
     assert_that(peers[0].requests, Equals([]))
 
 
+# RECOVER: relayed requests overloaded one coordinator after the other.
+async def test_coordinators_are_the_last_peers_to_be_asked(peers, router_of):
+    router = router_of(*peers, route=ORDER)
+    member = Member(peers[0].name, peers[0].address, 1)
+    router.view.adopt_coordinator('catalogue', Coordinator(member, 1))
+    for _ in range(5):
+        await router.serve(make_request())
+    assert_that(peers[0].requests, Equals([]))
+    peers[1].behave = peers[1].hang
+    async with anyio.create_task_group() as tasks:
+        for _ in range(4):
+            tasks.start_soon(router.serve, make_request())
+        with anyio.move_on_after(0.5):
+            await anyio.sleep_forever()
+        tasks.cancel_scope.cancel()
+    assert_that(len(peers[0].requests) > 0, Is(True))
+
+
 async def test_without_a_peer_the_caller_is_refused_at_once(router_of):
     response = await router_of(route=ORDER).serve(make_request())
     assert_that(response.status, Equals(503))
