RECOVER: a peer that is late with a relayed request is not left out

A relayed request whose deadline passed was answered 502, and its peer was not asked for a second, though only the target was slow. It is 504 now, the peer gets the deadline less the ways, and the request counts as one that may have run while a peer has it.

--- a/src/laburnumyard/gateway/_relay.py
+++ b/src/laburnumyard/gateway/_relay.py
@@ -21,9 +21,12 @@
 )
 from laburnumyard.gateway._platform_interface import RequestHead, WireFormat
 from laburnumyard.schema._generated import messages
-from laburnumyard.wire import Connection, LinkPool, Peer
+from laburnumyard.wire import Connection, LinkErrorKind, LinkPool, Peer
 
 MS_PER_SECOND = 1000
+# Part of the time left that the ways to a peer and back may take, so that its
+# answer arrives before the deadline.
+WAY_S = 0.03
 # Answer of a peer that reaches no target either, or is about to stop.
 TARGETS_LOST = 'targets-lost'
 # A peer that reaches no target, or is not reached, is not asked for this long.
@@ -39,6 +42,7 @@
 # for all gateways, and ends their service if it cannot keep up.
 COORDINATOR_HANDICAP = 2
 
+_LATE = RequestResult(CallerResponse(HTTPStatus.GATEWAY_TIMEOUT), 'timeout')
 _BROKE_OFF = RequestResult(
     CallerResponse(HTTPStatus.BAD_GATEWAY), 'peer-broke-off'
 )
@@ -137,18 +141,20 @@
                 messages.Header(name, text) for name, text in request.headers
             ),
             body=request.body,
-            deadline_ms=int(left_s * MS_PER_SECOND),
+            deadline_ms=int(max(0, left_s - WAY_S) * MS_PER_SECOND),
             repeatable=False,
             ticket='',
             hops=1,
         )
         self.in_flight[peer.address] += 1
         try:
-            reply = await self.pool.request(peer, message, left_s)
+            reply = await self.pool.request(peer, message, left_s + WAY_S)
         finally:
             self.in_flight[peer.address] -= 1
         if reply.is_error() and not reply.error.may_have_been_sent:
             return NoAnswer.NOT_RUN
+        if reply.is_error() and reply.error.kind is LinkErrorKind.TIMEOUT:
+            return _LATE
         if reply.is_error() or not isinstance(reply.ok, messages.SubmitAnswer):
             return NoAnswer.UNKNOWN
         if reply.ok.kind == TARGETS_LOST:
--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -321,6 +321,9 @@
         """Return the result of a request that a peer serves."""
         if self.relay is None:
             return self.exhausted_result(attempt)
+        may_have_run = attempt.may_have_run
+        # If the deadline ends the wait, the peer may be running it.
+        attempt.may_have_run = True
         result = await self.relay.serve(
             attempt.request,
             attempt.head,
@@ -328,7 +331,7 @@
             is_repeatable=attempt.route.is_repeatable,
         )
         is_refused = result.response.status == HTTPStatus.SERVICE_UNAVAILABLE
-        if is_refused and attempt.may_have_run:
+        if is_refused and may_have_run:
             # A refusal would promise that the request did not run.
             return self.exhausted_result(attempt)
         return result
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -184,6 +184,19 @@
     assert_that(statuses, Equals([201] * 4))
 
 
+# REFUSED: a relayed request whose deadline passed was called not run.
+async def test_a_request_that_a_peer_is_late_with_may_have_run(
+    peers, router_of
+):
+    peers[0].behave = peers[0].hang
+    router = router_of(peers[0], route=ORDER)
+    response = await router.serve(make_request(deadline_ms=200))
+    assert_that(response.status, Equals(504))
+    peers[0].behave = peers[0].respond
+    response = await router.serve(make_request())
+    assert_that(response.status, Equals(201))
+
+
 async def test_a_caller_that_leaves_stops_the_work_at_the_peer(
     peers, router_of
 ):
