RECOVER: no role is claimed after the loss of all targets

A gateway that lost its targets while it waited to claim a role took it and kept it, as it gives roles back only at the moment of the loss: callers of all gateways got 503 no-owner for eight seconds, in one of six runs of the test of links that are reset.

--- a/src/laburnumyard/gateway/_coordinator_elections.py
+++ b/src/laburnumyard/gateway/_coordinator_elections.py
@@ -92,14 +92,31 @@
             changed = self.view.changed
             vacant = self.vacant_services()
             if vacant:
-                service = min(vacant, key=self.is_not_held)
-                if self.is_not_held(service):
-                    await anyio.sleep(self.election_delay())
-                await self.claim_role(service)
+                await self.elect(min(vacant, key=self.is_not_held))
                 continue
             with anyio.move_on_after(IDLE_INTERVAL_S):
                 await changed.wait()
 
+    async def elect(self, service: ServiceName) -> None:
+        """Claim a vacant role after a delay.
+
+        A gateway that loses its targets meanwhile starts again with the longer
+        delay, or gives the role back.
+        """
+        was_lost = self.reach.is_lost
+        if self.is_not_held(service):
+            await anyio.sleep(self.election_delay())
+        if was_lost or not self.reach.is_lost:
+            await self.claim_role(service)
+        if not was_lost and self.reach.is_lost:
+            await self.yield_roles()
+
+    async def yield_roles(self) -> None:
+        """Leave the roles to gateways that reach targets."""
+        if self.coordination.roles and self.session.health.is_reachable:
+            self.coordination.leave('targets-lost', is_final=False)
+            await self.session.end()
+
     def vacant_services(self) -> list[ServiceName]:
         """Return the services without a coordinator, in random order."""
         table = self.view.routes
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -98,7 +98,7 @@
         self.view.note_cores(round(settings.machine.cores * MILLI_CORES))
         health = StoreHealth()
         self.reach_monitor = ReachMonitor(self.view, TargetReach())
-        self.reach_monitor.on_lost.append(self.yield_roles)
+        self.reach_monitor.on_lost.append(self.handle_targets_lost)
         platform.store.on_restored.append(health.note_restored)
         self.session = Session(
             platform.store, health, settings.store, self.member
@@ -323,12 +323,10 @@
             took_s=round(boot_time() - started, 2),
         )
 
-    def yield_roles(self) -> None:
-        """Leave the roles to gateways that reach targets."""
+    def handle_targets_lost(self) -> None:
+        """Drop what needs links to targets."""
         self.connection_pool.close()
-        if self.coordination.roles and self.health.is_reachable:
-            self.coordination.leave('targets-lost', is_final=False)
-            self.tasks.start_soon(self.session.end)
+        self.tasks.start_soon(self.elections.yield_roles)
 
     async def hand_over(self) -> None:
         """Drop all roles so that other gateways can claim them.
