BUDGET: a relayed request without time left has no two seconds at the peer

With less than 30 ms left the deadline was sent as 0, which the peer took for none and replaced by two seconds. Such a request is not relayed, and at least 1 ms is sent. The new test was red (201 where 503 is due).

--- a/src/laburnumyard/gateway/_relay_client.py
+++ b/src/laburnumyard/gateway/_relay_client.py
@@ -103,7 +103,7 @@
         asked: set[str] = set()
         failed = refuse_request(TARGETS_LOST, RETRY_AFTER_S)
         peer = self.choose_peer(asked)
-        while peer is not None and expires_at > boot_time():
+        while peer is not None and expires_at - boot_time() > ROUND_TRIP_S:
             asked.add(peer.address)
             answer = await self.ask(peer, request, head, expires_at)
             if isinstance(answer, RequestResult):
--- a/src/laburnumyard/gateway/_relay_messages.py
+++ b/src/laburnumyard/gateway/_relay_messages.py
@@ -24,7 +24,8 @@
     request, attempt_id
         The request and its identifier.
     deadline_s
-        Time that the peer has to answer, in seconds.
+        Time that the peer has to answer, in seconds; at least 1 ms is sent, as
+        0 stands for no deadline.
     """
     return messages.Submit(
         number=0,
@@ -37,7 +38,7 @@
         path=request.path,
         headers=_encode_headers(request.headers),
         body=request.body,
-        deadline_ms=max(0, int(deadline_s * MS_PER_SECOND)),
+        deadline_ms=max(1, int(deadline_s * MS_PER_SECOND)),
         repeatable=False,
         ticket='',
         hops=1,
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -206,6 +206,16 @@
     assert_that(response.status, Equals(201))
 
 
+# BUDGET: without time left, a peer took the request as one without a deadline.
+async def test_a_request_without_time_for_the_way_is_not_relayed(
+    peers, router_of
+):
+    router = router_of(peers[0], route=ORDER)
+    response = await router.serve(make_request(deadline_ms=15))
+    assert_that(response.status, Equals(503))
+    assert_that(peers[0].requests, Equals([]))
+
+
 async def test_a_caller_that_leaves_stops_the_work_at_the_peer(
     peers, router_of
 ):
