DRAIN: a target that a sender knew to leave is not closed for good

The coordinator closed it until a later entry. Entries that differ only in their sequence are not passed on, so a target whose removal one sender had seen, and which came back, stayed without requests. It rests for two seconds now, by which a coordinator has read the entry or has been replaced.

--- a/src/laburnumyard/core/scheduling/_target_slots.py
+++ b/src/laburnumyard/core/scheduling/_target_slots.py
@@ -14,6 +14,9 @@
 MAX_PAUSE_S = 1.5
 # Pause of a target that sheds load, in seconds: about the length of one run.
 SHED_PAUSE_S = 0.05
+# Pause of a target that a sender knows to be leaving, in seconds: by then a
+# coordinator has read its entry, or has been replaced.
+LEAVING_PAUSE_S = 2.0
 # Weight of a new outcome in the moving failure rate; about the last 8 count.
 FAILURE_GAIN = 0.12
 # Part of the capacity of a limited target that keys are assigned for.
@@ -51,8 +54,6 @@
     failure_rate: float = 0
     losses: int = 0
     paused_until: float = 0
-    # Sequence of the record when a sender knew that the target is leaving.
-    left_at_sequence: int | None = None
 
     def has_room(self, now: Seconds) -> bool:
         """Whether a request may be sent to the target now."""
@@ -62,23 +63,14 @@
 
     def has_free_slot(self, now: Seconds) -> bool:
         """Whether the target has a free slot, whatever its rate limit."""
-        if self.is_leaving or now < self.paused_until:
+        if self.record.state is TargetState.DRAINING:
+            return False
+        if now < self.paused_until:
             return False
         # A lost target is probed with one request at a time.
         limit = 1 if self.losses else self.record.slots
         return self.running < limit
 
-    @property
-    def is_leaving(self) -> bool:
-        """Whether the target leaves, by its record or by a sender's word.
-
-        A later record counts more than what a sender knew.
-        """
-        if self.record.state is TargetState.DRAINING:
-            return True
-        left_at = self.left_at_sequence
-        return left_at is not None and self.record.sequence <= left_at
-
     def rate(self, now: Seconds) -> SendRate | None:
         """Return the send rate, None if the target states no limit."""
         return self.limiter.rate_of(self.record.life, now)
@@ -124,7 +116,7 @@
             Whether ``running`` includes all requests at the target.
         """
         if outcome is Outcome.LEAVING:
-            self.left_at_sequence = self.record.sequence
+            self.paused_until = Seconds(now + LEAVING_PAUSE_S)
             return
         failed = outcome in FAILURE_OUTCOMES
         self.failure_rate += FAILURE_GAIN * (failed - self.failure_rate)
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -12,6 +12,7 @@
     SchedulerSettings,
     Send,
 )
+from laburnumyard.core.scheduling._target_slots import LEAVING_PAUSE_S
 from laburnumyard.core.target_directory import TargetState
 from tests.core.scheduling.conftest import BUDGET, make_record, make_work
 from tests.support.sole import only
@@ -336,3 +337,15 @@
         submit(single_slot_scheduler, work),
         Equals([Send(work, TargetId('one'))]),
     )
+
+
+# DRAIN: a coordinator without the store went on to name a target that left.
+def test_a_target_that_a_sender_knows_left_rests(single_slot_scheduler):
+    work = make_work()
+    submit(single_slot_scheduler, work)
+    single_slot_scheduler.finish(work.work_id, Outcome.LEAVING, 0)
+    slots = single_slot_scheduler.targets['one']
+    assert_that(slots.has_room(LEAVING_PAUSE_S - 0.1), Is(False))
+    # The sender may know less than the store says by now.
+    assert_that(slots.has_room(LEAVING_PAUSE_S), Is(True))
+    assert_that(slots.losses, Equals(0))
