--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import random
 import sys
 import time
@@ -76,6 +77,24 @@
                         )
 
 
+def foreign_entry(victim):
+    """Return an entry that names no worker to use.
+
+    Either of a service that no configuration names, or, with ENTRY=copy, the
+    worker's own entry under another key with fields missing.
+    """
+    entry = json.loads(victim.entry())
+    if os.environ.get('ENTRY') == 'copy':
+        del entry['version'], entry['sequence']
+        return entry
+    return {
+        **entry,
+        'service': 'bodega',
+        'sequence': 1,
+        'born': int(time.time() * MS),
+    }
+
+
 async def case(system, record):
     system.add_service('catalogo', sharded=True)
     system.add_route('catalogo', 'catalogo', 'safe')
@@ -89,17 +108,7 @@
         raise RuntimeError(f'not served in the beginning: {system.counts}')
     victim = system.workers[0]
     if TROUBLE:
-        entry = {
-            'service': 'bodega',
-            'address': victim.address,
-            'zone': victim.zone,
-            'version': 'v1',
-            'maxConcurrency': 3,
-            'state': 'ready',
-            'warmupLeftMs': 0,
-            'sequence': 1,
-            'born': int(time.time() * MS),
-        }
+        entry = foreign_entry(victim)
         record.note(
             'foreign-entry', key='servers/b-77', entry=json.dumps(entry)
         )
