--- a/review/2/case.py
+++ b/review/2/case.py
@@ -59,8 +59,8 @@
         await asyncio.sleep(random.expovariate(RATE))
 
 
-# A worker that turns slow works twelve times as long.
-SLOW_X = 12.0
+# A worker that turns slow works twelve times as long, for 9 s.
+SLOW_X, SLOW_FOR_S = 12.0, 9.0
 
 
 def work_s(_):
@@ -91,10 +91,16 @@
                         )
 
 
+async def slow_down(worker):
+    worker.work_s = slow_s
+    await asyncio.sleep(SLOW_FOR_S)
+    worker.work_s = work_s
+
+
 async def drill(system, record, cycle):
     """Kill the coordinator, lose the store's last seconds, replace a worker."""
     leaving = system.workers[0]
-    leaving.work_s = slow_s
+    system.spawn(slow_down(leaving))
     name = f'n-{cycle + 1}'
     await system.add_worker(name, 'catalogo', sharded=True, work_s=work_s)
     await asyncio.sleep(2.0)
