--- a/src/laburnumyard/core/routes.py
+++ b/src/laburnumyard/core/routes.py
@@ -140,6 +140,11 @@
         )
         return max(matching, key=_prefix_length, default=None)
 
+    def service_names(self) -> frozenset[ServiceName]:
+        """Return the services that are configured or have a route."""
+        routed = (part.service for route in self.routes for part in route.parts)
+        return frozenset((*self.services, *routed))
+
     def keyed_services(self) -> tuple[ServiceName, ...]:
         """Return the services in which each key has exactly one owner."""
         return tuple(
--- a/src/laburnumyard/gateway/_cluster_view.py
+++ b/src/laburnumyard/gateway/_cluster_view.py
@@ -91,8 +91,11 @@
     ----------
     routes
         Current route table, None before the first one.
+    entries
+        Valid entries of targets, of any service.
     directory
-        Targets by identifier.
+        Targets by identifier: the entries of services in the route table. An
+        entry of another service has no effect.
     departed
         Targets that were in the directory and left it.
     coordinators
@@ -115,6 +118,7 @@
     """
 
     routes: RouteTable | None = None
+    entries: Directory = field(default_factory=dict)
     directory: dict[TargetId, TargetRecord] = field(default_factory=dict)
     departed: dict[TargetLife, None] = field(default_factory=dict)
     coordinators: dict[ServiceName, Coordinator] = field(default_factory=dict)
@@ -143,6 +147,8 @@
             return False
         self.routes = table
         self.notify(self.on_routes)
+        if self.directory != self.entries_in_force():
+            self.adopt_directory(self.entries)
         return True
 
     def has_newer_routes(self, table: RouteTable) -> bool:
@@ -170,17 +176,39 @@
         self.max_milli_cores = max(self.max_milli_cores, milli_cores)
 
     def adopt_directory(self, directory: Directory) -> None:
-        """Replace the known targets."""
+        """Replace the known targets.
+
+        Parameters
+        ----------
+        directory
+            Valid entries of targets, of any service.
+        """
+        self.entries = dict(directory)
+        in_force = self.entries_in_force()
         before = {record.life for record in self.directory.values()}
-        current = {record.life for record in directory.values()}
+        current = {record.life for record in in_force.values()}
         self.departed.update(dict.fromkeys(before - current))
         for life in current & self.departed.keys():
             self.departed.pop(life)
         while len(self.departed) > MAX_DEPARTED:
             self.departed.pop(next(iter(self.departed)))
-        self.directory = dict(directory)
+        self.directory = in_force
         self.notify(self.on_directory)
 
+    def entries_in_force(self) -> dict[TargetId, TargetRecord]:
+        """Return the entries whose service the route table names.
+
+        Without a route table all entries, as none can be told to be foreign.
+        """
+        if self.routes is None:
+            return dict(self.entries)
+        named = self.routes.service_names()
+        return {
+            target: record
+            for target, record in self.entries.items()
+            if record.service in named
+        }
+
     def is_leaving(self, life: TargetLife) -> bool:
         """Whether a target is known to leave, or to have left.
 
--- a/src/laburnumyard/gateway/_shard_runner.py
+++ b/src/laburnumyard/gateway/_shard_runner.py
@@ -1,7 +1,7 @@
 """Executes the shard assignment of one service: moves, grants, releases."""
 
 import time
-from collections.abc import Awaitable, Callable, Iterable, Iterator, Mapping
+from collections.abc import Awaitable, Callable, Iterable
 from weakref import WeakKeyDictionary
 
 import anyio
@@ -24,12 +24,12 @@
     is_outdated,
 )
 from laburnumyard.core.target_directory import (
-    Directory,
     TargetLife,
     TargetRecord,
     TargetState,
     records_of,
 )
+from laburnumyard.core.target_lives import ended_lives, restarted_lives
 from laburnumyard.gateway._cluster_view import ClusterView, Member
 from laburnumyard.gateway._key_recovery import (
     RELEASE_TIMEOUT_S,
@@ -76,65 +76,6 @@
 StandDown = Callable[[Member, ServiceName, int], Awaitable[bool]]
 
 
-def ended_lives(
-    lives: Mapping[TargetLife, str], directory: Directory
-) -> Iterator[TargetLife]:
-    """Yield the target lives that have certainly ended.
-
-    Proof is a later start at another address, or another target at the address.
-
-    Parameters
-    ----------
-    lives
-        Addresses of known target lives.
-    directory
-        Current targets.
-    """
-    records = sorted(directory.values(), key=_started_at)
-    # An ended target's entry may still have the address; the last start wins.
-    holders = {record.address: record.life for record in records}
-    for life, address in lives.items():
-        current_record = directory.get(life.target)
-        is_restarted = bool(
-            current_record and is_later(current_record.life, life)
-        )
-        holder = holders.get(address)
-        if holder is None:
-            is_ended = is_restarted
-        else:
-            is_ended = holder.target != life.target
-        if is_ended:
-            yield life
-
-
-def restarted_lives(
-    lives: Mapping[TargetLife, str], directory: Directory
-) -> Iterator[TargetLife]:
-    """Yield the lives that a later start at the same address has replaced.
-
-    Orders name the target but not its start. A renewal in flight may have
-    reached the later start, which then must release the keys.
-
-    Parameters
-    ----------
-    lives, directory
-        As in ``ended_lives``.
-    """
-    for life, address in lives.items():
-        current_record = directory.get(life.target)
-        if (
-            current_record
-            and current_record.address == address
-            and is_later(current_record.life, life)
-        ):
-            yield life
-
-
-def is_later(life: TargetLife, other: TargetLife) -> bool:
-    """Tell whether one life of a target started after another."""
-    return life.started_at_ms > other.started_at_ms
-
-
 class ShardRunner:
     """Runs the shard manager of a service while this gateway coordinates it.
 
@@ -467,6 +408,8 @@
         for record in records:
             self.lives[record.life] = record.address
         for life in ended_lives(self.lives, self.view.directory):
+            if life not in self.manager.dead:
+                _log_ended(life)
             self.manager.note_dead(life)
         replaced = restarted_lives(self.lives, self.view.directory)
         self.manager.restarted.update(replaced)
@@ -585,8 +528,14 @@
     return dispatcher.scheduler.limiter.quiet_targets(now)
 
 
-def _started_at(record: TargetRecord) -> int:
-    return record.life.started_at_ms
+def _log_ended(life: TargetLife) -> None:
+    log_event(
+        Event.TARGET,
+        target=life.target,
+        state='ended',
+        started_at_ms=life.started_at_ms,
+        proof='later-start',
+    )
 
 
 async def _never_stands_down(
--- a/src/laburnumyard/platform/_order_transport.py
+++ b/src/laburnumyard/platform/_order_transport.py
@@ -11,6 +11,7 @@
 from laburnumyard.platform._wire_format import (
     EXPECT_INSTANCE_HEADER,
     INSTANCE_ID_HEADER,
+    NOT_EXECUTED_HEADER,
 )
 from laburnumyard.transport import (
     Endpoint,
@@ -86,6 +87,10 @@
     if instance != target:
         return OrderReply(Reply.GONE, detail=f'response from {instance}')
     reply = REPLIES_BY_STATUS.get(answer.status, Reply.UNKNOWN)
+    if reply is Reply.REJECTED and NOT_EXECUTED_HEADER in answer.headers:
+        # The order was taken for a request without an id: the process at the
+        # address takes no orders, so the target has ended.
+        reply = Reply.GONE
     return OrderReply(
         reply,
         answer.headers.get(HANDOVER_HEADER, ''),
--- a/src/laburnumyard/platform/_wire_format.py
+++ b/src/laburnumyard/platform/_wire_format.py
@@ -144,7 +144,9 @@
     slots = read_count(fields, 'maxConcurrency')
     if not slots:
         raise ValueError('maxConcurrency is 0; it must be at least 1')
-    # `version` is the software version of the target.
+    # The software version of the target. An entry without it is not the
+    # target's own.
+    read_name(fields, 'version')
     warm_up_ms = read_amount(fields, 'warmupLeftMs')
     return TargetRecord(
         TargetLife(TargetId(target), read_count(fields, 'born')),
@@ -154,7 +156,7 @@
         slots,
         TARGET_STATES[state],
         Seconds(warm_up_ms / MS_PER_SECOND),
-        read_count(fields, 'sequence') if 'sequence' in fields else 0,
+        read_count(fields, 'sequence'),
     )
 
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -4,12 +4,14 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
+from laburnumyard.core.ids import ServiceName
+from laburnumyard.core.routes import RouteTable, ServiceSpec
 from laburnumyard.gateway import Platform
 from laburnumyard.gateway._cluster_view import ClusterView
 from laburnumyard.gateway._platform_interface import Item
 from laburnumyard.gateway._store_health import StoreHealth
 from laburnumyard.gateway._store_watcher import StoreWatcher
-from tests.platform.conftest import encode_entry
+from tests.platform.conftest import ENTRY, encode_entry
 
 NESTED = b'{"service": %b}' % (b'[' * 100_000)
 HUGE = 10**400
@@ -39,6 +41,10 @@
         address='10.1.0.9:\N{ARABIC-INDIC DIGIT EIGHT}080'
     ),
     'lone-surrogate': encode_entry(service='\ud800'),
+    'no-version': encode_entry(version=None),
+    'version-number': encode_entry(version=7),
+    'no-sequence': encode_entry(sequence=None),
+    'sequence-text': encode_entry(sequence='4'),
     'lone-surrogate-zone': encode_entry(zone='lima-\udfff'),
 }
 
@@ -54,6 +60,32 @@
     assert_that(list(watcher.view.directory), Equals(['good']))
 
 
+# OWNER, RECOVER: the entry of a service in no configuration ended a live
+# target, and was probed and counted like one.
+def test_an_entry_of_a_service_without_configuration_has_no_effect(watcher):
+    view = watcher.view
+    view.adopt_routes(make_table(1, 'a'))
+    own = Item('servers/good', encode_entry(), 4)
+    foreign = encode_entry(service='bodega', born=ENTRY['born'] + 1)
+    watcher.target_entries.apply_changes((own,))
+    watcher.target_entries.apply_changes((Item('servers/b-77', foreign, 5),))
+    assert_that(list(view.directory), Equals(['good']))
+    view.adopt_routes(make_table(2, 'a', 'bodega'))
+    assert_that(sorted(view.directory), Equals(['b-77', 'good']))
+    view.adopt_routes(make_table(3, 'a'))
+    assert_that(list(view.directory), Equals(['good']))
+    departed = view.departed
+    assert_that([life.target for life in departed], Equals(['b-77']))
+
+
+def make_table(version, *services):
+    specs = {
+        ServiceName(name): ServiceSpec(ServiceName(name), '/healthz', 9, False)
+        for name in services
+    }
+    return RouteTable(version, (), specs)
+
+
 def test_an_address_is_known_in_one_form(wire_format):
     entry = encode_entry(address='10.1.0.9:08080')
     decoded = wire_format.decode_target('servers/a', entry)
