--- a/src/laburnumyard/core/shards/__init__.py
+++ b/src/laburnumyard/core/shards/__init__.py
@@ -12,8 +12,10 @@
     Order,
     Phase,
     Piece,
+    RangeRelease,
     Release,
     Reply,
+    TargetOrder,
     is_outdated,
 )
 from laburnumyard.core.shards._settings import ShardSettings
@@ -29,9 +31,11 @@
     'Order',
     'Phase',
     'Piece',
+    'RangeRelease',
     'Release',
     'Reply',
     'ShardManager',
     'ShardSettings',
+    'TargetOrder',
     'is_outdated',
 )
--- a/src/laburnumyard/core/shards/_manager.py
+++ b/src/laburnumyard/core/shards/_manager.py
@@ -9,6 +9,7 @@
 
 from bisect import bisect_right
 from collections.abc import Collection, Iterable, Iterator, Mapping
+from dataclasses import replace
 from operator import attrgetter
 from weakref import WeakKeyDictionary
 
@@ -104,8 +105,11 @@
         until = Seconds(now + self.settings.outage_hold_s + max_hold)
         for piece in self.pieces:
             piece.may_hold_until = until
+            piece.may_be_granted = True
+            # All that is known of their grants is that the piece moved later.
+            earlier = FencingToken(max(0, piece.token - 1))
             piece.former_holders = tuple(
-                FormerHolder(former.life, until)
+                FormerHolder(former.life, until, earlier)
                 for former in piece.former_holders
             )
             if piece.former_holders:
@@ -139,7 +143,7 @@
         for piece in self.pieces:
             piece.may_hold_until = min(piece.may_hold_until, until)
             piece.former_holders = tuple(
-                FormerHolder(former.life, min(former.until, until))
+                replace(former, until=min(former.until, until))
                 for former in piece.former_holders
             )
 
@@ -241,6 +245,7 @@
             piece.phase = Phase.RELEASING
             piece.moved_at = now
             piece.may_hold_until = Seconds(0)
+            piece.may_be_granted = False
             piece.has_order_in_flight = False
             self.paused_until.pop(piece, None)
         self.has_stored_formers = any(
@@ -302,7 +307,7 @@
             self.paused_until[piece] = Seconds(now + UNRESPONSIVE_AFTER_S)
             return True
         if isinstance(order, Release):
-            piece.record_release(order.life, handover)
+            piece.record_release(order.life, handover, order.token)
         else:
             self._record_granted(piece, order)
         return False
@@ -313,6 +318,7 @@
 
     def _grant(self, piece: Piece, now: Seconds) -> Grant:
         piece.has_order_in_flight = True
+        piece.may_be_granted = True
         max_hold_until = Seconds(now + self.settings.max_hold_s)
         piece.may_hold_until = max(piece.may_hold_until, max_hold_until)
         return Grant(
@@ -345,13 +351,8 @@
 
 
 def _release(piece: Piece, unknown_holders: UnknownHolders) -> Iterator[Order]:
-    if unknown_holders.includes_holder_of(piece):
+    former = unknown_holders.unreleased(piece)
+    if former is None:
         return
     piece.has_order_in_flight = True
-    yield Release(
-        piece,
-        piece.former_holders[0].life,
-        piece.first,
-        piece.last,
-        piece.token,
-    )
+    yield Release(piece, former.life, piece.first, piece.last, piece.token)
--- a/src/laburnumyard/core/shards/_pieces.py
+++ b/src/laburnumyard/core/shards/_pieces.py
@@ -8,6 +8,7 @@
 from laburnumyard.core.target_directory import TargetLife
 
 MAX_SHARD_KEY = 65_535
+NO_TOKEN = FencingToken(0)
 
 
 class Phase(Enum):
@@ -30,10 +31,13 @@
         The target instance.
     until
         When its grant has certainly expired, in seconds.
+    token
+        Highest fencing token with which it may hold the piece.
     """
 
     life: TargetLife
     until: Seconds
+    token: FencingToken = NO_TOKEN
 
 
 @dataclass(slots=True, eq=False, weakref_slot=True)
@@ -62,6 +66,8 @@
         When the grant has to be renewed.
     moved_at
         When the holder last changed.
+    may_be_granted
+        Whether the holder may have been sent a grant with this token.
     has_order_in_flight
         Whether an order for the piece is in flight.
     is_replaced
@@ -80,6 +86,7 @@
     may_hold_until: float = 0
     renew_at: float = 0
     moved_at: float = 0
+    may_be_granted: bool = False
     has_order_in_flight: bool = False
     is_replaced: bool = False
 
@@ -117,10 +124,25 @@
         if not self.former_holders:
             self.phase = Phase.GRANTING
 
-    def record_release(self, life: TargetLife, handover: str) -> None:
-        """Record that a former holder released the piece."""
+    def record_release(
+        self, life: TargetLife, handover: str, token: FencingToken
+    ) -> None:
+        """Record that a former holder released the piece.
+
+        Parameters
+        ----------
+        life
+            The former holder.
+        handover
+            Data that it returned.
+        token
+            The fencing token of the release. It ends grants with a lower token,
+            also those that are still in flight, and no others.
+        """
         self.former_holders = tuple(
-            former for former in self.former_holders if former.life != life
+            former
+            for former in self.former_holders
+            if former.life != life or former.token >= token
         )
         self.handover = handover or self.handover
         if not self.former_holders:
@@ -171,6 +193,19 @@
 Order = Grant | Release
 
 
+@dataclass(frozen=True, slots=True)
+class RangeRelease:
+    """Order to a target to release all keys of a range, whatever it holds."""
+
+    life: TargetLife
+    first: ShardKey
+    last: ShardKey
+    token: FencingToken
+
+
+TargetOrder = Order | RangeRelease
+
+
 def is_outdated(order: Order) -> bool:
     """Whether the piece of an order has moved or was replaced since."""
     return order.piece.is_replaced or order.piece.token != order.token
--- a/src/laburnumyard/core/shards/_reassignment.py
+++ b/src/laburnumyard/core/shards/_reassignment.py
@@ -58,7 +58,7 @@
         )
         former_holders = (
             *earlier_formers,
-            FormerHolder(piece.holder, piece.may_hold_until),
+            FormerHolder(piece.holder, piece.may_hold_until, piece.token),
         )
     return Piece(
         piece.first,
--- a/src/laburnumyard/core/shards/_unanswered_grants.py
+++ b/src/laburnumyard/core/shards/_unanswered_grants.py
@@ -2,11 +2,11 @@
 
 from bisect import bisect_left, bisect_right
 from collections.abc import Sequence
+from dataclasses import replace
 from operator import attrgetter
 
 from laburnumyard.core.ids import Seconds
 from laburnumyard.core.shards._pieces import (
-    FormerHolder,
     Grant,
     Order,
     Piece,
@@ -83,7 +83,7 @@
             if piece.holder == grant.life:
                 piece.may_hold_until = max(piece.may_hold_until, hold_until)
             piece.former_holders = tuple(
-                FormerHolder(former.life, max(former.until, hold_until))
+                replace(former, until=max(former.until, hold_until))
                 if former.life == grant.life
                 else former
                 for former in piece.former_holders
--- a/src/laburnumyard/gateway/_key_recovery.py
+++ b/src/laburnumyard/gateway/_key_recovery.py
@@ -6,11 +6,10 @@
 from expression import Result
 
 from laburnumyard.clocks import boot_time
-from laburnumyard.core.ids import FencingToken, Seconds, ShardKey
+from laburnumyard.core.ids import FencingToken, Seconds, ServiceName
 from laburnumyard.core.shards import (
-    MAX_SHARD_KEY,
     Move,
-    Release,
+    RangeRelease,
     Reply,
     ShardManager,
 )
@@ -18,6 +17,7 @@
 from laburnumyard.gateway._platform_interface import Item, TargetOrders
 from laburnumyard.gateway._record_encoding import StoredAssignment
 from laburnumyard.gateway._store_revision import era_of
+from laburnumyard.telemetry import Event, log_event
 
 # A release is answered only after running requests end.
 RELEASE_TIMEOUT_S = 2.5
@@ -72,61 +72,74 @@
 
     Parameters
     ----------
+    service
+        The service of the keys.
     orders
         Transport of orders.
     manager
-        Assignment of the keys.
+        Assignment of the keys; just written with the moves of
+        ``fencing_moves``.
     addresses
         Addresses of the target instances.
     """
 
     def __init__(
         self,
+        service: ServiceName,
         orders: TargetOrders,
         manager: ShardManager,
         addresses: Mapping[TargetLife, str],
     ) -> None:
         """Create the object; see ``run``."""
+        self.service = service
         self.orders = orders
         self.manager = manager
         self.addresses = addresses
+        self.unknown_holders = manager.unknown_holders
+        self.unknown_holders.token = FencingToken(manager.revision)
 
     async def run(self) -> None:
         """Free the keys at all targets that may hold any."""
         async with anyio.create_task_group() as tasks:
-            for life in tuple(self.manager.unknown_holders.lives):
+            for life in tuple(self.unknown_holders.lives):
                 tasks.start_soon(self.release_all, life)
 
     async def release_all(self, life: TargetLife) -> None:
-        """Have a target release all keys.
+        """Have a target release all keys that it was not granted since.
 
         Without an answer, its grants are waited for: pieces drop holders whose
         grants have expired.
         """
-        while life not in self.manager.dead and self.may_hold_keys(life):
-            order = Release(
-                # The order is for all keys, not for this piece.
-                self.manager.pieces[0],
-                life,
-                ShardKey(0),
-                ShardKey(MAX_SHARD_KEY),
-                FencingToken(self.manager.revision),
-            )
-            answer = await self.orders.send(
-                order,
-                self.addresses[life],
-                Seconds(RELEASE_TIMEOUT_S),
-                may_reconnect=True,
-            )
-            if answer.reply in {Reply.DONE, Reply.GONE}:
+        while life not in self.manager.dead:
+            order = self.unknown_holders.next_release(life, self.manager.pieces)
+            if order is None:
                 break
-            await anyio.sleep(RETRY_PAUSE_S)
-        self.manager.unknown_holders.note_released(life, self.manager.pieces)
-
-    def may_hold_keys(self, life: TargetLife) -> bool:
-        """Whether a target may still hold a key."""
-        return any(
-            former.life == life
-            for piece in self.manager.pieces
-            for former in piece.former_holders
+            reply = await self.send(order)
+            if reply is Reply.DONE:
+                self.unknown_holders.note_released(order, self.manager.pieces)
+            elif reply is Reply.GONE:
+                self.manager.note_dead(life)
+            else:
+                await anyio.sleep(RETRY_PAUSE_S)
+        self.unknown_holders.lives.discard(life)
+
+    async def send(self, order: RangeRelease) -> Reply:
+        """Send an order and return the reply."""
+        answer = await self.orders.send(
+            order,
+            self.addresses[order.life],
+            Seconds(RELEASE_TIMEOUT_S),
+            may_reconnect=True,
+        )
+        log_event(
+            Event.ORDER,
+            service=self.service,
+            order='range-release',
+            target=order.life.target,
+            first=order.first,
+            last=order.last,
+            token=order.token,
+            reply=answer.reply,
+            detail=answer.detail,
         )
+        return answer.reply
--- a/src/laburnumyard/gateway/_platform_interface.py
+++ b/src/laburnumyard/gateway/_platform_interface.py
@@ -10,7 +10,7 @@
 from laburnumyard.core.ids import AttemptId, Seconds, ShardKey, TargetId
 from laburnumyard.core.rate_limits import NO_LIMIT, LimitStatement
 from laburnumyard.core.routes import RouteTable
-from laburnumyard.core.shards import Order, Reply
+from laburnumyard.core.shards import Reply, TargetOrder
 from laburnumyard.core.target_directory import TargetRecord
 
 # Identifier of a store lease; keys attached to it are removed when it ends.
@@ -162,7 +162,7 @@
 
     async def send(
         self,
-        order: Order,
+        order: TargetOrder,
         address: str,
         timeout_s: Seconds,
         *,
--- a/src/laburnumyard/gateway/_shard_runner.py
+++ b/src/laburnumyard/gateway/_shard_runner.py
@@ -149,7 +149,7 @@
             tasks.start_soon(self.await_predecessors, predecessors)
             tasks.start_soon(self.send_due_orders, tasks)
             recovery = KeyRecovery(
-                self.platform.orders, self.manager, self.lives
+                self.service, self.platform.orders, self.manager, self.lives
             )
             tasks.start_soon(recovery.run)
             await self.balance(tasks)
--- a/src/laburnumyard/platform/_order_transport.py
+++ b/src/laburnumyard/platform/_order_transport.py
@@ -5,7 +5,7 @@
 from types import MappingProxyType
 
 from laburnumyard.core.ids import Seconds, TargetId
-from laburnumyard.core.shards import Grant, Order, Reply
+from laburnumyard.core.shards import Grant, Reply, TargetOrder
 from laburnumyard.gateway._platform_interface import OrderReply
 from laburnumyard.platform._document_fields import MS_PER_SECOND
 from laburnumyard.platform._wire_format import (
@@ -43,7 +43,7 @@
 
     async def send(
         self,
-        order: Order,
+        order: TargetOrder,
         address: str,
         timeout_s: Seconds,
         *,
@@ -61,7 +61,7 @@
         return OrderReply(Reply.UNKNOWN, detail=exchange_result.error.detail)
 
 
-def _encode(order: Order) -> HttpRequest:
+def _encode(order: TargetOrder) -> HttpRequest:
     # On the wire, `target` is the last key of the range and `fence` is the
     # fencing token.
     body: dict[str, object] = {
--- a/tests/gateway/test_lost_assignment.py
+++ b/tests/gateway/test_lost_assignment.py
@@ -7,6 +7,7 @@
 from testtools.matchers import Equals, Is
 
 from laburnumyard.core.shards import Reply
+from laburnumyard.core.target_directory import TargetState
 from laburnumyard.gateway._cluster_view import (
     Coordinator,
     UnconfirmedCoordinator,
@@ -23,6 +24,7 @@
     FIRST,
     SERVICE,
     all_served,
+    make_record,
     make_runner,
     orders,
     run_until,
@@ -140,6 +142,66 @@
     assert_that(granted, Equals({'2'}))
 
 
+# OWNER: the answer to the release of all keys freed keys that the target had
+# been granted after the release was sent.
+async def test_a_late_answer_to_the_release_of_all_keys_ends_no_later_grant(
+    make_runner, store, orders, view, restored, wait_until
+):
+    runner, dispatcher = make_runner(epoch=revision_in(1, 5))
+    await run_until(runner, dispatcher, all_served)
+    restored(store.item)
+    orders.given.clear()
+    orders.busy['1'] = anyio.Event()
+    runner, dispatcher = make_runner(epoch=revision_in(2, 71), session=ANOTHER)
+    with anyio.fail_after(TIMEOUT_S):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(runner.run, dispatcher)
+            await wait_until(lambda: is_granted(orders, '1'))
+            leaving = make_record('1', state=TargetState.DRAINING)
+            view.adopt_directory({**view.directory, leaving.target: leaving})
+            await wait_until(lambda: moved_away(runner, '1'))
+            orders.busy.pop('1').set()
+            await wait_until(lambda: all_served(runner.manager))
+            tasks.cancel_scope.cancel()
+    assert_that(orders.shared, Equals([]))
+
+
+# Seen by reading: a release of all keys that was sent once more had the token
+# of a later write, and stopped the grants that the target had by then.
+async def test_a_repeated_release_of_all_keys_leaves_later_grants(
+    make_runner, store, orders, restored, wait_until
+):
+    runner, dispatcher = make_runner(epoch=revision_in(1, 5))
+    await run_until(runner, dispatcher, all_served)
+    restored(store.item)
+    orders.given.clear()
+    orders.busy['1'] = anyio.Event()
+    runner, dispatcher = make_runner(epoch=revision_in(2, 71), session=ANOTHER)
+    with anyio.fail_after(TIMEOUT_S):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(runner.run, dispatcher)
+            await wait_until(lambda: is_granted(orders, '1'))
+            orders.lost.add('1')
+            orders.busy.pop('1').set()
+            await anyio.sleep(0.5)
+            orders.lost.clear()
+            await wait_until(lambda: all_served(runner.manager))
+            tasks.cancel_scope.cancel()
+    for piece in runner.manager.pieces:
+        keys = set(range(piece.first, piece.last + 1))
+        assert_that(orders.held[piece.holder.target] >= keys, Is(True))
+
+
+def is_granted(orders, target):
+    return any(
+        kind == 'Grant' and name == target for kind, name, _ in orders.given
+    )
+
+
+def moved_away(runner, target):
+    return all(piece.holder.target != target for piece in runner.manager.pieces)
+
+
 async def test_an_assignment_that_the_store_lost_whole(
     make_runner, store, orders, view, restored
 ):
--- a/tests/gateway/test_shard_runner.py
+++ b/tests/gateway/test_shard_runner.py
@@ -16,7 +16,7 @@
 )
 from laburnumyard.core.scheduling import Scheduler, SchedulerSettings
 from laburnumyard.core.shards import (
-    Release,
+    Grant,
     Reply,
     ShardManager,
     ShardSettings,
@@ -80,20 +80,29 @@
         # Keys that each target holds, and grants of keys of another holder.
         self.held = defaultdict(set)
         self.shared = []
+        # Targets whose work keeps them from answering releases, until set.
+        self.busy = {}
+        # Targets whose answers to releases are lost.
+        self.lost = set()
 
     async def send(self, order, address, timeout_s, *, may_reconnect):
         await anyio.lowlevel.checkpoint()
         self.last = order
         self.may_reconnect = may_reconnect
-        self.given.append((type(order).__name__, order.life.target, address))
+        kind = 'Grant' if isinstance(order, Grant) else 'Release'
+        self.given.append((kind, order.life.target, address))
         reply = self.replies.get(order.life.target, Reply.DONE)
         if reply is Reply.DONE:
             self.execute(order)
+        if kind == 'Release' and order.life.target in self.busy:
+            await self.busy[order.life.target].wait()
+        if kind == 'Release' and order.life.target in self.lost:
+            return OrderReply(Reply.UNKNOWN)
         return OrderReply(reply, 'handover')
 
     def execute(self, order):
         keys = set(range(order.first, order.last + 1))
-        if isinstance(order, Release):
+        if not isinstance(order, Grant):
             self.held[order.life.target] -= keys
             return
         for target, held in self.held.items():
