OWNER: a piece that comes back to a target is not taken for never held there

What callers could see: requests for one key run at two targets for up to a hold (8 s). No run outside the tests has shown it.

Cause: the move of a piece forgot until when its new holder may still hold it from before. A target that got a piece back before its release was answered, and lost it again before it was granted, was taken for a former holder whose hold had ended: the next one was granted at once.

A move keeps that time now, as it does for every other former holder.

--- a/src/laburnumyard/core/shards/_manager.py
+++ b/src/laburnumyard/core/shards/_manager.py
@@ -239,12 +239,14 @@
         for move in moves:
             moved = piece_after_move(move.piece, move.to, self.dead)
             piece = move.piece
+            # The new holder may still hold it from before.
+            may_hold_until = piece.may_be_held_until(move.to)
             piece.former_holders = moved.former_holders
             piece.holder = move.to
             piece.token = FencingToken(revision)
             piece.phase = Phase.RELEASING
             piece.moved_at = now
-            piece.may_hold_until = Seconds(0)
+            piece.may_hold_until = may_hold_until
             piece.may_be_granted = False
             piece.has_order_in_flight = False
             self.paused_until.pop(piece, None)
--- a/src/laburnumyard/core/shards/_pieces.py
+++ b/src/laburnumyard/core/shards/_pieces.py
@@ -94,6 +94,17 @@
         """Whether the holder's grant is confirmed and valid."""
         return self.phase is Phase.HELD and now < self.held_until
 
+    def may_be_held_until(self, life: TargetLife) -> Seconds:
+        """Return until when a target may hold the piece; 0 if it does not."""
+        if life == self.holder:
+            return Seconds(self.may_hold_until)
+        ends = (
+            former.until
+            for former in self.former_holders
+            if former.life == life
+        )
+        return next(ends, Seconds(0))
+
     def needs_grant(self, now: Seconds) -> bool:
         """Whether the holder needs a grant or a renewal."""
         return self.phase is Phase.GRANTING or now >= self.renew_at
