--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -68,9 +68,8 @@
         self.tasks = tasks
         self.connections: set[CallerConnection] = set()
         self.is_leaving = False
-        self.is_closed = False
-        # Set once the server is closed and no request is in flight.
-        self.idle = anyio.Event()
+        # Set and replaced when a connection ends or becomes free.
+        self.changed = anyio.Event()
         self.listener: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
@@ -90,8 +89,15 @@
         return sum(len(each.pending_requests) for each in self.connections)
 
     def announce_leaving(self) -> None:
-        """Close each connection after its next response."""
+        """Take at most one more request on each connection, then close it.
+
+        Requests behind the last one that was read are left unread: callers
+        send them again elsewhere.
+        """
         self.is_leaving = True
+        for connection in tuple(self.connections):
+            if connection.pending_requests:
+                connection.stop_reading()
 
     def close_idle(self) -> None:
         """Stop accepting connections and close the idle ones."""
@@ -99,18 +105,25 @@
             self.listener.close()
         for connection in tuple(self.connections):
             connection.close_if_idle()
-        self.is_closed = True
-        self.update_idle()
 
-    def update_idle(self) -> None:
-        """Set ``idle`` once the server is closed and has no request left."""
-        if self.is_closed and not self.in_flight:
-            self.idle.set()
+    async def wait_idle(self) -> None:
+        """Wait until all requests are answered."""
+        while any(connection.is_busy for connection in self.connections):
+            await self.changed.wait()
+
+    def announce_change(self) -> None:
+        """Wake who waits for connections to end."""
+        if self.is_leaving:
+            self.changed.set()
+            self.changed = anyio.Event()
 
 
 class CallerConnection(asyncio.Protocol):
     """Protocol of one caller connection.
 
+    A half-closed connection is treated as a disconnect, which is the default
+    of ``asyncio.Protocol.eof_received``.
+
     Parameters
     ----------
     server
@@ -125,7 +138,7 @@
         self.transport: asyncio.Transport | None = None
         self.pending_requests: deque[PendingRequest] = deque()
         self.timer: asyncio.TimerHandle | None = None
-        # Set before the last response; received bytes are ignored from then on.
+        # Set with the last request; received bytes are ignored from then on.
         self.is_closing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -142,16 +155,17 @@
         for pending in self.pending_requests:
             pending.scope.cancel()
         self.pending_requests.clear()
-        self.server.update_idle()
+        self.server.announce_change()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a response is due."""
+        return bool(self.pending_requests)
 
     def limits(self) -> CallerLimits:
         """Return the current size and time limits."""
         return self.server.limits()
 
-    def eof_received(self) -> bool:
-        """Treat a half-closed connection as a disconnect."""
-        return False
-
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         if self.is_closing:
@@ -181,10 +195,9 @@
         self.stop_timer()
         pending = PendingRequest(keep_alive, request.method)
         self.pending_requests.append(pending)
-        if not pending.keep_alive:
-            # Bytes after the last request of a connection are ignored.
-            self.is_closing = True
-        if (
+        if self.server.is_leaving or not pending.keep_alive:
+            self.stop_reading()
+        elif (
             len(self.pending_requests) >= MAX_PIPELINED_REQUESTS
             and self.transport
         ):
@@ -198,7 +211,7 @@
         with pending.scope:
             pending.response = await self.response(request)
             self.write_responses()
-        self.server.update_idle()
+        self.server.announce_change()
 
     async def response(self, request: CallerRequest) -> CallerResponse:
         """Return the response to a request; an internal error gives a 502."""
@@ -223,11 +236,7 @@
             if self.transport is None or self.transport.is_closing():
                 return
             is_last = not self.pending_requests
-            closes = is_last and (
-                self.is_closing
-                or self.server.is_leaving
-                or not pending.keep_alive
-            )
+            closes = is_last and self.is_closing
             self.transport.write(encode_response(pending, closes=closes))
             if closes:
                 self.close()
@@ -240,6 +249,16 @@
         if not self.pending_requests and not self.reader.is_in_message:
             self.wait_for_request()
 
+    def stop_reading(self) -> None:
+        """Take no further request; the last response closes the connection.
+
+        Received bytes are still taken from the socket: closing it with unread
+        bytes would reset the connection and could lose the response.
+        """
+        self.is_closing = True
+        if self.transport:
+            self.transport.resume_reading()
+
     def close(self) -> None:
         """Half-close now and close the socket after ``CLOSE_LINGER_S``."""
         self.is_closing = True
@@ -253,9 +272,13 @@
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight or being read."""
         if not self.pending_requests and not self.reader.is_in_message:
-            self.is_closing = True
-            if self.transport:
-                self.transport.close()
+            self.abandon()
+
+    def abandon(self) -> None:
+        """Close the connection without a response."""
+        self.is_closing = True
+        if self.transport:
+            self.transport.close()
 
     def reject(self, status: HTTPStatus) -> None:
         """Queue an error response behind those pending, then close."""
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -10,7 +10,7 @@
 from anyio.abc import TaskGroup
 
 from laburnumyard.clocks import boot_time, new_incarnation
-from laburnumyard.core.ids import DaemonName, DataCentre, Incarnation
+from laburnumyard.core.ids import DaemonName, DataCentre, Incarnation, Seconds
 from laburnumyard.core.reachability import TargetReach
 from laburnumyard.core.routes import CallerLimits
 from laburnumyard.gateway._cluster_view import ClusterView, Member
@@ -303,6 +303,7 @@
     async def drain(self) -> None:
         """Hand over the roles and finish the requests in flight."""
         started = boot_time()
+        end = Seconds(started + self.settings.bounds.grace_s - EXIT_RESERVE_S)
         self.caller_server.announce_leaving()
         log_event(
             Event.STOPPING,
@@ -312,12 +313,13 @@
         )
         if self.health.is_reachable or not self.coordination.roles:
             await self.hand_over()
-        end = started + self.settings.bounds.grace_s - EXIT_RESERVE_S
-        await anyio.sleep(started + LOAD_BALANCER_DELAY_S - boot_time())
+        closes_at = min(started + LOAD_BALANCER_DELAY_S, end)
+        await anyio.sleep(closes_at - boot_time())
         self.caller_server.close_idle()
         with anyio.move_on_after(max(0, end - boot_time())):
-            await self.caller_server.idle.wait()
+            await self.caller_server.wait_idle()
             await self.relay_server.wait_idle()
+            await self.caller_server.wait_idle()
         if self.coordination.roles:
             await self.hand_over()
         log_event(
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -8,7 +8,11 @@
 
 from laburnumyard.core.routes import CallerLimits
 from laburnumyard.gateway._http_messages import CallerResponse
-from laburnumyard.gateway._http_server import CallerServer
+from laburnumyard.gateway._http_server import (
+    MAX_PIPELINED_REQUESTS,
+    CallerServer,
+)
+from tests.support.sole import only
 
 pytestmark = pytest.mark.anyio
 LIMITS = CallerLimits(
@@ -161,18 +165,72 @@
         first, _ = await read_answer(reader)
         second, _ = await read_answer(reader)
         with anyio.fail_after(TIMEOUT_S):
-            await server.idle.wait()
+            await server.wait_idle()
     assert_that(first, Not(Contains(b'connection: close')))
     assert_that(second, Contains(b'connection: close'))
 
 
+# LOST: on a connection with further requests waiting a stopping server went on
+# reading, and cut off what it had passed on.
+async def test_a_leaving_server_reads_nothing_behind_a_request(service):
+    service.gates['/slow'] = anyio.Event()
+    async with serving(service) as (server, reader, writer):
+        writer.write(get('/slow'))
+        await anyio.sleep(0.05)
+        server.announce_leaving()
+        writer.write(get('/behind') * 3)
+        await anyio.sleep(0.05)
+        service.gates['/slow'].set()
+        head, body = await read_answer(reader)
+        assert_that(head, Contains(b'connection: close'))
+        assert_that(body, Equals(b'/slow'))
+        assert_that(await reader.read(), Equals(b''))
+    assert_that(paths_of(service), Equals(['/slow']))
+
+
+# LOST: the same on a connection that is idle when the stop begins.
+async def test_a_leaving_server_takes_one_more_request_on_a_connection(service):
+    service.gates['/last'] = anyio.Event()
+    async with serving(service) as (server, reader, writer):
+        server.announce_leaving()
+        writer.write(get('/last') + get('/behind'))
+        await anyio.sleep(0.05)
+        writer.write(get('/behind'))
+        service.gates['/last'].set()
+        head, _ = await read_answer(reader)
+        assert_that(head, Contains(b'connection: close'))
+        assert_that(await reader.read(), Equals(b''))
+    assert_that(paths_of(service), Equals(['/last']))
+
+
+# A response is lost if the socket is closed while received bytes are unread.
+async def test_a_leaving_server_takes_bytes_that_it_leaves_unread(service):
+    service.gates['/slow'] = anyio.Event()
+    async with serving(service) as (server, reader, writer):
+        writer.write(get('/slow') * MAX_PIPELINED_REQUESTS)
+        await anyio.sleep(0.05)
+        connection = only(server.connections)
+        assert_that(connection.transport.is_reading(), Is(False))
+        server.announce_leaving()
+        assert_that(connection.transport.is_reading(), Is(True))
+        writer.write(get('/behind') * 500)
+        service.gates['/slow'].set()
+        for _ in range(MAX_PIPELINED_REQUESTS):
+            await read_answer(reader)
+        assert_that(await reader.read(), Equals(b''))
+    assert_that('/behind' in paths_of(service), Is(False))
+
+
+def paths_of(service):
+    return [request.path for request in service.served]
+
+
 async def test_nothing_behind_a_closing_answer_is_served(service):
     async with serving(service) as (_, reader, writer):
         writer.write(get('/last', 'connection: close\r\n') + get('/behind'))
         await read_answer(reader)
         assert_that(await reader.read(), Equals(b''))
-    paths = [request.path for request in service.served]
-    assert_that(paths, Equals(['/last']))
+    assert_that(paths_of(service), Equals(['/last']))
 
 
 async def test_a_fault_in_serving_is_answered(service):
