FAULT: many small parts of a response cost neither memory nor the event loop

Cause: limits counted bytes on the wire, and each part costs an object and a call: 28.8 MB counted were 623 MB held. Headers were not in the common bound, and parsing went on after a failure. Replies to orders were parsed by h11 without any such limit.

A body is one buffer with a bounded number of parts, headers count with their overhead, all bytes of a response are bounded, and parsing stops at a failure. Orders use the same connections and parser. A target that sends too much is probed with one request at a time.

--- a/src/laburnumyard/core/scheduling/_scheduler.py
+++ b/src/laburnumyard/core/scheduling/_scheduler.py
@@ -42,7 +42,12 @@
 # its expected time, since its full run time is not known.
 INTERRUPTED_RUN_FACTOR = 1.1
 INTERRUPTED_OUTCOMES = frozenset(
-    (Outcome.CANCELLED, Outcome.TIMED_OUT, Outcome.BROKE_OFF)
+    (
+        Outcome.CANCELLED,
+        Outcome.TIMED_OUT,
+        Outcome.BROKE_OFF,
+        Outcome.OVERSIZED,
+    )
 )
 
 
--- a/src/laburnumyard/core/scheduling/_target_slots.py
+++ b/src/laburnumyard/core/scheduling/_target_slots.py
@@ -21,9 +21,15 @@
 FAILURE_GAIN = 0.12
 # Part of the capacity of a limited target that keys are assigned for.
 PLANNED_RATE_FRACTION = 0.5
-# Outcomes after which a target or the path to it may be lost.
+# Outcomes after which a target is probed with one request at a time: it or the
+# path to it may be lost, or its responses cost more than others may lose by it.
 LOSS_OUTCOMES = frozenset(
-    (Outcome.UNREACHABLE, Outcome.TIMED_OUT, Outcome.MISDIRECTED)
+    (
+        Outcome.UNREACHABLE,
+        Outcome.TIMED_OUT,
+        Outcome.MISDIRECTED,
+        Outcome.OVERSIZED,
+    )
 )
 FAILURE_OUTCOMES = frozenset(
     (
@@ -31,6 +37,7 @@
         Outcome.SHED,
         Outcome.UNREACHABLE,
         Outcome.BROKE_OFF,
+        Outcome.OVERSIZED,
         Outcome.TIMED_OUT,
     )
 )
--- a/src/laburnumyard/core/scheduling/_work.py
+++ b/src/laburnumyard/core/scheduling/_work.py
@@ -33,6 +33,8 @@
     # The sender knew that the target is leaving, and did not send.
     LEAVING = 'leaving'
     BROKE_OFF = 'broke-off'
+    # The target sent more than a response may have.
+    OVERSIZED = 'oversized'
     TIMED_OUT = 'timed-out'
     CANCELLED = 'cancelled'
 
--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -38,6 +38,7 @@
 from laburnumyard.gateway._target_connection_pool import TargetConnectionPool
 from laburnumyard.telemetry import METRICS, Event, log_decision
 from laburnumyard.transport import (
+    FailureKind,
     TargetConnection,
     TargetFailure,
     TargetRequest,
@@ -432,18 +433,24 @@
             attempt.sends -= 1
             attempt.refusals += 1
             return None, Outcome.UNREACHABLE
-        return self.record_lost_response(attempt, failure.kind.value)
+        outcome = Outcome.BROKE_OFF
+        if failure.kind is FailureKind.TOO_LARGE:
+            outcome = Outcome.OVERSIZED
+        return self.record_lost_response(attempt, failure.kind.value, outcome)
 
     def record_lost_response(
-        self, attempt: Attempt, reason: str
+        self,
+        attempt: Attempt,
+        reason: str,
+        outcome: Outcome = Outcome.BROKE_OFF,
     ) -> tuple[RequestResult | None, Outcome]:
         """Record a lost response; only repeatable requests are retried."""
         attempt.failure = RequestResult(
             CallerResponse(HTTPStatus.BAD_GATEWAY), reason
         )
         if attempt.route.is_repeatable and attempt.may_retry():
-            return None, Outcome.BROKE_OFF
-        return attempt.failure, Outcome.BROKE_OFF
+            return None, outcome
+        return attempt.failure, outcome
 
     async def handle_refusal(
         self, attempt: Attempt, refused: SlotRefused
--- a/src/laburnumyard/platform/_order_transport.py
+++ b/src/laburnumyard/platform/_order_transport.py
@@ -14,15 +14,15 @@
     NOT_EXECUTED_HEADER,
 )
 from laburnumyard.transport import (
-    Endpoint,
-    HttpRequest,
-    HttpResponse,
+    TargetEndpoint,
+    TargetRequest,
+    TargetResponse,
 )
 
 GRANT_PATH = '/-/grant'
 RELEASE_PATH = '/-/release'
 HANDOVER_HEADER = 'laburnumyard-handover'
-JSON_HEADERS = MappingProxyType({'content-type': 'application/json'})
+JSON_HEADER = ('content-type', 'application/json')
 REPLIES_BY_STATUS = MappingProxyType(
     {
         HTTPStatus.OK: Reply.DONE,
@@ -39,7 +39,7 @@
 
     def __init__(self) -> None:
         """Create the object without connections."""
-        self.endpoints: dict[str, Endpoint] = {}
+        self.endpoints: dict[str, TargetEndpoint] = {}
 
     async def send(
         self,
@@ -50,7 +50,7 @@
         may_reconnect: bool = True,
     ) -> OrderReply:
         """Send an order and return the reply."""
-        endpoint = self.endpoints.setdefault(address, Endpoint(address))
+        endpoint = self.endpoints.setdefault(address, TargetEndpoint(address))
         exchange_result = await endpoint.exchange(
             _encode(order), timeout_s, may_reconnect=may_reconnect
         )
@@ -61,7 +61,7 @@
         return OrderReply(Reply.UNKNOWN, detail=exchange_result.error.detail)
 
 
-def _encode(order: TargetOrder) -> HttpRequest:
+def _encode(order: TargetOrder) -> TargetRequest:
     # On the wire, `target` is the last key of the range and `fence` is the
     # fencing token.
     body: dict[str, object] = {
@@ -75,24 +75,21 @@
         body['holdMs'] = int(order.hold_s * MS_PER_SECOND)
         if order.handover:
             body['handover'] = order.handover
-    headers = {
-        **JSON_HEADERS,
-        EXPECT_INSTANCE_HEADER: order.life.target,
-    }
-    return HttpRequest('POST', path, headers, json.dumps(body).encode())
+    headers = (JSON_HEADER, (EXPECT_INSTANCE_HEADER, order.life.target))
+    return TargetRequest('POST', path, headers, json.dumps(body).encode())
 
 
-def _decode_reply(answer: HttpResponse, target: TargetId) -> OrderReply:
-    instance = answer.headers.get(INSTANCE_ID_HEADER, target)
+def _decode_reply(answer: TargetResponse, target: TargetId) -> OrderReply:
+    instance = answer.header(INSTANCE_ID_HEADER) or target
     if instance != target:
         return OrderReply(Reply.GONE, detail=f'response from {instance}')
     reply = REPLIES_BY_STATUS.get(answer.status, Reply.UNKNOWN)
-    if reply is Reply.REJECTED and NOT_EXECUTED_HEADER in answer.headers:
+    if reply is Reply.REJECTED and NOT_EXECUTED_HEADER in dict(answer.headers):
         # The order was taken for a request without an id: the process at the
         # address takes no orders, so the target has ended.
         reply = Reply.GONE
     return OrderReply(
         reply,
-        answer.headers.get(HANDOVER_HEADER, ''),
+        answer.header(HANDOVER_HEADER),
         f'status {answer.status}',
     )
--- a/src/laburnumyard/transport/__init__.py
+++ b/src/laburnumyard/transport/__init__.py
@@ -22,6 +22,7 @@
 )
 from laburnumyard.transport._response_memory import ResponseMemory
 from laburnumyard.transport._target_connection import TargetConnection
+from laburnumyard.transport._target_endpoint import TargetEndpoint
 from laburnumyard.transport._target_exchange import (
     FailureKind,
     TargetFailure,
@@ -40,6 +41,7 @@
     'HttpResponse',
     'ResponseMemory',
     'TargetConnection',
+    'TargetEndpoint',
     'TargetFailure',
     'TargetRequest',
     'TargetResponse',
--- a/src/laburnumyard/transport/_endpoint.py
+++ b/src/laburnumyard/transport/_endpoint.py
@@ -1,6 +1,5 @@
 """HTTP calls to one address over persistent httpcore connections."""
 
-import math
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -24,9 +23,6 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
 )
-# A server that has responded within this time has not been restarted since, so
-# a new connection to it continues the old one.
-CONTINUITY_S = 0.1
 SENDING_HEADERS_EVENT = 'http11.send_request_headers.started'
 
 
@@ -116,23 +112,15 @@
     ----------
     address
         ``IP:PORT`` of the server.
-
-    Attributes
-    ----------
-    answered_at
-        Time of the last complete response, in seconds of the event loop.
     """
 
     address: str
-    answered_at: float = -math.inf
     idle: list[httpcore.AsyncHTTPConnection] = field(default_factory=list)
 
     async def exchange(
         self,
         request: HttpRequest,
         timeout_s: float,
-        *,
-        may_reconnect: bool = True,
     ) -> ExchangeResult:
         """Send a request and return the complete response.
 
@@ -142,18 +130,7 @@
             Request to send; it is not retried.
         timeout_s
             Timeout of the whole exchange, in seconds.
-        may_reconnect
-            Whether the server may have been restarted since its last response.
-            If not, nothing is sent without a connection that is still open.
         """
-        if not may_reconnect and not await self._is_continued():
-            return Error(
-                ExchangeError(
-                    ExchangeFault.UNREACHABLE,
-                    has_left=False,
-                    detail=f'no open connection to {self.address}',
-                )
-            )
         attempt = _Attempt(await self._acquire_connection())
         outcome = attempt.fail(
             ExchangeFault.TIMEOUT,
@@ -209,7 +186,6 @@
             if remaining_bytes < 0:
                 return attempt.fail(ExchangeFault.TOO_LARGE, self.address)
         await response.aclose()
-        self.answered_at = anyio.current_time()
         headers = {
             name.decode('latin-1').lower(): text.decode('latin-1')
             for name, text in response.headers
@@ -240,14 +216,6 @@
             extensions={'trace': attempt.trace},
         )
 
-    async def _is_continued(self) -> bool:
-        """Whether the server is certainly the one that responded last."""
-        connection = await self._take_idle()
-        if connection is not None:
-            self.idle.append(connection)
-            return True
-        return anyio.current_time() - self.answered_at < CONTINUITY_S
-
     async def _take_idle(self) -> httpcore.AsyncHTTPConnection | None:
         while self.idle:
             connection = self.idle.pop()
--- a/src/laburnumyard/transport/_target_parser.py
+++ b/src/laburnumyard/transport/_target_parser.py
@@ -9,6 +9,12 @@
 from laburnumyard.transport._target_exchange import FailureKind, TargetResponse
 
 MAX_HEAD_BYTES = 65_536
+# Each header counts as this many bytes more than it has, for its objects.
+HEADER_OVERHEAD_BYTES = 64
+# A body may have this many parts, and one more for each ``PART_BYTES`` of the
+# largest one: each is a call, and many small ones occupy the event loop.
+MIN_BODY_PARTS = 1024
+PART_BYTES = 1024
 # Interim responses (1xx) before a response; one or two are usual.
 MAX_INTERIM_RESPONSES = 16
 # Headers that determine where a response ends.
@@ -24,6 +30,10 @@
     FAILED = 'failed'
 
 
+class _ParsingStoppedError(Exception):
+    """Raised in a callback of httptools to leave the rest unparsed."""
+
+
 class ResponseParser:
     """Collects one response at a time from the callbacks of httptools.
 
@@ -65,12 +75,19 @@
     def feed(self, received: bytes) -> ResponseState:
         """Parse received bytes and return the state of the response."""
         self.unparsed_bytes += len(received)
+        self.received_bytes += len(received)
         try:
             self.parser.feed_data(received)
+        except httptools.HttpParserCallbackError:
+            # A callback has recorded the failure.
+            self.is_reusable = False
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fail(FailureKind.MALFORMED)
-        if self.unparsed_bytes > MAX_HEAD_BYTES:
-            self._fail(FailureKind.TOO_LARGE)
+            self._record_failure(FailureKind.MALFORMED)
+        is_oversized = (
+            self.received_bytes > self.max_body_bytes + MAX_HEAD_BYTES
+        )
+        if is_oversized or self.unparsed_bytes > MAX_HEAD_BYTES:
+            self._record_failure(FailureKind.TOO_LARGE)
         if self.is_head and self.state is ResponseState.WHOLE:
             # httptools would still expect the body.
             self.parser = httptools.HttpResponseParser(self)
@@ -91,15 +108,17 @@
     def take(self) -> TargetResponse:
         """Return the complete response and reset the state to idle."""
         self.state = ResponseState.IDLE
-        body = b''.join(self.chunks)
+        body = bytes(self.body)
+        headers = tuple(self.headers)
         self.discard()
-        return TargetResponse(self.status, tuple(self.headers), body)
+        return TargetResponse(self.status, headers, body)
 
     def discard(self) -> None:
-        """Drop the body received so far."""
+        """Drop the headers and the body received so far."""
         self.memory.release(self.held_bytes)
         self.held_bytes = 0
-        self.chunks = []
+        self.headers: list[tuple[str, str]] = []
+        self.body = bytearray()
 
     def on_message_begin(self) -> None:
         """Fail on a response without a request in flight."""
@@ -111,10 +130,11 @@
         self.unparsed_bytes = 0
         if self.state is not ResponseState.WAITING:
             return
-        self.head_bytes += len(name) + len(text)
+        size = len(name) + len(text) + HEADER_OVERHEAD_BYTES
+        self.head_bytes += size
         if self.head_bytes > MAX_HEAD_BYTES:
             self._fail(FailureKind.TOO_LARGE)
-            return
+        self._reserve(size)
         header = (name.decode('latin-1').lower(), text.decode('latin-1'))
         self.is_framed = self.is_framed or header[0] in FRAMING_HEADERS
         self.headers.append(header)
@@ -133,12 +153,13 @@
         """Store a part of the body."""
         self.unparsed_bytes = 0
         self.body_bytes += len(body)
-        if self.body_bytes > self.max_body_bytes:
-            self._fail(FailureKind.TOO_LARGE)
-        elif self.state is ResponseState.WAITING:
-            self._keep(body)
-        else:
+        self.body_parts += 1
+        if self.state is not ResponseState.WAITING:
             self._fail(FailureKind.MALFORMED)
+        if self._is_body_oversized():
+            self._fail(FailureKind.TOO_LARGE)
+        self._reserve(len(body))
+        self.body += body
 
     def on_message_complete(self) -> None:
         """Complete the response, unless its status is 1xx."""
@@ -158,20 +179,24 @@
         self.status = 0
         self.is_head_read = False
         self.is_framed = False
-        self.headers: list[tuple[str, str]] = []
         self.discard()
         self.interim_responses = 0
         self.head_bytes = 0
         self.body_bytes = 0
+        self.body_parts = 0
+        self.received_bytes = 0
         # Bytes that httptools buffers until a header is complete.
         self.unparsed_bytes = 0
 
-    def _keep(self, body: bytes) -> None:
-        if self.memory.reserve(len(body)):
-            self.held_bytes += len(body)
-            self.chunks.append(body)
-        else:
+    def _is_body_oversized(self) -> bool:
+        max_parts = MIN_BODY_PARTS + self.max_body_bytes // PART_BYTES
+        is_split = self.body_parts > max_parts
+        return is_split or self.body_bytes > self.max_body_bytes
+
+    def _reserve(self, size: int) -> None:
+        if not self.memory.reserve(size):
             self._fail(FailureKind.TOO_LARGE)
+        self.held_bytes += size
 
     def _is_interim(self) -> bool:
         return self.status < HTTPStatus.OK
@@ -181,6 +206,11 @@
         self.is_reusable = self.parser.should_keep_alive()
 
     def _fail(self, kind: FailureKind) -> None:
+        """Record a failure in a callback, and stop parsing."""
+        self._record_failure(kind)
+        raise _ParsingStoppedError(kind)
+
+    def _record_failure(self, kind: FailureKind) -> None:
         self.is_reusable = False
         if self.state is not ResponseState.WHOLE:
             self.failure = kind
--- a/tests/clients/test_endless_responses.py
+++ b/tests/clients/test_endless_responses.py
@@ -1,6 +1,7 @@
 """Targets in trouble that send bytes without end, in a head or a body."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 from testtools.assertions import assert_that
@@ -10,6 +11,7 @@
 from laburnumyard.transport import (
     ResponseMemory,
     TargetConnection,
+    TargetEndpoint,
     TargetRequest,
 )
 from laburnumyard.transport._target_parser import (
@@ -20,6 +22,7 @@
 
 pytestmark = pytest.mark.anyio
 MAX_BODY_BYTES = 1_000_000
+BODY_LIMIT = 4_000_000
 MAX_ALL_BYTES = 1_500_000
 PART = 10_000
 CONNECT_TIMEOUT_S = 5
@@ -38,6 +41,12 @@
     'body without a length': (UNFRAMED, FILLER),
     'chunks': (CHUNKED, b'2710\r\n%b\r\n' % FILLER),
     'chunk extension': (b'%b1;' % CHUNKED, FILLER),
+    'small chunks': (CHUNKED, b'2\r\nxy\r\n' * 1000),
+    'empty headers': (b'HTTP/1.1 200 OK\r\n', b'x:\r\n' * 1000),
+    'small chunks with extensions': (
+        CHUNKED,
+        b'1;%b\r\nx\r\n' % (b'e' * 5000),
+    ),
     'trailers': (b'%b0\r\n' % CHUNKED, b'x: y\r\n' * 100),
 }
 
@@ -102,6 +111,36 @@
     assert_that(len(failed) >= len(parsers) - 2, Is(True))
 
 
+# FAULT: a gateway ran out of memory, and its other callers waited, while a
+# target sent many small parts, each of which took far more than its bytes.
+@pytest.mark.parametrize('kind', ['small chunks', 'empty headers'])
+def test_small_parts_without_end_take_little_memory(kind):
+    start, part = ENDLESS[kind]
+    memory = ResponseMemory(BODY_LIMIT)
+    parsers = [ResponseParser(BODY_LIMIT, memory) for _ in range(10)]
+    tracemalloc.start()
+    for parser in parsers:
+        parser.expect(is_head=False)
+        parser.feed(start)
+        while parser.state is ResponseState.WAITING:
+            parser.feed(part * 20)
+            _, most = tracemalloc.get_traced_memory()
+            assert_that(most, LessThan(BODY_LIMIT))
+    tracemalloc.stop()
+
+
+async def test_an_order_is_not_held_up_by_a_reply_without_end(endless_target):
+    """Replies to orders are read within the same bounds as responses."""
+    start, part = ENDLESS['small chunks']
+    endless_target.update(start=start, part=part * 20)
+    endpoint = TargetEndpoint(endless_target['address'])
+    order = TargetRequest('POST', '/grant')
+    reply = await endpoint.exchange(order, 1, may_reconnect=True)
+    assert_that(reply.error.kind, Is(FailureKind.TOO_LARGE))
+    await asyncio.wait_for(endless_target['left'].wait(), LEAVE_TIMEOUT_S)
+    assert_that(endpoint.idle, Equals([]))
+
+
 @pytest.mark.parametrize('pause_s', [0, 0.05])
 @pytest.mark.parametrize('kind', ENDLESS)
 async def test_a_target_that_never_ends_is_left_in_time(
--- a/tests/clients/test_endpoint_continuity.py
+++ b/tests/clients/test_endpoint_continuity.py
@@ -7,16 +7,16 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from laburnumyard.transport._endpoint import (
-    CONTINUITY_S,
-    Endpoint,
-    ExchangeFault,
-    HttpRequest,
+from laburnumyard.transport import (
+    FailureKind,
+    TargetEndpoint,
+    TargetRequest,
 )
+from laburnumyard.transport._target_endpoint import CONTINUITY_S
 
 pytestmark = pytest.mark.anyio
 TIMEOUT_S = 5
-RENEWAL = HttpRequest('POST', '/grant', body=b'keys')
+RENEWAL = TargetRequest('POST', '/grant', body=b'keys')
 HEAD = 'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n{0}\r\n'
 
 
@@ -56,36 +56,36 @@
 
 async def test_an_open_connection_is_used():
     async with Server().running() as server:
-        endpoint = Endpoint(f'127.0.0.1:{server.port}')
+        endpoint = TargetEndpoint(f'127.0.0.1:{server.port}')
         await renew(endpoint, may_reconnect=True)
         await asyncio.sleep(2 * CONTINUITY_S)
         assert_that((await renew(endpoint)).is_ok(), Is(True))
-        await endpoint.close()
+        endpoint.close()
 
 
 async def test_nothing_is_sent_to_a_server_that_started_anew():
     async with Server().running() as first:
-        endpoint = Endpoint(f'127.0.0.1:{first.port}')
+        endpoint = TargetEndpoint(f'127.0.0.1:{first.port}')
         await renew(endpoint, may_reconnect=True)
     await asyncio.sleep(2 * CONTINUITY_S)
     async with Server().running(first.port) as second:
         refused = (await renew(endpoint)).error
-        assert_that(refused.fault, Is(ExchangeFault.UNREACHABLE))
+        assert_that(refused.kind, Is(FailureKind.UNREACHABLE))
         assert_that((refused.has_left, second.requests), Equals((False, 0)))
         again = await renew(endpoint, may_reconnect=True)
         assert_that((again.is_ok(), second.requests), Equals((True, 1)))
-        await endpoint.close()
+        endpoint.close()
 
 
 async def test_nothing_is_sent_before_a_first_response():
     async with Server().running() as server:
-        refused = await renew(Endpoint(f'127.0.0.1:{server.port}'))
+        refused = await renew(TargetEndpoint(f'127.0.0.1:{server.port}'))
     assert_that((refused.is_error(), server.requests), Equals((True, 0)))
 
 
 async def test_a_server_that_closes_with_its_response_is_reached_at_once():
     async with Server('connection: close\r\n').running() as server:
-        endpoint = Endpoint(f'127.0.0.1:{server.port}')
+        endpoint = TargetEndpoint(f'127.0.0.1:{server.port}')
         await renew(endpoint, may_reconnect=True)
         assert_that((await renew(endpoint)).is_ok(), Is(True))
         await asyncio.sleep(2 * CONTINUITY_S)
--- a/tests/clients/test_target_parser.py
+++ b/tests/clients/test_target_parser.py
@@ -151,4 +151,4 @@
     state = feed_in_parts(waiting, mutated, size)
     if not edits:
         assert_that(state, Is(ResponseState.WHOLE))
-    assert_that(len(b''.join(waiting.chunks)) <= MAX_BODY_BYTES, Is(True))
+    assert_that(len(waiting.body) <= MAX_BODY_BYTES, Is(True))
