LOST: a stopping gateway passes on only what it can finish

Callers could see: a request that came in slowly, or as slow as its class allows, was passed on late in the grace and cut off without an answer when the process ended, also one that may not be repeated.

Cause: the end of the grace was a time-out around the wait for requests, and the router did not know it. A response also counted as finished when it lay in a buffer of the process.

From SIGTERM on a request is passed on only if its deadline or time-out comes before the exit; others are refused at once, truthfully, with Retry-After. What is not read whole at the end is closed unread. A response is waited for until the socket has taken it and the connection is closed.

--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -106,8 +106,14 @@
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
+    def close_unread(self) -> None:
+        """Close the connections on which no request was read whole."""
+        for connection in tuple(self.connections):
+            if not connection.is_busy:
+                connection.abandon()
+
     async def wait_idle(self) -> None:
-        """Wait until all requests are answered."""
+        """Wait until all requests are answered and the answers are sent."""
         while any(connection.is_busy for connection in self.connections):
             await self.changed.wait()
 
@@ -144,6 +150,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self.transport = transport  # type: ignore[assignment]
+        self.transport.set_write_buffer_limits(high=0)
         self.server.connections.add(self)
         self.wait_for_request()
 
@@ -157,10 +164,17 @@
         self.pending_requests.clear()
         self.server.announce_change()
 
+    def resume_writing(self) -> None:
+        """Note that the socket has taken all bytes that were written."""
+        self.server.announce_change()
+
     @property
     def is_busy(self) -> bool:
-        """Whether a response is due."""
-        return bool(self.pending_requests)
+        """Whether a response is due, or the caller may not have all of it."""
+        if self.transport is None or self not in self.server.connections:
+            return False
+        is_unsent = bool(self.transport.get_write_buffer_size())
+        return bool(self.pending_requests) or is_unsent or self.is_closing
 
     def limits(self) -> CallerLimits:
         """Return the current size and time limits."""
--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -1,5 +1,6 @@
 """Routes a request: slot, target, retries and response."""
 
+import math
 from http import HTTPStatus
 from itertools import count
 
@@ -85,6 +86,8 @@
     ----------
     relay
         Serves requests through peers while no target is reached.
+    ends_at
+        When this process exits, in seconds; infinite unless it is leaving.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         """Create a router without requests."""
         self.reach = reach or TargetReach()
         self.relay: RelayClient | None = None
+        self.ends_at = Seconds(math.inf)
         self.send_numbers = count()
         self.wire_format = wire_format
         self.view = view
@@ -153,6 +157,9 @@
                 CallerResponse(HTTPStatus.NOT_FOUND), 'no-route'
             )
         attempt = self.start_attempt(request, head, route)
+        if attempt.expires_at + LATE_RESPONSE_GRACE_S > self.ends_at:
+            # It might be cut off while a target runs it.
+            return refuse_request('leaving', MIN_RETRY_S)
         attempt.may_relay = may_relay
         log_decision(
             Event.ROUTED,
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -304,6 +304,7 @@
         """Hand over the roles and finish the requests in flight."""
         started = boot_time()
         end = Seconds(started + self.settings.bounds.grace_s - EXIT_RESERVE_S)
+        self.router.ends_at = end
         self.caller_server.announce_leaving()
         log_event(
             Event.STOPPING,
@@ -320,6 +321,7 @@
             await self.caller_server.wait_idle()
             await self.relay_server.wait_idle()
             await self.caller_server.wait_idle()
+        self.caller_server.close_unread()
         if self.coordination.roles:
             await self.hand_over()
         log_event(
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -221,6 +221,49 @@
     assert_that('/behind' in paths_of(service), Is(False))
 
 
+# LOST: a response counted as finished when it was in a buffer of the process,
+# which then ended, though the caller had not got all of it.
+async def test_a_leaving_server_waits_until_a_slow_caller_has_its_response(
+    service,
+):
+    body = b'x' * 20_000_000
+
+    async def serve(request):
+        return CallerResponse(200, (), body)
+
+    service.serve = serve
+    async with serving(service) as (server, reader, writer):
+        writer.write(get('/large'))
+        await anyio.sleep(0.1)
+        server.announce_leaving()
+        server.close_idle()
+        with anyio.move_on_after(0.2) as early:
+            await server.wait_idle()
+        assert_that(early.cancelled_caught, Is(True))
+        _, received = await read_answer(reader)
+        assert_that(received == body, Is(True))
+        writer.close()
+        with anyio.fail_after(TIMEOUT_S):
+            await server.wait_idle()
+
+
+# A request that comes in slowly is left unread at the end, not passed on.
+async def test_a_leaving_server_leaves_a_request_unread_that_is_not_whole(
+    service,
+):
+    async with serving(service) as (server, reader, writer):
+        writer.write(get('/slow', 'content-length: 5\r\n'))
+        writer.write(b'he')
+        await anyio.sleep(0.05)
+        server.announce_leaving()
+        server.close_idle()
+        with anyio.fail_after(TIMEOUT_S):
+            await server.wait_idle()
+        server.close_unread()
+        assert_that(await reader.read(), Equals(b''))
+    assert_that(service.served, Equals([]))
+
+
 def paths_of(service):
     return [request.path for request in service.served]
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -2,6 +2,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, Is, Not
 
+from laburnumyard.clocks import boot_time
 from tests.gateway.conftest import (
     SIGNED,
     FakeSlots,
@@ -221,3 +222,27 @@
         for deadline_ms in (1500, 999_999_999, 1500):
             await router.serve(make_request(deadline_ms=deadline_ms))
     assert_that(slots.asked[2].is_returned, Is(False))
+
+
+# LOST: a stopping process passed on what it could not finish, and cut it off,
+# also requests that may not be repeated.
+@pytest.mark.parametrize('is_repeatable', [True, False])
+@pytest.mark.parametrize('fields', [{}, {'laburnumyard-shard-key': '7'}])
+@pytest.mark.parametrize(
+    ('deadline_ms', 'left_s', 'status'),
+    [(1500, 1.5, 200), (1500, 1.0, 503), (300, 0.6, 200), (300, 0.3, 503)],
+)
+async def test_a_leaving_process_passes_on_only_what_it_can_finish(
+    is_repeatable, fields, deadline_ms, left_s, status
+):
+    target = FakeTarget()
+    async with target.running():
+        slots = FakeSlots(target.address)
+        router = make_router(slots, make_route(is_repeatable))
+        router.ends_at = boot_time() + left_s
+        request = make_request(deadline_ms=deadline_ms, **fields)
+        response = await router.serve(request)
+    assert_that(response.status, Equals(status))
+    assert_that(len(target.received), Equals(int(status == 200)))
+    names = [name for name, _ in response.headers]
+    assert_that('retry-after' in names, Is(status == 503))
