--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -278,7 +278,12 @@
         self.is_closing = True
         self.stop_timer()
         if self.transport and not self.transport.is_closing():
-            self.transport.write_eof()
+            try:
+                self.transport.write_eof()
+            except OSError:
+                # The caller has reset the connection since the last write.
+                self.transport.abort()
+                return
             self.timer = self.loop.call_later(
                 CLOSE_LINGER_S, self.transport.close
             )
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -1,4 +1,5 @@
 import asyncio
+import errno
 from contextlib import asynccontextmanager
 
 import anyio
@@ -264,6 +265,31 @@
     assert_that(service.served, Equals([]))
 
 
+# FAULT, LOST: the process ended by itself, with all its requests, when a caller
+# reset its connection between the last write and the half-close.
+async def test_a_caller_that_resets_as_its_answer_is_written_ends_nothing_else(
+    service, monkeypatch
+):
+    def reset(transport):
+        raise OSError(errno.ENOTCONN, 'Transport endpoint is not connected')
+
+    async with serving(service) as (server, reader, writer):
+        writer.write(get('/one'))
+        await read_answer(reader)
+        connection = only(server.connections)
+        kind = type(connection.transport)
+        with monkeypatch.context() as patch:
+            patch.setattr(kind, 'write_eof', reset)
+            writer.write(get('/two', 'connection: close\r\n'))
+            await read_answer(reader)
+            assert_that(await reader.read(), Equals(b''))
+        host, port = server.listener.sockets[0].getsockname()
+        again, other = await asyncio.open_connection(host, port)
+        other.write(get('/three'))
+        assert_that((await read_answer(again))[1], Equals(b'/three'))
+        other.close()
+
+
 def paths_of(service):
     return [request.path for request in service.served]
 
