--- a/tests/clients/test_endless_responses.py
+++ b/tests/clients/test_endless_responses.py
@@ -129,7 +129,7 @@
     tracemalloc.stop()
 
 
-async def test_an_order_is_not_held_up_by_a_reply_without_end(endless_target):
+async def test_a_reply_to_an_order_without_end_is_cut(endless_target):
     """Replies to orders are read within the same bounds as responses."""
     start, part = ENDLESS['small chunks']
     endless_target.update(start=start, part=part * 20)
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -171,7 +171,12 @@
 
 @pytest.mark.parametrize(
     'outcome',
-    [Outcome.UNREACHABLE, Outcome.MISDIRECTED, Outcome.TIMED_OUT],
+    [
+        Outcome.UNREACHABLE,
+        Outcome.MISDIRECTED,
+        Outcome.TIMED_OUT,
+        Outcome.OVERSIZED,
+    ],
 )
 def test_a_target_that_was_lost_rests_and_is_tried_gently(
     single_slot_scheduler, outcome
--- a/tests/gateway/test_lost_assignment.py
+++ b/tests/gateway/test_lost_assignment.py
@@ -166,8 +166,8 @@
     assert_that(orders.shared, Equals([]))
 
 
-# Seen by reading: a release of all keys that was sent once more had the token
-# of a later write, and stopped the grants that the target had by then.
+# Keys stayed without an owner: a repeated release of all keys had the token of
+# a later write, and stopped the grants that the target had by then.
 async def test_a_repeated_release_of_all_keys_leaves_later_grants(
     make_runner, store, orders, restored, wait_until
 ):
--- a/tests/gateway/test_shard_runner.py
+++ b/tests/gateway/test_shard_runner.py
@@ -409,8 +409,7 @@
     assert_that(list(ended_lives(lives, directory)), Equals([]))
 
 
-# Replaces two tests that took an entry of another target at the address for
-# proof, which review case 1 shows to be wrong.
+# OWNER: an entry of another target at the address was taken for its end.
 @pytest.mark.parametrize('started', [0, 1, 5])
 def test_entries_of_other_targets_at_its_address_do_not_end_a_target(started):
     old = make_record('1')
