--- a/src/laburnumyard/gateway/_coordinator_elections.py
+++ b/src/laburnumyard/gateway/_coordinator_elections.py
@@ -3,7 +3,6 @@
 import random
 
 import anyio
-from anyio.abc import TaskGroup
 
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import DaemonName, ServiceName
@@ -18,6 +17,7 @@
 )
 from laburnumyard.gateway._record_encoding import coordinator_key, encode_member
 from laburnumyard.gateway._store_session import Session
+from laburnumyard.gateway._task_supervision import SupervisedTasks
 from laburnumyard.telemetry import Event, log_event
 
 # Interval between checks for vacant roles.
@@ -60,7 +60,7 @@
     coordination
         Runs the claimed roles.
     tasks
-        Task group that runs the probes.
+        Background tasks; run the probes.
 
     Attributes
     ----------
@@ -74,7 +74,7 @@
         view: ClusterView,
         session: Session,
         coordination: Coordination,
-        tasks: TaskGroup,
+        tasks: SupervisedTasks,
     ) -> None:
         """Create the object without knowledge of ended coordinators."""
         self.store = store
@@ -162,7 +162,7 @@
                 coordinator.member.name == name
                 and not self.coordination.is_leaving
             ):
-                self.tasks.start_soon(self.probe, service, coordinator)
+                self.tasks.start_soon('probe', self.probe, service, coordinator)
 
     async def probe(
         self, service: ServiceName, coordinator: Coordinator
--- a/src/laburnumyard/gateway/_coordinator_roles.py
+++ b/src/laburnumyard/gateway/_coordinator_roles.py
@@ -6,7 +6,6 @@
 from types import MappingProxyType
 
 import anyio
-from anyio.abc import TaskGroup
 
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import (
@@ -51,7 +50,10 @@
 )
 from laburnumyard.gateway._store_revision import era_of
 from laburnumyard.gateway._store_session import Session
-from laburnumyard.gateway._task_supervision import keep_running
+from laburnumyard.gateway._task_supervision import (
+    SupervisedTasks,
+    keep_running,
+)
 from laburnumyard.schema._generated import messages
 from laburnumyard.telemetry import Event, log_event
 from laburnumyard.wire import Connection, LinkPool, Peer
@@ -114,7 +116,7 @@
     pool
         Links to other gateways.
     tasks
-        Task group that runs the roles.
+        Background tasks; run the roles.
     """
 
     def __init__(
@@ -124,7 +126,7 @@
         session: Session,
         derived_settings: DerivedSettings,
         pool: LinkPool,
-        tasks: TaskGroup,
+        tasks: SupervisedTasks,
     ) -> None:
         """Create the object without roles."""
         self.pool = pool
@@ -185,7 +187,7 @@
             )
             runner.stand_down = self.stand_down
             role.runner = runner
-            self.tasks.start_soon(self.run_role, role, runner)
+            self.tasks.start_soon('role', self.run_role, role, runner)
         self.view.adopt_coordinator(service, own_role)
 
     async def run_role(
--- a/src/laburnumyard/gateway/_http_request_reader.py
+++ b/src/laburnumyard/gateway/_http_request_reader.py
@@ -55,6 +55,9 @@
         self.head_bytes += len(received)
         try:
             self.parser.feed_data(received)
+        except httptools.HttpParserCallbackError as fault:
+            # The input is not at fault, but the receiver.
+            raise fault.__context__ or fault from None
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self.receiver.reject(HTTPStatus.BAD_REQUEST)
         self.check_head()
--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -10,16 +10,22 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 from types import MappingProxyType
 
 import anyio
-from anyio.abc import TaskGroup
 
 from laburnumyard.core.routes import CallerLimits
+from laburnumyard.gateway._connection_timeout import ConnectionTimeout
 from laburnumyard.gateway._http_messages import CallerRequest, CallerResponse
 from laburnumyard.gateway._http_request_reader import RequestReader
-from laburnumyard.telemetry import Event, log_event
+from laburnumyard.gateway._task_supervision import (
+    SupervisedTasks,
+    confine,
+    confined,
+)
+from laburnumyard.telemetry import METRICS, Event, log_decision, log_event
 
 RequestHandler = Callable[[CallerRequest], Awaitable[CallerResponse]]
 # Concurrent requests on one connection; reading pauses at this limit.
@@ -53,14 +59,14 @@
     limits
         Returns the current size and time limits.
     tasks
-        Task group that runs the requests.
+        Background tasks; run the requests.
     """
 
     def __init__(
         self,
         serve: RequestHandler,
         limits: Callable[[], CallerLimits],
-        tasks: TaskGroup,
+        tasks: SupervisedTasks,
     ) -> None:
         """Create a server that does not listen yet; see ``listen``."""
         self.serve = serve
@@ -143,22 +149,25 @@
         self.reader = RequestReader(self)
         self.transport: asyncio.Transport | None = None
         self.pending_requests: deque[PendingRequest] = deque()
-        self.timer: asyncio.TimerHandle | None = None
+        self.timeout = ConnectionTimeout(self.loop, self.abort)
         # Set with the last request; received bytes are ignored from then on.
         self.is_closing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self.transport = transport  # type: ignore[assignment]
-        self.transport.set_write_buffer_limits(high=0)
         self.server.connections.add(self)
-        self.wait_for_request()
+        with confined('connection', self.abort):
+            self.transport.set_write_buffer_limits(high=0)
+            self.wait_for_request()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that disconnected."""
         self.server.connections.discard(self)
-        self.stop_timer()
+        self.timeout.stop()
         self.is_closing = True
+        if self.pending_requests:
+            _log_unanswered(len(self.pending_requests), exc)
         for pending in self.pending_requests:
             pending.scope.cancel()
         self.pending_requests.clear()
@@ -184,15 +193,14 @@
         """Parse received bytes."""
         if self.is_closing:
             return
-        self.reader.feed(data)
+        with confined('connection', self.abort):
+            self.reader.feed(data)
 
     def on_request_start(self) -> None:
         """Start the header timeout of a request."""
-        self.stop_timer()
-        self.timer = self.loop.call_later(
+        self.timeout.start(
             self.reader.limits.head_timeout_s,
-            self.reject,
-            HTTPStatus.REQUEST_TIMEOUT,
+            partial(self.reject, HTTPStatus.REQUEST_TIMEOUT),
         )
 
     def send_continue(self) -> None:
@@ -206,7 +214,7 @@
         """Start serving a parsed request."""
         if self.is_closing:
             return
-        self.stop_timer()
+        self.timeout.stop()
         pending = PendingRequest(keep_alive, request.method)
         self.pending_requests.append(pending)
         if self.server.is_leaving or not pending.keep_alive:
@@ -216,52 +224,58 @@
             and self.transport
         ):
             self.transport.pause_reading()
-        self.server.tasks.start_soon(self.serve, pending, request)
+        self.server.tasks.start_soon('request', self.serve, pending, request)
 
     async def serve(
         self, pending: PendingRequest, request: CallerRequest
     ) -> None:
-        """Serve one request and write the responses that are due."""
-        with pending.scope:
-            pending.response = await self.response(request)
+        """Serve one request and write the responses that are due.
+
+        An internal error gives a 502.
+        """
+        if not await confine('request', self.run_request, pending, request):
+            pending.response = CallerResponse(HTTPStatus.BAD_GATEWAY)
+        if pending.response is not None:
             self.write_responses()
         self.server.announce_change()
 
-    async def response(self, request: CallerRequest) -> CallerResponse:
-        """Return the response to a request; an internal error gives a 502."""
-        try:
-            return await self.server.serve(request)
-        except Exception as fault:
-            log_event(
-                Event.FAULT,
-                'ERROR',
-                path=request.path,
-                fault=repr(fault),
-            )
-            return CallerResponse(HTTPStatus.BAD_GATEWAY)
+    async def run_request(
+        self, pending: PendingRequest, request: CallerRequest
+    ) -> None:
+        """Get the response to a request, unless the caller disconnects."""
+        with pending.scope:
+            pending.response = await self.server.serve(request)
 
     def write_responses(self) -> None:
         """Write finished responses in request order."""
-        while (
-            self.pending_requests
-            and self.pending_requests[0].response is not None
-        ):
-            pending = self.pending_requests.popleft()
-            if self.transport is None or self.transport.is_closing():
-                return
-            is_last = not self.pending_requests
-            closes = is_last and self.is_closing
-            self.transport.write(encode_response(pending, closes=closes))
-            if closes:
-                self.close()
-                return
-        if (
-            len(self.pending_requests) < MAX_PIPELINED_REQUESTS
-            and self.transport
-        ):
-            self.transport.resume_reading()
-        if not self.pending_requests and not self.reader.is_in_message:
-            self.wait_for_request()
+        with confined('connection', self.abort):
+            while (
+                self.pending_requests
+                and self.pending_requests[0].response is not None
+            ):
+                pending = self.pending_requests.popleft()
+                if self.transport is None or self.transport.is_closing():
+                    return
+                is_last = not self.pending_requests
+                closes = is_last and self.is_closing
+                self.transport.write(encode_response(pending, closes=closes))
+                if closes:
+                    self.close()
+                    return
+            if (
+                len(self.pending_requests) < MAX_PIPELINED_REQUESTS
+                and self.transport
+            ):
+                self.transport.resume_reading()
+            if not self.pending_requests and not self.reader.is_in_message:
+                self.wait_for_request()
+
+    def abort(self) -> None:
+        """Close the connection at once; its requests are cancelled."""
+        self.is_closing = True
+        self.timeout.stop()
+        if self.transport:
+            self.transport.abort()
 
     def stop_reading(self) -> None:
         """Take no further request; the last response closes the connection.
@@ -276,17 +290,15 @@
     def close(self) -> None:
         """Half-close now and close the socket after ``CLOSE_LINGER_S``."""
         self.is_closing = True
-        self.stop_timer()
+        self.timeout.stop()
         if self.transport and not self.transport.is_closing():
             try:
                 self.transport.write_eof()
             except OSError:
                 # The caller has reset the connection since the last write.
-                self.transport.abort()
+                self.abort()
                 return
-            self.timer = self.loop.call_later(
-                CLOSE_LINGER_S, self.transport.close
-            )
+            self.timeout.start(CLOSE_LINGER_S, self.transport.close)
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight or being read."""
@@ -312,15 +324,8 @@
 
     def wait_for_request(self) -> None:
         """Start the idle timeout."""
-        self.stop_timer()
         idle_s = self.server.limits().idle_timeout_s
-        self.timer = self.loop.call_later(idle_s, self.close_if_idle)
-
-    def stop_timer(self) -> None:
-        """Cancel the current timeout."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        self.timeout.start(idle_s, self.close_if_idle)
 
 
 def encode_response(pending: PendingRequest, *, closes: bool) -> bytes:
@@ -342,3 +347,13 @@
         lines.append('connection: close')
     head = '\r\n'.join((*lines, '', '')).encode('latin-1')
     return head if pending.method == 'HEAD' else head + response.body
+
+
+def _log_unanswered(requests: int, exc: Exception | None) -> None:
+    """Log a connection that ended with requests in flight."""
+    METRICS.count('connections_lost_total')
+    log_decision(
+        Event.CANCELLED,
+        requests=requests,
+        cause=type(exc).__name__ if exc else 'closed',
+    )
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -1,5 +1,6 @@
 """Process lifecycle of a gateway: start, serve, reload and drain."""
 
+import asyncio
 import gc
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -7,7 +8,6 @@
 from http import HTTPStatus
 
 import anyio
-from anyio.abc import TaskGroup
 
 from laburnumyard.clocks import boot_time, new_incarnation
 from laburnumyard.core.ids import DaemonName, DataCentre, Incarnation, Seconds
@@ -35,7 +35,11 @@
 from laburnumyard.gateway._store_session import Session
 from laburnumyard.gateway._store_watcher import StoreWatcher
 from laburnumyard.gateway._target_connection_pool import TargetConnectionPool
-from laburnumyard.gateway._task_supervision import keep_running
+from laburnumyard.gateway._task_supervision import (
+    SupervisedTasks,
+    confine,
+    log_fault,
+)
 from laburnumyard.schema._generated import messages
 from laburnumyard.schema._generated.gateway import GatewaySettings
 from laburnumyard.telemetry import METRICS, Event, log_event
@@ -67,7 +71,7 @@
     platform
         Platform that the gateway runs on.
     tasks
-        Task group of all background tasks.
+        All background tasks.
     """
 
     def __init__(
@@ -75,7 +79,7 @@
         settings: GatewaySettings,
         reload: Reload,
         platform: Platform,
-        tasks: TaskGroup,
+        tasks: SupervisedTasks,
     ) -> None:
         """Create all parts without starting them."""
         self.settings = settings
@@ -259,7 +263,7 @@
                 self.reach_monitor.run,
                 self.watch_settings,
             ):
-                self.tasks.start_soon(keep_running, start.__qualname__, start)
+                self.tasks.keep_running(start.__qualname__, start)
             log_event(
                 Event.STARTED,
                 daemon=self.member.name,
@@ -277,18 +281,17 @@
         async for received in signals:
             if received is not signal.SIGHUP:
                 return
-            self.apply_settings(self.reload(), 'SIGHUP')
+            await confine('reload', self.reload_settings, 'SIGHUP')
 
     async def watch_settings(self) -> None:
         """Reload the settings periodically until cancelled."""
         while True:
             await anyio.sleep(RELOAD_INTERVAL_S)
-            self.apply_settings(self.reload(), 'interval')
+            await self.reload_settings('interval')
 
-    def apply_settings(
-        self, settings: GatewaySettings | None, cause: str
-    ) -> None:
+    async def reload_settings(self, cause: str) -> None:
         """Apply changed settings; listen addresses need a restart."""
+        settings = self.reload()
         if settings is None or settings == self.settings:
             return
         self.settings = settings
@@ -313,7 +316,7 @@
             roles=len(self.coordination.roles),
         )
         if self.health.is_reachable or not self.coordination.roles:
-            await self.hand_over()
+            await confine('hand-over', self.hand_over)
         closes_at = min(started + LOAD_BALANCER_DELAY_S, end)
         await anyio.sleep(closes_at - boot_time())
         self.caller_server.close_idle()
@@ -323,7 +326,7 @@
             await self.caller_server.wait_idle()
         self.caller_server.close_unread()
         if self.coordination.roles:
-            await self.hand_over()
+            await confine('hand-over', self.hand_over)
         log_event(
             Event.STOPPED,
             daemon=self.member.name,
@@ -334,7 +337,7 @@
     def handle_targets_lost(self) -> None:
         """Drop what needs links to targets."""
         self.connection_pool.close()
-        self.tasks.start_soon(self.elections.yield_roles)
+        self.tasks.start_soon('yield-roles', self.elections.yield_roles)
 
     async def hand_over(self) -> None:
         """Drop all roles so that other gateways can claim them.
@@ -363,9 +366,26 @@
     """
     handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*handled) as signals:
+        asyncio.get_running_loop().set_exception_handler(_log_callback_fault)
         async with anyio.create_task_group() as tasks:
-            gateway = Gateway(settings, reload, platform, tasks)
+            gateway = Gateway(
+                settings, reload, platform, SupervisedTasks(tasks)
+            )
             gc.collect()
             gc.freeze()
-            await gateway.serve(signals)
+            try:
+                await gateway.serve(signals)
+            except Exception as fault:
+                log_fault('gateway', fault)
+                raise
             tasks.cancel_scope.cancel()
+
+
+def _log_callback_fault(
+    loop: asyncio.AbstractEventLoop, context: dict[str, object]
+) -> None:
+    """Log an exception that a callback of the event loop has raised."""
+    fault = context.get('exception')
+    if not isinstance(fault, BaseException):
+        fault = RuntimeError(context.get('message', 'unknown'))
+    log_fault('event-loop', fault)
--- a/src/laburnumyard/gateway/_store_watcher.py
+++ b/src/laburnumyard/gateway/_store_watcher.py
@@ -6,7 +6,6 @@
 from functools import partial
 
 import anyio
-from anyio.abc import TaskGroup
 
 from laburnumyard.core.ids import Seconds, ServiceName
 from laburnumyard.gateway._cluster_view import ClusterView
@@ -20,7 +19,7 @@
 )
 from laburnumyard.gateway._store_health import StoreHealth
 from laburnumyard.gateway._target_entries import TargetEntries
-from laburnumyard.gateway._task_supervision import keep_running
+from laburnumyard.gateway._task_supervision import SupervisedTasks
 from laburnumyard.telemetry import Event, log_event
 
 # Long polls keep the number of calls low. TCP keep-alive detects a silent
@@ -180,12 +179,12 @@
         self.mode_changed.set()
         self.mode_changed = anyio.Event()
 
-    def start(self, tasks: TaskGroup) -> None:
-        """Start watching all prefixes in a task group."""
+    def start(self, tasks: SupervisedTasks) -> None:
+        """Start watching all prefixes in the background."""
         for prefix_watch in self.prefix_watches:
             watch_prefix = partial(self.watch_prefix, prefix_watch)
-            tasks.start_soon(keep_running, prefix_watch.prefix, watch_prefix)
-        tasks.start_soon(keep_running, 'assignments', self.poll_assignments)
+            tasks.keep_running(prefix_watch.prefix, watch_prefix)
+        tasks.keep_running('assignments', self.poll_assignments)
 
     async def watch_prefix(self, prefix_watch: PrefixWatch) -> None:
         """Watch one prefix until cancelled, while reading is on."""
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -13,6 +13,7 @@
     MAX_PIPELINED_REQUESTS,
     CallerServer,
 )
+from laburnumyard.gateway._task_supervision import SupervisedTasks
 from tests.support.sole import only
 
 pytestmark = pytest.mark.anyio
@@ -56,7 +57,9 @@
 @asynccontextmanager
 async def serving(service):
     async with anyio.create_task_group() as tasks:
-        server = CallerServer(service.serve, lambda: LIMITS, tasks)
+        server = CallerServer(
+            service.serve, lambda: LIMITS, SupervisedTasks(tasks)
+        )
         await server.listen('127.0.0.1:0')
         host, port = server.listener.sockets[0].getsockname()
         reader, writer = await asyncio.open_connection(host, port)
--- a/tests/gateway/test_few_readers.py
+++ b/tests/gateway/test_few_readers.py
@@ -31,6 +31,7 @@
 )
 from laburnumyard.gateway._store_health import StoreHealth
 from laburnumyard.gateway._store_watcher import StoreWatcher
+from laburnumyard.gateway._task_supervision import SupervisedTasks
 from laburnumyard.platform._wire_format import PlatformWireFormat
 from laburnumyard.schema._generated import messages
 from laburnumyard.wire import LinkError, LinkErrorKind
@@ -135,7 +136,7 @@
         network.gateways[self.member.address] = self.server
 
     def start(self, tasks):
-        self.watcher.start(tasks)
+        self.watcher.start(SupervisedTasks(tasks))
         tasks.start_soon(self.reader.run)
 
 
