LOST, DENIED: an offer to upgrade is ignored, and leaves no response behind

What callers saw: GET with Connection: Upgrade and Upgrade: websocket or h2c was answered 200, and a 400 with Connection: close lay behind it. The next request on that connection got the 400, or no answer after it had been passed on. A POST was passed on without its body, which was parsed as the next request.

Cause: httptools raises HttpParserUpgrade after it has handed over the request, which was taken for malformed input, and takes such a request to have no body.

Why it works: a server may ignore the offer (RFC 9110, 7.8). The head is parsed again without its Upgrade header, so that the body is read and what follows is HTTP/1.1. CONNECT, which is no offer, is refused once.

Rejections now log the parser's error, the requests served on the connection and those in flight; a 404 logs host, path and version.

--- a/src/laburnumyard/gateway/_http_request_reader.py
+++ b/src/laburnumyard/gateway/_http_request_reader.py
@@ -28,8 +28,16 @@
     ) -> None:
         """Handle a complete request."""
 
-    def reject(self, status: HTTPStatus) -> None:
-        """Reject malformed or oversized input with a status."""
+    def reject(self, status: HTTPStatus, reason: str) -> None:
+        """Reject malformed or oversized input with a status.
+
+        Parameters
+        ----------
+        status
+            Status of the response.
+        reason
+            Why, for the log.
+        """
 
 
 class RequestReader:
@@ -46,6 +54,8 @@
         self.receiver = receiver
         self.parser = httptools.HttpRequestParser(self)
         self.is_in_message = False
+        # Whether a head is parsed again without its offer to upgrade.
+        self.is_parsed_again = False
         # Bytes received since a head or a part of a body was complete.
         self.head_bytes = 0
         self.begin_message()
@@ -54,19 +64,66 @@
         """Parse received bytes."""
         self.head_bytes += len(received)
         try:
-            self.parser.feed_data(received)
+            self.parse(received)
         except httptools.HttpParserCallbackError as fault:
             # The input is not at fault, but the receiver.
             raise fault.__context__ or fault from None
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
-            self.receiver.reject(HTTPStatus.BAD_REQUEST)
+        except httptools.HttpParserError as error:
+            self.receiver.reject(HTTPStatus.BAD_REQUEST, str(error))
         self.check_head()
 
+    def parse(self, received: bytes) -> None:
+        """Parse received bytes, and ignore offers to change the protocol.
+
+        A server may ignore ``Upgrade`` (RFC 9110, section 7.8): the request is
+        served, and what follows its head is HTTP/1.1 as before.
+        """
+        unparsed = received
+        while unparsed:
+            unparsed = unparsed[self.parse_until_offer(unparsed) :]
+
+    def parse_until_offer(self, received: bytes) -> int:
+        """Parse up to the end of a head that offers an upgrade.
+
+        Returns
+        -------
+        int
+            Number of bytes that were parsed.
+        """
+        try:
+            self.parser.feed_data(received)
+        except httptools.HttpParserUpgrade as offer:
+            self.ignore_offer()
+            return int(offer.args[0])
+        return len(received)
+
+    def ignore_offer(self) -> None:
+        """Parse a head again without its ``Upgrade`` header.
+
+        httptools takes a request that offers an upgrade to have no body.
+        """
+        method = self.parser.get_method()
+        if method == b'CONNECT':
+            self.receiver.reject(HTTPStatus.METHOD_NOT_ALLOWED, 'CONNECT')
+            return
+        version = self.parser.get_http_version().encode()
+        lines = [b'%b %b HTTP/%b' % (method, self.url, version)]
+        lines.extend(
+            f'{name}: {text}'.encode('latin-1')
+            for name, text in self.headers
+            if name != 'upgrade'
+        )
+        self.parser = httptools.HttpRequestParser(self)
+        self.is_parsed_again = True
+        self.parser.feed_data(b'\r\n'.join((*lines, b'', b'')))
+        self.is_parsed_again = False
+
     def on_message_begin(self) -> None:
         """Handle the start of a request."""
+        started_at = self.started_at if self.is_parsed_again else boot_time()
         self.begin_message()
         self.is_in_message = True
-        self.started_at = boot_time()
+        self.started_at = started_at
         self.receiver.on_request_start()
 
     def on_url(self, url: bytes) -> None:
@@ -82,14 +139,16 @@
 
     def on_headers_complete(self) -> None:
         """Check the size limits and answer ``Expect: 100-continue``."""
+        if self.parser.should_upgrade():
+            return
         self.is_head_read = True
         self.head_bytes = 0
         fields = dict(self.headers)
         length = fields.get('content-length', '0')
         if self.field_bytes > self.limits.header_bytes:
-            self.receiver.reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            self.reject_head(self.field_bytes)
         elif length.isdecimal() and int(length) > self.limits.body_bytes:
-            self.receiver.reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            self.reject_body(length)
         elif fields.get('expect', '').lower() == '100-continue':
             self.receiver.send_continue()
 
@@ -98,12 +157,14 @@
         self.head_bytes = 0
         self.body_bytes += len(body)
         if self.body_bytes > self.limits.body_bytes:
-            self.receiver.reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            self.reject_body(self.body_bytes)
         else:
             self.body.append(body)
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the receiver."""
+        if self.parser.should_upgrade():
+            return
         self.is_in_message = False
         self.head_bytes = 0
         method = self.parser.get_method().decode('latin-1')
@@ -140,4 +201,18 @@
         if self.is_head_read or not self.is_in_message:
             return
         if self.head_bytes > self.limits.header_bytes:
-            self.receiver.reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            self.reject_head(self.head_bytes)
+
+    def reject_head(self, size: int) -> None:
+        """Reject a head that exceeds the limit."""
+        self.receiver.reject(
+            HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            f'head of {size} bytes, limit {self.limits.header_bytes}',
+        )
+
+    def reject_body(self, size: int | str) -> None:
+        """Reject a body that exceeds the limit."""
+        self.receiver.reject(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            f'body of {size} bytes, limit {self.limits.body_bytes}',
+        )
--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -150,6 +150,8 @@
         self.transport: asyncio.Transport | None = None
         self.pending_requests: deque[PendingRequest] = deque()
         self.timeout = ConnectionTimeout(self.loop, self.abort)
+        # Requests that were read on this connection.
+        self.served = 0
         # Set with the last request; received bytes are ignored from then on.
         self.is_closing = False
 
@@ -200,7 +202,9 @@
         """Start the header timeout of a request."""
         self.timeout.start(
             self.reader.limits.head_timeout_s,
-            partial(self.reject, HTTPStatus.REQUEST_TIMEOUT),
+            partial(
+                self.reject, HTTPStatus.REQUEST_TIMEOUT, 'head not complete'
+            ),
         )
 
     def send_continue(self) -> None:
@@ -217,6 +221,7 @@
         self.timeout.stop()
         pending = PendingRequest(keep_alive, request.method)
         self.pending_requests.append(pending)
+        self.served += 1
         if self.server.is_leaving or not pending.keep_alive:
             self.stop_reading()
         elif (
@@ -311,15 +316,31 @@
         if self.transport:
             self.transport.close()
 
-    def reject(self, status: HTTPStatus) -> None:
-        """Queue an error response behind those pending, then close."""
+    def reject(self, status: HTTPStatus, reason: str) -> None:
+        """Queue an error response behind those pending, then close.
+
+        Parameters
+        ----------
+        status
+            Status of the response.
+        reason
+            Why, for the log.
+        """
         if self.is_closing:
             return
         self.is_closing = True
         pending = PendingRequest(keep_alive=False, method='GET')
         pending.response = CallerResponse(status)
         self.pending_requests.append(pending)
-        log_event(Event.REFUSED, status=status.value, reason='bad-request')
+        METRICS.count('rejected_total', status=status.value)
+        log_event(
+            Event.REFUSED,
+            'WARNING',
+            status=status.value,
+            reason=reason,
+            served=self.served,
+            pending=len(self.pending_requests) - 1,
+        )
         self.write_responses()
 
     def wait_for_request(self) -> None:
--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -153,6 +153,16 @@
             return refuse_request('no-configuration', MIN_RETRY_S)
         route = table.find(request.host, request.path)
         if route is None:
+            log_decision(
+                Event.REFUSED,
+                request=head.attempt_id,
+                status=HTTPStatus.NOT_FOUND.value,
+                reason='no-route',
+                host=request.host,
+                path=request.path,
+                version=table.version,
+                routes=len(table.routes),
+            )
             return RequestResult(
                 CallerResponse(HTTPStatus.NOT_FOUND), 'no-route'
             )
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -3,6 +3,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import anyio.lowlevel
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Is, Not
@@ -293,6 +294,64 @@
         other.close()
 
 
+# DENIED, LOST: a second response, 400, was queued behind that of a request with
+# an offer to upgrade, and closed the connection on what came next.
+@pytest.mark.parametrize(
+    'offer',
+    [
+        'connection: upgrade\r\nupgrade: websocket\r\n',
+        'connection: upgrade, http2-settings\r\nupgrade: h2c\r\n'
+        'http2-settings: AAMAAABkAAQCAAAAAAIAAAAA\r\n',
+    ],
+)
+async def test_an_offer_to_upgrade_is_ignored(service, offer):
+    async with serving(service) as (_, reader, writer):
+        writer.write(get('/offer', offer) + get('/behind', offer))
+        writer.write(get('/later')[:10])
+        await anyio.sleep(0.02)
+        writer.write(get('/later')[10:])
+        answers = [await read_answer(reader) for _ in range(3)]
+        writer.write(get('/next'))
+        answers.append(await read_answer(reader))
+    bodies = [body for _, body in answers]
+    assert_that(bodies, Equals([b'/offer', b'/behind', b'/later', b'/next']))
+    for head, _ in answers:
+        assert_that(head, Contains(b' 200 '))
+        assert_that(head, Not(Contains(b'connection: close')))
+
+
+# UNASKED, DENIED: behind an offer to upgrade, a body was taken for a request.
+@pytest.mark.parametrize('step', [1, 7, 1000])
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'content-length: 5\r\n\r\nhello',
+        b'transfer-encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n',
+    ],
+)
+async def test_a_body_behind_an_offer_to_upgrade_is_read(service, body, step):
+    offer = (
+        b'POST /p HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\n'
+        b'upgrade: h2c\r\n%b' % body
+    )
+    sent = offer + get('/behind')
+    async with serving(service) as (_, reader, writer):
+        for start in range(0, len(sent), step):
+            writer.write(sent[start : start + step])
+            await anyio.lowlevel.checkpoint()
+        assert_that((await read_answer(reader))[1], Equals(b'/phello'))
+        assert_that((await read_answer(reader))[1], Equals(b'/behind'))
+
+
+async def test_a_tunnel_is_refused_once(service):
+    async with serving(service) as (_, reader, writer):
+        writer.write(b'CONNECT a:80 HTTP/1.1\r\nhost: a\r\n\r\n' + get('/b'))
+        head, _ = await read_answer(reader)
+        assert_that(head, Contains(b' 405 '))
+        assert_that(await reader.read(), Equals(b''))
+    assert_that(service.served, Equals([]))
+
+
 def paths_of(service):
     return [request.path for request in service.served]
 
