DENIED: a body may take longer than the time limit of a head

What callers saw: a body that came steadily, but for longer than headerTimeoutMs (3 s), was answered 408, and the connection closed while they were sending.

Cause: the timeout of the head ended with the request, not with the head.

Not known to be what the operators saw.

Why it works: the timeout of the head ends with the head; between two parts of a body the idle time limit holds, as between two requests.

--- a/src/laburnumyard/gateway/_http_request_reader.py
+++ b/src/laburnumyard/gateway/_http_request_reader.py
@@ -17,8 +17,16 @@
     def limits(self) -> CallerLimits:
         """Return the current size and time limits."""
 
-    def on_request_start(self) -> None:
-        """Handle the first byte of a request."""
+    def expect_more(self, timeout_s: float, part: str) -> None:
+        """Reject the request if the rest of a part takes too long.
+
+        Parameters
+        ----------
+        timeout_s
+            Time for the head, or for the next bytes of the body, in seconds.
+        part
+            What is not complete, for the log.
+        """
 
     def send_continue(self) -> None:
         """Send ``100 Continue``."""
@@ -124,7 +132,7 @@
         self.begin_message()
         self.is_in_message = True
         self.started_at = started_at
-        self.receiver.on_request_start()
+        self.receiver.expect_more(self.limits.head_timeout_s, 'head')
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -143,6 +151,7 @@
             return
         self.is_head_read = True
         self.head_bytes = 0
+        self.expect_body()
         fields = dict(self.headers)
         length = fields.get('content-length', '0')
         if self.field_bytes > self.limits.header_bytes:
@@ -155,6 +164,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self.head_bytes = 0
+        self.expect_body()
         self.body_bytes += len(body)
         if self.body_bytes > self.limits.body_bytes:
             self.reject_body(self.body_bytes)
@@ -173,6 +183,10 @@
             self.request(method), keep_alive=keep_alive
         )
 
+    def expect_body(self) -> None:
+        """Let the body pause for as long as an idle connection."""
+        self.receiver.expect_more(self.limits.idle_timeout_s, 'body')
+
     def begin_message(self) -> None:
         """Reset the state for the next request."""
         self.limits = self.receiver.limits()
--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -198,14 +198,12 @@
         with confined('connection', self.abort):
             self.reader.feed(data)
 
-    def on_request_start(self) -> None:
-        """Start the header timeout of a request."""
-        self.timeout.start(
-            self.reader.limits.head_timeout_s,
-            partial(
-                self.reject, HTTPStatus.REQUEST_TIMEOUT, 'head not complete'
-            ),
+    def expect_more(self, timeout_s: float, part: str) -> None:
+        """Reject the request if the rest of a part takes too long."""
+        reject = partial(
+            self.reject, HTTPStatus.REQUEST_TIMEOUT, f'{part} not complete'
         )
+        self.timeout.start(timeout_s, reject)
 
     def send_continue(self) -> None:
         """Send ``100 Continue``."""
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -3,8 +3,8 @@
 from contextlib import asynccontextmanager
 
 import anyio
-import anyio.lowlevel
 import pytest
+from anyio.lowlevel import checkpoint
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Is, Not
 
@@ -338,20 +338,44 @@
     async with serving(service) as (_, reader, writer):
         for start in range(0, len(sent), step):
             writer.write(sent[start : start + step])
-            await anyio.lowlevel.checkpoint()
+            await checkpoint()
         assert_that((await read_answer(reader))[1], Equals(b'/phello'))
         assert_that((await read_answer(reader))[1], Equals(b'/behind'))
 
 
 async def test_a_tunnel_is_refused_once(service):
     async with serving(service) as (_, reader, writer):
-        writer.write(b'CONNECT a:80 HTTP/1.1\r\nhost: a\r\n\r\n' + get('/b'))
+        writer.write(b'CONNECT a:80 HTTP/1.1\r\nhost: a\r\n\r\n')
+        writer.write(get('/behind'))
         head, _ = await read_answer(reader)
         assert_that(head, Contains(b' 405 '))
         assert_that(await reader.read(), Equals(b''))
     assert_that(service.served, Equals([]))
 
 
+# DENIED: a body that took longer than the limit of a head was answered 408.
+async def test_a_body_may_take_longer_than_a_head(service):
+    async with serving(service) as (_, reader, writer):
+        writer.write(b'POST /p HTTP/1.1\r\ncontent-length: 8\r\n\r\n')
+        for _ in range(8):
+            await anyio.sleep(LIMITS.head_timeout_s / 4)
+            writer.write(b'x')
+        head, body = await read_answer(reader)
+    assert_that(head, Contains(b' 200 '))
+    assert_that(body, Equals(b'/pxxxxxxxx'))
+
+
+async def test_a_body_that_stops_is_answered_408(service):
+    async with serving(service) as (_, reader, writer):
+        writer.write(b'POST /p HTTP/1.1\r\ncontent-length: 8\r\n\r\nx')
+        with anyio.move_on_after(LIMITS.idle_timeout_s / 2) as early:
+            await reader.read(1)
+        assert_that(early.cancelled_caught, Is(True))
+        head, _ = await read_answer(reader)
+    assert_that(head, Contains(b' 408 '))
+    assert_that(service.served, Equals([]))
+
+
 def paths_of(service):
     return [request.path for request in service.served]
 
