--- a/src/laburnumyard/gateway/_http_messages.py
+++ b/src/laburnumyard/gateway/_http_messages.py
@@ -15,9 +15,10 @@
     Parameters
     ----------
     method, path
-        Method, and path with query string exactly as received.
+        Method, and path with query string exactly as received, without scheme
+        and authority.
     host
-        The ``host`` header.
+        Authority of the request target, or the ``host`` header without one.
     headers
         Pairs of lower-case name and value.
     body
--- a/src/laburnumyard/gateway/_http_request_reader.py
+++ b/src/laburnumyard/gateway/_http_request_reader.py
@@ -1,5 +1,6 @@
 """Parses the HTTP requests of a connection within size limits."""
 
+import re
 from http import HTTPStatus
 from typing import Protocol
 
@@ -10,6 +11,9 @@
 from laburnumyard.core.routes import CallerLimits
 from laburnumyard.gateway._http_messages import CallerRequest
 
+# Request target with scheme and authority (RFC 9112, section 3.2.2).
+ABSOLUTE_FORM = re.compile('https?://(?:[^/?#@]*@)?([^/?#@]*)(.*)', re.I)
+
 
 class RequestReceiver(Protocol):
     """Receiver of parsed requests and parse errors."""
@@ -200,11 +204,17 @@
 
     def request(self, method: str) -> CallerRequest:
         """Return the parsed request."""
-        fields = dict(self.headers)
+        path = self.url.decode('latin-1')
+        host = dict(self.headers).get('host', '')
+        absolute = ABSOLUTE_FORM.fullmatch(path)
+        if absolute:
+            # The authority replaces the header.
+            host, path = absolute.groups()
+            path = path if path.startswith('/') else f'/{path}'
         return CallerRequest(
             method,
-            self.url.decode('latin-1'),
-            fields.get('host', ''),
+            path,
+            host,
             tuple(self.headers),
             b''.join(self.body),
             self.started_at,
