DENIED: a host name with the dot of the DNS root names its route

What callers saw: Host: NAME. (fully qualified) was answered 404. Cause: the name was compared with its dot.

--- a/src/laburnumyard/core/routes.py
+++ b/src/laburnumyard/core/routes.py
@@ -128,11 +128,12 @@
         Parameters
         ----------
         host
-            The ``host`` header, with or without a port.
+            Host name in any case, with or without a port and the dot of the
+            DNS root.
         path
             The path of the request; a query may follow.
         """
-        name = host.partition(':')[0].lower()
+        name = host.partition(':')[0].removesuffix('.').lower()
         matching = (
             route
             for route in self.routes
--- a/tests/core/test_routes.py
+++ b/tests/core/test_routes.py
@@ -43,6 +43,9 @@
         ('shop.example', '/a/x', 'short'),
         ('shop.example', '/a/b/x', 'long'),
         ('SHOP.example:80', '/a/b/', 'long'),
+        # DENIED: the dot of the DNS root matched no route.
+        ('shop.example.', '/a/x', 'short'),
+        ('shop.example.:80', '/a/x', 'short'),
         ('shop.example', '/a/bc', 'short'),
     ],
 )
