LOST: a half-closed connection gets its responses

What callers saw: a caller that closed its sending side behind a request got no response; the request was passed on to a sound target, then cancelled.

Cause: the end of the received stream was taken for a disconnect, since TCP shows both alike and the work of callers that left must stop within half a second.

Not known to be what the operators saw.

Why it works: 100 Continue, which a caller may discard unasked (RFC 9110, 15.2.1), is written at once, after 0.05 and 0.25 s.

--- a/src/laburnumyard/gateway/_http_request_reader.py
+++ b/src/laburnumyard/gateway/_http_request_reader.py
@@ -66,6 +66,8 @@
         self.receiver = receiver
         self.parser = httptools.HttpRequestParser(self)
         self.is_in_message = False
+        # Whether the caller understands interim responses (1xx).
+        self.allows_interim = True
         # Whether a head is parsed again without its offer to upgrade.
         self.is_parsed_again = False
         # Bytes received since a head or a part of a body was complete.
@@ -155,6 +157,7 @@
             return
         self.is_head_read = True
         self.head_bytes = 0
+        self.allows_interim = self.parser.get_http_version() != '1.0'
         self.expect_body()
         fields = dict(self.headers)
         length = fields.get('content-length', '0')
--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -18,6 +18,10 @@
 
 from laburnumyard.core.routes import CallerLimits
 from laburnumyard.gateway._connection_timeout import ConnectionTimeout
+from laburnumyard.gateway._disconnect_probe import (
+    INTERIM_RESPONSE,
+    DisconnectProbe,
+)
 from laburnumyard.gateway._http_messages import CallerRequest, CallerResponse
 from laburnumyard.gateway._http_request_reader import RequestReader
 from laburnumyard.gateway._task_supervision import (
@@ -133,8 +137,8 @@
 class CallerConnection(asyncio.Protocol):
     """Protocol of one caller connection.
 
-    A half-closed connection is treated as a disconnect, which is the default
-    of ``asyncio.Protocol.eof_received``.
+    A caller that closes only its sending side gets the responses to what it has
+    sent. One that disconnects has its requests cancelled.
 
     Parameters
     ----------
@@ -145,6 +149,7 @@
     def __init__(self, server: CallerServer) -> None:
         """Create the state of a new connection."""
         self.server = server
+        self.limits = server.limits
         self.loop = asyncio.get_running_loop()
         self.reader = RequestReader(self)
         self.transport: asyncio.Transport | None = None
@@ -187,10 +192,6 @@
         is_unsent = bool(self.transport.get_write_buffer_size())
         return bool(self.pending_requests) or is_unsent or self.is_closing
 
-    def limits(self) -> CallerLimits:
-        """Return the current size and time limits."""
-        return self.server.limits()
-
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         if self.is_closing:
@@ -198,6 +199,16 @@
         with confined('connection', self.abort):
             self.reader.feed(data)
 
+    def eof_received(self) -> bool:
+        """Go on with the requests of a caller that may still receive."""
+        has_left = not (self.pending_requests and self.reader.allows_interim)
+        if has_left or self.transport is None:
+            return False
+        self.is_closing = True
+        with confined('connection', self.abort):
+            DisconnectProbe(self.transport, self.timeout).start()
+        return True
+
     def expect_more(self, timeout_s: float, part: str) -> None:
         """Reject the request if the rest of a part takes too long."""
         reject = partial(
@@ -208,7 +219,7 @@
     def send_continue(self) -> None:
         """Send ``100 Continue``."""
         if not self.pending_requests and self.transport:
-            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            self.transport.write(INTERIM_RESPONSE)
 
     def handle_request(
         self, request: CallerRequest, *, keep_alive: bool
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -35,6 +35,7 @@
         self.cancelled = []
         self.gates = {}
         self.third = anyio.Event()
+        self.left = anyio.Event()
 
     async def serve(self, request):
         self.served.append(request)
@@ -46,6 +47,7 @@
                 await gate.wait()
         except BaseException:
             self.cancelled.append(request.path)
+            self.left.set()
             raise
         return CallerResponse(200, (), request.path.encode() + request.body)
 
@@ -399,6 +401,54 @@
     assert_that((request.host, request.path), Equals((host, path)))
 
 
+# LOST: a caller that closed its sending side behind a request got no answer.
+@pytest.mark.parametrize('paths', [('/slow',), ('/first', '/slow', '/last')])
+async def test_a_half_closed_connection_gets_its_responses(service, paths):
+    service.gates['/slow'] = anyio.Event()
+    async with serving(service) as (server, reader, writer):
+        writer.write(b''.join(map(get, paths)))
+        writer.write_eof()
+        # Longer than all probes.
+        await anyio.sleep(0.4)
+        service.gates['/slow'].set()
+        with anyio.fail_after(TIMEOUT_S):
+            received = await reader.read()
+        assert_that(server.in_flight, Equals(0))
+    interim = b'HTTP/1.1 100 Continue\r\n\r\n'
+    answers = received.replace(interim, b'').split(b'HTTP/1.1 ')[1:]
+    assert_that([part[:3] for part in answers], Equals([b'200'] * len(paths)))
+    bodies = [part.split(b'\r\n\r\n')[1].decode() for part in answers]
+    assert_that(tuple(bodies), Equals(paths))
+    assert_that(service.cancelled, Equals([]))
+
+
+# GONE: what a caller that left had asked for went on at the targets.
+async def test_a_caller_that_closes_its_socket_is_told_from_a_half_close(
+    service,
+):
+    service.gates['/slow'] = anyio.Event()
+    async with serving(service) as (server, _reader, writer):
+        writer.write(get('/slow'))
+        writer.write_eof()
+        await anyio.sleep(0.01)
+        writer.close()
+        with anyio.fail_after(0.5):
+            await service.left.wait()
+        assert_that(server.in_flight, Equals(0))
+
+
+# A caller of HTTP/1.0 does not know interim responses.
+async def test_a_half_close_with_http_1_0_is_a_disconnect(service):
+    service.gates['/slow'] = anyio.Event()
+    async with serving(service) as (_, reader, writer):
+        writer.write(get('/slow').replace(b'HTTP/1.1', b'HTTP/1.0'))
+        writer.write_eof()
+        with anyio.fail_after(TIMEOUT_S):
+            assert_that(await reader.read(), Equals(b''))
+        await anyio.sleep(0.01)
+    assert_that(service.cancelled, Equals(['/slow']))
+
+
 def paths_of(service):
     return [request.path for request in service.served]
 
