--- a/src/laburnumyard/core/shards/_pieces.py
+++ b/src/laburnumyard/core/shards/_pieces.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field, replace
 from enum import Enum
+from typing import ClassVar
 
 from laburnumyard.core.ids import FencingToken, Seconds, ShardKey
 from laburnumyard.core.target_directory import TargetLife
@@ -180,6 +181,7 @@
 class Grant:
     """Order to a target to hold a piece."""
 
+    frees_keys: ClassVar[bool] = False
     piece: Piece
     life: TargetLife
     first: ShardKey
@@ -192,8 +194,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Release:
-    """Order to a target to release a piece."""
+    """Order to a target to release a piece.
 
+    Its reply frees the keys for another target.
+    """
+
+    frees_keys: ClassVar[bool] = True
     piece: Piece
     life: TargetLife
     first: ShardKey
@@ -206,8 +212,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RangeRelease:
-    """Order to a target to release all keys of a range, whatever it holds."""
+    """Order to a target to release all keys of a range, whatever it holds.
+
+    Its reply frees the keys for other targets.
+    """
 
+    frees_keys: ClassVar[bool] = True
     life: TargetLife
     first: ShardKey
     last: ShardKey
--- a/src/laburnumyard/platform/_order_transport.py
+++ b/src/laburnumyard/platform/_order_transport.py
@@ -52,7 +52,10 @@
         """Send an order and return the reply."""
         endpoint = self.endpoints.setdefault(address, TargetEndpoint(address))
         exchange_result = await endpoint.exchange(
-            _encode(order), timeout_s, may_reconnect=may_reconnect
+            _encode(order),
+            timeout_s,
+            may_reconnect=may_reconnect,
+            may_reuse=not order.frees_keys,
         )
         if exchange_result.is_ok():
             return _decode_reply(exchange_result.ok, order.life.target)
--- a/src/laburnumyard/transport/_target_endpoint.py
+++ b/src/laburnumyard/transport/_target_endpoint.py
@@ -50,6 +50,7 @@
         timeout_s: float,
         *,
         may_reconnect: bool,
+        may_reuse: bool = True,
     ) -> Answered:
         """Send an order and return the complete reply.
 
@@ -62,11 +63,15 @@
         may_reconnect
             Whether the target may have been restarted since its last reply. If
             not, nothing is sent without a connection that is still open.
+        may_reuse
+            Whether a connection with an earlier reply may be used. A faulty
+            target may repeat that reply in place of the due one, and orders
+            have no identifier to tell them apart.
         """
         if not may_reconnect and not self._is_continued():
             return self._fail('no open connection')
         started_at = anyio.current_time()
-        connection = self._take_idle()
+        connection = self._take_idle() if may_reuse else None
         if connection is None:
             opened = await TargetConnection.open(
                 self.address, MAX_REPLY_BYTES, timeout_s
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -1,9 +1,13 @@
+import asyncio
+from contextlib import asynccontextmanager, suppress
+
+import anyio
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from laburnumyard.core.ids import FencingToken, Seconds, ShardKey, TargetId
-from laburnumyard.core.shards import Piece, Release, Reply
+from laburnumyard.core.shards import Grant, Piece, RangeRelease, Release, Reply
 from laburnumyard.core.target_directory import TargetLife
 from laburnumyard.platform._order_transport import PlatformOrders
 from tests.gateway.conftest import FakeTarget, answer
@@ -14,6 +18,50 @@
 REFUSED_ADDRESS = '127.0.0.1:1'
 
 
+class RepeatingTarget:
+    """Repeats its reply on a connection when the next order arrives there."""
+
+    def __init__(self):
+        self.orders = []
+        self.finish = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        replied = b''
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                length = head.lower().split(b'content-length: ')[1]
+                await reader.readexactly(int(length.split(b'\r')[0]))
+                self.orders.append(head.split(b' ')[1])
+                writer.write(replied)
+                if self.orders[-1] == b'/-/release':
+                    await self.finish.wait()
+                replied = answer(200, '', '')
+                writer.write(replied)
+        writer.close()
+
+    @asynccontextmanager
+    async def running(self):
+        server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        async with server:
+            yield f'{host}:{port}'
+
+
+@pytest.fixture
+def grant(release):
+    return Grant(
+        release.piece,
+        LIFE,
+        release.first,
+        release.last,
+        FencingToken(7),
+        Seconds(4),
+        '',
+        Seconds(0),
+    )
+
+
 @pytest.fixture
 def release():
     first, last = ShardKey(0), ShardKey(9)
@@ -47,3 +95,29 @@
     async with FakeTarget(answer(status, '', headers)).running() as target:
         reply = await PlatformOrders().send(release, target.address, Seconds(5))
     assert_that(reply.reply, Equals(expected))
+
+
+# OWNER: a repeated reply to a grant was taken for that to a release, and keys
+# were given to another target while requests on them still ran.
+@pytest.mark.parametrize('is_range', [False, True])
+async def test_a_repeated_reply_confirms_no_release(grant, release, is_range):
+    if is_range:
+        release = RangeRelease(LIFE, release.first, release.last, release.token)
+    target = RepeatingTarget()
+    orders = PlatformOrders()
+    async with target.running() as address:
+        await orders.send(grant, address, Seconds(5))
+        replies = []
+
+        async def send_release():
+            replies.append(await orders.send(release, address, Seconds(5)))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send_release)
+            await anyio.sleep(0.1)
+            assert_that(target.orders, Equals([b'/-/grant', b'/-/release']))
+            assert_that(replies, Equals([]))
+            target.finish.set()
+        assert_that(replies[0].reply, Equals(Reply.DONE))
+        for endpoint in orders.endpoints.values():
+            endpoint.close()
