A request whose connection is lost writes no response and starts no timeout

An internal error in a request that was being cancelled restarted the idle timeout of a connection that had ended, which kept it in memory for up to 15 s. Found by reading the change; the tests of callers and of connection faults pass.

--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -249,7 +249,7 @@
         """
         if not await confine('request', self.run_request, pending, request):
             pending.response = CallerResponse(HTTPStatus.BAD_GATEWAY)
-        if pending.response is not None:
+        if self in self.server.connections:
             self.write_responses()
         self.server.announce_change()
 
