--- a/src/standins/_gateway_target.py
+++ b/src/standins/_gateway_target.py
@@ -83,6 +83,8 @@
         The limit that its responses state; empty for none.
     arrivals
         When each request came, in seconds.
+    began
+        Identifiers of the requests that began to run.
     tokens
         Highest fencing token of each key range that was ever ordered.
     fenced
@@ -103,6 +105,7 @@
     state: str = 'ready'
     rate_limit: str = ''
     arrivals: list[float] = field(default_factory=list)
+    began: set[str] = field(default_factory=set)
     holds: list[Hold] = field(default_factory=list)
     tokens: 'deque[Hold]' = field(default_factory=deque)
     fenced: int = 0
@@ -214,6 +217,7 @@
             await self.reply(call, HTTPStatus.MISDIRECTED_REQUEST, [NOT_RUN])
             return
         self.arrivals.append(now)
+        self.began.add(call.headers.get(ATTEMPT_ID, b'').decode())
         await anyio.sleep(self.work_s)
         await self.reply(call, HTTPStatus.OK, [SIGNATURE])
 
