OWNER: a release is confirmed by a handover token, on kept connections too

Cause: a target with a long queue resets new connections. Releases failed there, and the keys waited for the end of holds.

Why this works: each reply to a release has a handover token of its own, one to a grant has none. On a connection with earlier replies only a token that was not seen before confirms; otherwise the release, which may be repeated, is sent once more on a new connection.

Tests: test_a_release_uses_a_kept_connection failed before this commit, the four cases of test_a_repeated_reply_confirms_no_release fail without the check.

--- a/src/laburnumyard/platform/_order_transport.py
+++ b/src/laburnumyard/platform/_order_transport.py
@@ -1,6 +1,7 @@
 """HTTP transport of grants and releases to targets."""
 
 import json
+from collections import deque
 from http import HTTPStatus
 from types import MappingProxyType
 
@@ -21,6 +22,8 @@
 
 GRANT_PATH = '/-/grant'
 RELEASE_PATH = '/-/release'
+# Replies that a faulty target could still repeat; each is a token.
+MAX_HANDOVERS = 1024
 HANDOVER_HEADER = 'laburnumyard-handover'
 JSON_HEADER = ('content-type', 'application/json')
 REPLIES_BY_STATUS = MappingProxyType(
@@ -40,6 +43,8 @@
     def __init__(self) -> None:
         """Create the object without connections."""
         self.endpoints: dict[str, TargetEndpoint] = {}
+        # Handover tokens of the latest replies, of all targets.
+        self.handovers: deque[str] = deque(maxlen=MAX_HANDOVERS)
 
     async def send(
         self,
@@ -55,14 +60,26 @@
             _encode(order),
             timeout_s,
             may_reconnect=may_reconnect,
-            may_reuse=not order.frees_keys,
+            identifies=self.is_new_handover if order.frees_keys else None,
         )
         if exchange_result.is_ok():
+            token = exchange_result.ok.header(HANDOVER_HEADER)
+            if token:
+                self.handovers.append(token)
             return _decode_reply(exchange_result.ok, order.life.target)
         # A refused connection does not prove that the target has ended: a
         # faulty network may refuse connections to a live one.
         return OrderReply(Reply.UNKNOWN, detail=exchange_result.error.detail)
 
+    def is_new_handover(self, response: TargetResponse) -> bool:
+        """Whether a response belongs to a release that had none before.
+
+        Each reply to a release has a handover token of its own; one to a grant
+        has none.
+        """
+        token = response.header(HANDOVER_HEADER)
+        return bool(token) and token not in self.handovers
+
 
 def _encode(order: TargetOrder) -> TargetRequest:
     # On the wire, `target` is the last key of the range and `fence` is the
--- a/src/laburnumyard/transport/_target_endpoint.py
+++ b/src/laburnumyard/transport/_target_endpoint.py
@@ -2,6 +2,7 @@
 
 import math
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -16,6 +17,7 @@
     FailureKind,
     TargetFailure,
     TargetRequest,
+    TargetResponse,
 )
 
 # Replies to orders have no body, or a short text.
@@ -50,7 +52,7 @@
         timeout_s: float,
         *,
         may_reconnect: bool,
-        may_reuse: bool = True,
+        identifies: Callable[[TargetResponse], bool] | None = None,
     ) -> Answered:
         """Send an order and return the complete reply.
 
@@ -63,28 +65,44 @@
         may_reconnect
             Whether the target may have been restarted since its last reply. If
             not, nothing is sent without a connection that is still open.
-        may_reuse
-            Whether a connection with an earlier reply may be used. A faulty
-            target may repeat that reply in place of the due one, and orders
-            have no identifier to tell them apart.
+        identifies
+            Returns whether a reply on a connection with earlier ones must be
+            the due one; None if that need not be known. A faulty target may
+            repeat an earlier reply, and orders have no identifier. After a
+            reply that may be another one, the order is sent once more, on a
+            new connection.
         """
         if not may_reconnect and not self._is_continued():
             return self._fail('no open connection')
-        started_at = anyio.current_time()
-        connection = self._take_idle() if may_reuse else None
-        if connection is None:
-            opened = await TargetConnection.open(
-                self.address, MAX_REPLY_BYTES, timeout_s
-            )
-            if opened.is_error():
-                return Error(opened.error)
-            connection = opened.ok
-            _keep_alive(connection)
-        left_s = started_at + timeout_s - anyio.current_time()
+        ends_at = anyio.current_time() + timeout_s
+        connection = self._take_idle()
+        if connection is not None:
+            answered = await self._send(connection, request, ends_at)
+            is_due = identifies is None or answered.is_error()
+            if is_due or identifies(answered.ok):
+                self._release(connection)
+                return answered
+            connection.close()
+        opened = await TargetConnection.open(
+            self.address, MAX_REPLY_BYTES, ends_at - anyio.current_time()
+        )
+        if opened.is_error():
+            return Error(opened.error)
+        _keep_alive(opened.ok)
+        answered = await self._send(opened.ok, request, ends_at)
+        self._release(opened.ok)
+        return answered
+
+    async def _send(
+        self,
+        connection: TargetConnection,
+        request: TargetRequest,
+        ends_at: float,
+    ) -> Answered:
+        left_s = ends_at - anyio.current_time()
         answered = await connection.send(request, max(0, left_s))
         if answered.is_ok():
             self.replied_at = anyio.current_time()
-        self._release(connection)
         return answered
 
     def close(self) -> None:
