--- a/src/laburnumyard/transport/_target_endpoint.py
+++ b/src/laburnumyard/transport/_target_endpoint.py
@@ -59,7 +59,7 @@
         Parameters
         ----------
         request
-            Request to send; it is not retried.
+            Request to send.
         timeout_s
             Timeout of the whole exchange, in seconds.
         may_reconnect
