--- a/review/kit2/store.py
+++ b/review/kit2/store.py
@@ -25,7 +25,7 @@
 class Store:
     """All items, their history, and leases.
 
-    While it is down, it takes calls and answers none of them.
+    While it is down, it answers each call with 503.
     """
 
     def __init__(self, host: str) -> None:
@@ -76,11 +76,11 @@
             before = now
 
     async def handle(self, request: Message) -> Reply | None:
+        await asyncio.sleep(0.004)
         if self.is_down:
-            return None
+            return json_reply(503, {})
         reply = await self.answer(request)
-        await asyncio.sleep(0.004)
-        return None if self.is_down else reply
+        return json_reply(503, {}) if self.is_down else reply
 
     async def answer(self, request: Message) -> Reply:
         url = urlsplit(request.target)
--- a/review/kit2/worker.py
+++ b/review/kit2/worker.py
@@ -78,10 +78,10 @@
         await asyncio.sleep(offset_s)
         while True:
             if store.is_down:
-                # Its write hangs; it notices the return some time later.
+                # Back within about two seconds, as the pages say.
                 while store.is_down:
                     await asyncio.sleep(0.05)
-                await asyncio.sleep(random.uniform(0.2, 1.8))
+                await asyncio.sleep(random.uniform(1.5, 2.0))
             if not store.is_down:
                 store.put(f'servers/{self.name}', self.entry())
                 self.registered_at = time.monotonic()
