--- a/review/kit2/machines.py
+++ b/review/kit2/machines.py
@@ -1,6 +1,7 @@
 """Gateway processes on loopback addresses, with the deploy file's command."""
 
 import os
+import random
 import re
 import signal
 import socket
@@ -33,14 +34,19 @@
 
 
 def free_port(hosts: list[str]) -> int:
-    """Return a port that is free on all hosts, below the ephemeral ones."""
-    for port in range(21_000 + os.getpid() % 7000, 32_000):
+    """Return a port that is free on all hosts, with the next two.
+
+    It is below the ports that the system gives to outgoing connections.
+    """
+    first = random.randrange(21_000, 31_000, 3)
+    for port in range(first, 31_900, 3):
         held = []
         try:
             for host in hosts:
-                listener = socket.socket()
-                held.append(listener)
-                listener.bind((host, port))
+                for each in (port, port + 1, port + 2):
+                    listener = socket.socket()
+                    held.append(listener)
+                    listener.bind((host, each))
         except OSError:
             continue
         finally:
--- a/review/kit2/worker.py
+++ b/review/kit2/worker.py
@@ -81,7 +81,7 @@
                 # Back within about two seconds, as the pages say.
                 while store.is_down:
                     await asyncio.sleep(0.05)
-                await asyncio.sleep(random.uniform(1.5, 2.0))
+                await asyncio.sleep(random.uniform(1.7, 2.0))
             if not store.is_down:
                 store.put(f'servers/{self.name}', self.entry())
                 self.registered_at = time.monotonic()
