RECOVER: an entry that came back unchanged replaces its cached removal

After a store outage in which entries expire, a reader kept the target for the return grace and left the removal in the cache of its followers. They dropped live targets for good.

--- a/src/laburnumyard/gateway/_target_entries.py
+++ b/src/laburnumyard/gateway/_target_entries.py
@@ -89,6 +89,15 @@
         if self.targets != before:
             self.view.adopt_directory(self.targets)
 
+    def is_cached_as_removed(self, key: str) -> bool:
+        """Whether peers would be told that an entry is gone.
+
+        An entry that expired in a store outage may come back unchanged. If the
+        cache kept its removal, followers would drop the live target for good.
+        """
+        cached = self.cache.items.get(key)
+        return cached is not None and cached.content is None
+
     def note_departure(self, item: Item) -> None:
         """Record that an entry, or its removal, took a target out of use."""
         self.departure_revision = max(self.departure_revision, item.revision)
@@ -120,7 +129,7 @@
         self.targets[target] = decoded.ok
         if known != decoded.ok and decoded.ok.state is TargetState.DRAINING:
             self.note_departure(item)
-        if known != decoded.ok:
+        if known != decoded.ok or self.is_cached_as_removed(item.key):
             self.cache.update(item)
         if known is None or (known.life, known.state) != (
             decoded.ok.life,
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -125,6 +125,30 @@
     assert_that(list(watcher.view.directory), Equals([TargetId('a')]))
 
 
+async def test_followers_keep_a_target_that_came_back_unchanged(watcher):
+    """Followers were told of the removal and never of the return.
+
+    The reader kept the target for the return grace, so the entry that came back
+    equalled the known one and did not replace the removal in its cache.
+    """
+    entries = watcher.target_entries
+    entries.apply_changes((entry('a', 1),))
+    watcher.health.record_call(LOST)
+    watcher.health.record_call(None)
+    entries.apply_changes((entry('a', 5, gone=True),))
+    entries.apply_changes((entry('a', 6),))
+    assert_that(entries.final_to(7), Equals(7))
+    follower = StoreWatcher(
+        watcher.platform, ClusterView(), StoreHealth(), never
+    )
+    follower.apply_peer_items((entry('a', 1),), Progress(0, 0, 1))
+    follower.apply_peer_items(
+        watcher.cache.select(lambda item: item.revision > 1),
+        Progress(0, 0, 7),
+    )
+    assert_that(list(follower.view.directory), Equals([TargetId('a')]))
+
+
 async def test_without_an_outage_a_removed_target_is_gone(watcher):
     watcher.target_entries.apply_changes((entry('a', 1),))
     watcher.target_entries.apply_changes((entry('a', 2, gone=True),))
