Scheduler: cost per request independent of targets and waiting requests

Cause: submit, finish and dispatch looked at every waiting request and every target; the coordinator of a keyed service used 0.97 of a core at 1,300 requests/s.

Change: waiting requests are indexed by rank and owner of the key (_waiting_queue.py), targets by room, with their capacity summed (_target_index.py), running requests by target and route (_running.py). A freed slot looks only at what it may serve. BudgetMeter counts requests in 100 parts of its window. The shard manager skips held pieces that are not due, and the balancer looks for the most loaded target only for quiet ones. singledispatchmethods on the message path are bound once. tick passes on the sends that abandoned slots make possible; they were dropped.

--- a/src/laburnumyard/core/scheduling/_budget.py
+++ b/src/laburnumyard/core/scheduling/_budget.py
@@ -14,6 +14,48 @@
 # still retry themselves without budget; callers that were refused before and
 # came back have no other option.
 FIRST_TRY_PART = 0.5
+# Requests are counted in this many parts of the window, so that the memory used
+# does not depend on their rate. A part leaves the window as a whole, up to 1 %
+# of the window early, so that no more is allowed than by an exact count.
+WINDOW_PARTS = 100
+
+
+@dataclass(slots=True)
+class RequestCount:
+    """Number of requests in a sliding window.
+
+    Parameters
+    ----------
+    window_s
+        Length of the window, in seconds.
+
+    Attributes
+    ----------
+    total
+        Requests of all parts.
+    parts
+        Start of each part with requests, in seconds, and their number.
+    """
+
+    window_s: float
+    total: int = 0
+    parts: 'deque[tuple[float, int]]' = field(default_factory=deque)
+
+    def add(self, now: Seconds) -> None:
+        """Count a request."""
+        self.total += 1
+        part_s = self.window_s / WINDOW_PARTS
+        if self.parts and now < self.parts[-1][0] + part_s:
+            begun, requests = self.parts[-1]
+            self.parts[-1] = (begun, requests + 1)
+            return
+        self.parts.append((now, 1))
+        self.forget_old(now)
+
+    def forget_old(self, now: Seconds) -> None:
+        """Forget what is no longer in the window."""
+        while self.parts and self.parts[0][0] < now - self.window_s:
+            self.total -= self.parts.popleft()[1]
 
 
 @dataclass(slots=True)
@@ -27,12 +69,16 @@
     """
 
     budget: RetryBudget
-    requests: 'deque[Seconds]' = field(default_factory=deque)
+    requests: RequestCount = field(init=False)
     retries: 'deque[Seconds]' = field(default_factory=deque)
 
+    def __post_init__(self) -> None:
+        """Start without requests."""
+        self.requests = RequestCount(self.budget.window_s)
+
     def note_request(self, now: Seconds) -> None:
         """Count the first send of a request."""
-        self.requests.append(now)
+        self.requests.add(now)
 
     def try_record_retry(self, now: Seconds, *, is_returned: bool) -> bool:
         """Count a retry unless the budget of the window is exhausted.
@@ -49,10 +95,10 @@
         bool
             Whether the request may be retried.
         """
-        for times in (self.requests, self.retries):
-            while times and times[0] < now - self.budget.window_s:
-                times.popleft()
-        allowed = self.budget.ratio * len(self.requests)
+        self.requests.forget_old(now)
+        while self.retries and self.retries[0] < now - self.budget.window_s:
+            self.retries.popleft()
+        allowed = self.budget.ratio * self.requests.total
         if now >= self.budget.allowance_from:
             allowed += self.budget.allowance
         fraction = (
--- a/src/laburnumyard/core/scheduling/_scheduler.py
+++ b/src/laburnumyard/core/scheduling/_scheduler.py
@@ -5,27 +5,29 @@
 ordered by rank. If keys have owners, a placement returns the owner of a key.
 """
 
-from bisect import insort
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
-from operator import attrgetter
 from typing import Protocol
 
 from laburnumyard.core.ids import Seconds, ShardKey, TargetId
 from laburnumyard.core.rate_limits import UNKNOWN_LIMIT, LimitStatement
 from laburnumyard.core.scheduling._budget import BudgetMeter
 from laburnumyard.core.scheduling._crash_attribution import CrashAttribution
+from laburnumyard.core.scheduling._refusals import Refusals
 from laburnumyard.core.scheduling._run_times import RunTimes
+from laburnumyard.core.scheduling._running import RunningRequests
 from laburnumyard.core.scheduling._send_rate import RateLimiter
 from laburnumyard.core.scheduling._sender_failures import SenderFailures
 from laburnumyard.core.scheduling._settings import SchedulerSettings
 from laburnumyard.core.scheduling._target_cost import PayloadSizes, TargetCost
+from laburnumyard.core.scheduling._target_index import TargetIndex
 from laburnumyard.core.scheduling._target_slots import TargetSlots
+from laburnumyard.core.scheduling._wait_estimate import WaitEstimate
+from laburnumyard.core.scheduling._waiting_queue import ANY_TARGET, WaitingQueue
 from laburnumyard.core.scheduling._work import (
     Decision,
     Outcome,
     Refusal,
-    Refuse,
     Send,
     Work,
     WorkId,
@@ -35,9 +37,6 @@
 # Slots of requests whose entry gateway stopped responding are freed this many
 # seconds after the requests have expired.
 ABANDONED_AFTER_S = 0.5
-# Upper bound on the retry-after delay, as a fraction of the time until expiry.
-MAX_RETRY_AFTER_FRACTION = 1 / 3
-MIN_RETRY_AFTER_S = 0.02
 # Factor on the pace of a target after a run that was interrupted beyond twice
 # its expected time, since its full run time is not known.
 INTERRUPTED_RUN_FACTOR = 1.1
@@ -94,8 +93,23 @@
         self.limiter = RateLimiter()
         self.senders = SenderFailures()
         self.targets: dict[TargetId, TargetSlots] = {}
-        self.waiting: list[Work] = []
-        self.running: dict[WorkId, Work] = {}
+        self.index = TargetIndex(self.times)
+        self.queue = WaitingQueue(placement)
+        self.at_targets = RunningRequests()
+        self.estimate = WaitEstimate(
+            settings, self.times, self.index, self.queue, self.at_targets
+        )
+        self.refusals = Refusals(self.index, self.queue, self.estimate)
+
+    @property
+    def running(self) -> dict[WorkId, Work]:
+        """The requests that occupy a slot."""
+        return self.at_targets.works
+
+    @property
+    def waiting(self) -> list[Work]:
+        """The waiting requests in the order in which they are served."""
+        return list(self.queue)
 
     def submit(
         self, work: Work, now: Seconds, *, is_returned: bool
@@ -111,22 +125,32 @@
         is_returned
             Whether it was refused before; it precedes others of its rank.
         """
+        work.expected_s = self._expect(work, None)
         if work.key is not None and self.placement:
-            cost = self.times.expect(work.route, None)
+            cost = Seconds(work.expected_s)
             self.placement.note_arrival(work.key, cost, now)
         if self.crash_attribution.is_quarantined(work, now):
-            return [self.refuse(work, Refusal.QUARANTINED, now)]
+            return [self.refusals.refuse(work, Refusal.QUARANTINED, now)]
         if work.sends:
             if not self.budget.try_record_retry(now, is_returned=is_returned):
-                return [self.refuse(work, Refusal.RETRY_BUDGET, now)]
+                return [self.refusals.refuse(work, Refusal.RETRY_BUDGET, now)]
         else:
             self.budget.note_request(now)
-        work.order = (work.rank, not is_returned, work.arrived_at)
-        wait = self._expected_wait(work, now)
-        if not self._is_admissible(work, wait, now):
-            return [self.refuse(work, self._overload_reason(work, now), now)]
-        insort(self.waiting, work, key=attrgetter('order'))
-        return self.dispatch(now)
+        work.order_class = (work.rank, int(not is_returned))
+        woken = self._catch_up(now)
+        wait = self.estimate.wait(work, now)
+        if not self.estimate.is_admissible(work, wait, now):
+            refusal = self.refusals.overload(work, now)
+            return [refusal, *self._serve_targets(woken, now)]
+        if not self.queue:
+            target = self._choose(work, now)
+            if target is not None:
+                return [self._send(work, target, now)]
+        self.queue.add(work)
+        decisions = self._serve_targets(woken, now)
+        if work.work_id in self.queue.by_id:
+            decisions += self._serve((work,), self.index.has_room, now)
+        return decisions
 
     def finish(
         self,
@@ -151,7 +175,7 @@
         rate_limit
             What the response says about the rate limit of the target.
         """
-        work = self.running.pop(work_id, None)
+        work = self.at_targets.pop(work_id)
         if work is None or work.target is None:
             return []
         if payload_bytes:
@@ -170,24 +194,26 @@
                 if work.key is not None:
                     self.placement.note_not_owner(work.key, work.target)
             self._record_run_time(work, outcome, now)
-        return self.dispatch(now)
+            self.index.refresh(slots, now)
+        woken = self._catch_up(now)
+        return self._serve_targets([work.target, *woken], now)
 
     def withdraw(self, work_id: WorkId, now: Seconds) -> list[Decision]:
         """Drop a request whose caller no longer waits."""
         if work_id in self.running:
             return self.finish(work_id, Outcome.CANCELLED, now)
-        self.waiting = [
-            work for work in self.waiting if work.work_id != work_id
-        ]
+        work = self.queue.by_id.get(work_id)
+        if work is not None:
+            self.queue.remove(work)
         return []
 
     def adopt(self, work: Work, target: TargetId) -> None:
         """Count a request that another scheduler sent."""
-        work.target = target
-        self.running[work.work_id] = work
+        self.at_targets.add(work, target)
         slots = self.targets.get(target)
         if slots:
             slots.running += 1
+        self.index.is_stale = True
 
     def update_targets(self, records: Iterable[TargetRecord]) -> None:
         """Replace the records of the service's targets.
@@ -200,73 +226,112 @@
         """
         known = self.targets
         self.targets = {}
+        self.index.targets = self.targets
         for record in records:
             slots = known.get(record.target)
             if slots is None or slots.record.life != record.life:
                 if slots:
                     self.crash_attribution.note_target_end(slots.record.life)
-                slots = TargetSlots(
-                    record, self.limiter, self._count_running(record)
-                )
+                running = len(self.at_targets.at_target(record.target))
+                slots = TargetSlots(record, self.limiter, running)
                 self.times.forget(record.target)
             slots.record = record
             self.targets[record.target] = slots
         self.limiter.forget_replaced(
             [slots.record.life for slots in self.targets.values()]
         )
+        self.index.is_stale = True
 
     def tick(self, now: Seconds) -> list[Decision]:
         """Dispatch waiting requests and refuse those that waited too long."""
-        for work in tuple(self.running.values()):
-            if now > work.expires_at + ABANDONED_AFTER_S:
-                self.finish(work.work_id, Outcome.CANCELLED, now)
-        decisions = self.dispatch(now)
+        decisions: list[Decision] = []
+        for running in tuple(self.running.values()):
+            if now > running.expires_at + ABANDONED_AFTER_S:
+                decisions += self.finish(
+                    running.work_id, Outcome.CANCELLED, now
+                )
+        self.index.is_stale = True
+        decisions += self.dispatch(now)
         too_late = [
             work
-            for work in self.waiting
-            if self._is_too_late(work, Seconds(0), now)
+            for work in self.queue
+            if self.estimate.is_too_late(work, Seconds(0), now)
         ]
         for work in too_late:
-            self.waiting.remove(work)
-            decisions.append(
-                self.refuse(work, self._refusal_reason(work, now), now)
-            )
+            self.queue.remove(work)
+            decisions.append(self.refusals.queued(work, now))
         return decisions
 
     def dispatch(self, now: Seconds) -> list[Decision]:
-        """Send each waiting request for which a target has a free slot."""
+        """Send each waiting request for which a target has a free slot.
+
+        To be called when the owner of keys has changed.
+        """
+        self._catch_up(now)
+        decisions = self._serve_targets(self._lanes_with_room(), now)
+        common = self.queue.lane(ANY_TARGET).works
+        return decisions + self._serve(common, self.index.has_room, now)
+
+    def _catch_up(self, now: Seconds) -> list[TargetId]:
+        """Return the targets that may have got room other than by an event."""
+        if self.queue.follow_owners() or self.index.is_stale:
+            self.index.rebuild(now)
+            return [*self._lanes_with_room(), ANY_TARGET]
+        woken = self.index.woken(now)
+        for target in woken:
+            slots = self.targets.get(target)
+            if slots:
+                self.index.refresh(slots, now)
+        return woken
+
+    def _lanes_with_room(self) -> list[TargetId]:
+        return [
+            target
+            for target in self.queue.lanes
+            if target is not None and target in self.index.free
+        ]
+
+    def _serve_targets(
+        self, targets: Iterable[TargetId], now: Seconds
+    ) -> list[Decision]:
+        """Send what waits for some targets, or for any target."""
         decisions: list[Decision] = []
-        kept: list[Work] = []
-        has_room = bool(self.waiting) and self._has_room(now)
-        for index, work in enumerate(self.waiting):
-            if not has_room:
-                kept.extend(self.waiting[index:])
+        if not self.queue:
+            return decisions
+        for target in targets:
+            slots = self.targets.get(target)
+            if slots:
+                works = self.queue.candidates(target)
+                decisions += self._serve(works, slots.has_room, now)
+            elif target == ANY_TARGET:
+                common = self.queue.lane(ANY_TARGET).works
+                decisions += self._serve(common, self.index.has_room, now)
+        return decisions
+
+    def _serve(
+        self,
+        works: Iterable[Work],
+        has_room: Callable[[Seconds], bool],
+        now: Seconds,
+    ) -> list[Decision]:
+        """Send waiting requests in their order while there is room."""
+        decisions: list[Decision] = []
+        for work in works:
+            if not has_room(now):
                 break
             target = self._choose(work, now)
-            if target is None:
-                kept.append(work)
-                continue
-            decisions.append(self._send(work, target, now))
-            has_room = self._has_room(now)
-        self.waiting = kept
+            if target is not None:
+                decisions.append(self._send(work, target, now))
+        for decision in decisions:
+            self.queue.remove(decision.work)
         return decisions
 
-    def refuse(self, work: Work, reason: Refusal, now: Seconds) -> Refuse:
-        """Return the refusal of a request with its retry-after delay."""
-        max_retry_after = MAX_RETRY_AFTER_FRACTION * max(
-            0, work.expires_at - now
-        )
-        expected = self._backlog(self.waiting, now)
-        if reason is Refusal.RATE_LIMITED:
-            expected = max(expected, self._expected_wait(work, now))
-        retry_after = max(MIN_RETRY_AFTER_S, min(expected, max_retry_after))
-        return Refuse(work, reason, Seconds(retry_after))
-
     def _send(self, work: Work, target: TargetId, now: Seconds) -> Send:
-        work.target = target
         work.sent_at = now
-        self.running[work.work_id] = work
-        self.targets[target].occupy(now)
+        self.at_targets.add(work, target)
+        slots = self.targets[target]
+        slots.occupy(now)
+        self.index.refresh_room(slots, now)
         return Send(work, target)
 
     def _choose(self, work: Work, now: Seconds) -> TargetId | None:
@@ -276,7 +341,7 @@
             return owner if slots and slots.has_room(now) else None
         free = [
             slots
-            for slots in self.targets.values()
+            for slots in self.index.free.values()
             if slots.has_room(now) and slots.record.target not in work.excluded
         ]
         best = min(free, key=partial(self.cost.of, work), default=None)
@@ -296,90 +361,6 @@
             if ran_for > 2 * expected:
                 self.times.slow_down(target, INTERRUPTED_RUN_FACTOR)
 
-    def _has_room(self, now: Seconds) -> bool:
-        return any(slots.has_room(now) for slots in self.targets.values())
-
-    def _count_running(self, record: TargetRecord) -> int:
-        return sum(
-            work.target == record.target for work in self.running.values()
-        )
-
-    def _expected_wait(self, work: Work, now: Seconds) -> Seconds:
-        waiting_ahead = [
-            other for other in self.waiting if other.order <= work.order
-        ]
-        if work.key is None or self.placement is None:
-            if self._has_room(now) and not waiting_ahead:
-                return Seconds(0)
-            return self._backlog([*waiting_ahead, work], now)
-        owner = self.placement.destination(work.key)
-        slots = self.targets.get(owner) if owner else None
-        if slots is None or (slots.has_room(now) and not waiting_ahead):
-            return Seconds(0)
-        ahead_at_owner = [
-            other
-            for other in waiting_ahead
-            if other.key is not None
-            and self.placement.destination(other.key) == owner
-        ]
-        seconds = sum(
-            self.times.expect(other.route, owner) for other in ahead_at_owner
-        )
-        wait = Seconds(seconds / slots.record.slots)
-        rate = slots.rate(now)
-        if rate is None:
-            return wait
-        return max(wait, rate.wait(len(ahead_at_owner) + 1, now))
-
-    def _backlog(self, works: list[Work], now: Seconds) -> Seconds:
-        """Return the time that all targets together need for some requests."""
-        capacity = sum(
-            slots.capacity(self.times, now)
-            for slots in self.targets.values()
-            if not slots.losses
-        )
-        seconds = sum(self.times.expect(work.route, None) for work in works)
-        return Seconds(seconds / (capacity or 1))
-
-    def _is_too_late(self, work: Work, wait: Seconds, now: Seconds) -> bool:
-        lateness_allowance = self.settings.late_share * (
-            work.expires_at - work.due_at
-        )
-        last_end = work.due_at + max(0, lateness_allowance)
-        run_time = self.times.expect(work.route, None)
-        return now + wait + run_time > min(last_end, work.expires_at)
-
-    def _is_admissible(self, work: Work, wait: Seconds, now: Seconds) -> bool:
-        """Whether a new request can be served before it is useless.
-
-        With a free slot, a late answer is accepted too. If no request of the
-        route is running, a request is admitted despite its expected run time,
-        which may be outdated: otherwise no run would ever correct it.
-        """
-        if wait:
-            return not self._is_too_late(work, wait, now)
-        run_time = self.times.expect(work.route, None)
-        if now + run_time <= work.expires_at:
-            return True
-        return all(other.route != work.route for other in self.running.values())
-
-    def _refusal_reason(self, work: Work, now: Seconds) -> Refusal:
-        if not self.targets:
-            return Refusal.NO_TARGET
-        if work.key is not None and self.placement:
-            if self.placement.owner(work.key, now) is None:
-                return Refusal.NO_OWNER
-        return self._overload_reason(work, now)
-
-    def _overload_reason(self, work: Work, now: Seconds) -> Refusal:
-        candidates = list(self.targets.values())
-        if work.key is not None and self.placement:
-            owner = self.placement.destination(work.key)
-            candidates = [
-                slots for slots in candidates if slots.record.target == owner
-            ]
-        is_limited = any(
-            slots.has_free_slot(now) and not slots.has_room(now)
-            for slots in candidates
-        )
-        return Refusal.RATE_LIMITED if is_limited else Refusal.OVERLOADED
+    def _expect(self, work: Work, target: TargetId | None) -> Seconds:
+        """Return the run time to expect of a request."""
+        return self.times.expect(work.route, target)
--- a/src/laburnumyard/core/scheduling/_work.py
+++ b/src/laburnumyard/core/scheduling/_work.py
@@ -15,6 +15,8 @@
 )
 
 WorkId = NewType('WorkId', int)
+# Rank, and group within the rank; lower ones are served first.
+OrderClass = tuple[int, int]
 # Sender of requests that enter where the scheduler runs.
 OWN_SENDER = DaemonName('')
 
@@ -84,6 +86,15 @@
         How many targets it has reached so far.
     sender
         The gateway that sends it.
+
+    Attributes
+    ----------
+    order_class, order
+        Its class, and its place in the queue; lower ones are served first.
+    lane
+        The target that it waits for; see ``WaitingQueue``.
+    expected_s
+        Run time to expect when it was submitted, in seconds.
     """
 
     work_id: WorkId
@@ -101,7 +112,10 @@
     sender: DaemonName = OWN_SENDER
     target: TargetId | None = None
     sent_at: float = 0
+    order_class: OrderClass = (0, 0)
     order: tuple[float, ...] = field(default=())
+    lane: TargetId | None = None
+    expected_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/laburnumyard/core/shards/_balancer.py
+++ b/src/laburnumyard/core/shards/_balancer.py
@@ -177,10 +177,10 @@
         """Move a piece with requests to each target that gets none."""
         mean = _mean_utilization(target_loads)
         for target_load in target_loads:
-            most_loaded = max(target_loads, key=_utilization)
             room = (mean - target_load.utilization) * target_load.capacity
             if target_load.life.target not in quiet or room <= 0:
                 continue
+            most_loaded = max(target_loads, key=_utilization)
             piece = self._select_piece(most_loaded, room, 0)
             if piece is not None:
                 self._move_between(piece, most_loaded, target_load)
--- a/src/laburnumyard/core/shards/_manager.py
+++ b/src/laburnumyard/core/shards/_manager.py
@@ -68,12 +68,15 @@
         Their grants are not renewed. The later instance may hold their pieces
         through a renewal that was in flight, and has to release them before
         another target gets them.
+    version
+        Changes whenever the holder of a key may have changed.
     """
 
     def __init__(self, settings: ShardSettings) -> None:
         """Start without pieces."""
         self.settings = settings
         self.revision = 0
+        self.version = 0
         self.has_stored_formers = False
         self.pieces: list[Piece] = []
         self.load = KeyLoad()
@@ -97,6 +100,7 @@
             counted from now, since its last one may just have been sent.
         """
         self.revision = assignment.revision
+        self.version += 1
         for replaced in self.pieces:
             replaced.is_replaced = True
         self.pieces = list(assignment.pieces)
@@ -130,6 +134,7 @@
         the stored grants or has just stopped.
         """
         self.revision = assignment.revision
+        self.version += 1
         self.pieces = list(assignment.pieces)
         for piece in self.pieces:
             # The holder of a piece with former holders is unknown.
@@ -210,6 +215,7 @@
             return []
         if not self.pieces or not self.revision:
             self.pieces = initial_pieces(self.settings, serving)
+            self.version += 1
             return [Move(piece, piece.holder) for piece in self.pieces]
         loads = self.load.by_key(now, len(serving))
         balancer = Balancer(self.settings, self.pieces, loads, now)
@@ -236,6 +242,7 @@
             The current time, in seconds.
         """
         self.revision = revision
+        self.version += 1
         for move in moves:
             moved = piece_after_move(move.piece, move.to, self.dead)
             piece = move.piece
@@ -265,7 +272,11 @@
     def due_orders(self, now: Seconds) -> Iterator[Order]:
         """Yield the orders that have to be sent now."""
         for piece in self.pieces:
-            yield from self.next_order(piece, now)
+            # Most pieces are held and their renewal is not due.
+            if piece.has_order_in_flight:
+                continue
+            if piece.phase is not Phase.HELD or now >= piece.renew_at:
+                yield from self.next_order(piece, now)
 
     def next_order(self, piece: Piece, now: Seconds) -> Iterator[Order]:
         """Yield the order that a piece needs now, if any."""
--- a/src/laburnumyard/gateway/_coordinator_roles.py
+++ b/src/laburnumyard/gateway/_coordinator_roles.py
@@ -138,6 +138,9 @@
         self.roles: dict[ServiceName, CoordinatorRole] = {}
         self.remote: dict[Link, dict[int, RemoteRequest]] = {}
         self.is_leaving = False
+        # Bound once: each access to a singledispatchmethod builds a wrapper,
+        # which costs several microseconds a message.
+        self.handle_message = self.handle_message
         view.on_directory.append(self.update_targets)
         view.on_coordinators.append(self.drop_lost_roles)
 
@@ -290,7 +293,7 @@
             link.on_closed.append(self.withdraw_link_requests)
         sender = DaemonName(link.remote.daemon) if link.remote else OWN_SENDER
         work_id = dispatcher.submit(
-            replace(decode_slot_request(message), sender=sender),
+            decode_slot_request(message, sender),
             partial(_send_permit, link, number, self.remote),
         )
         remote_requests[number] = RemoteRequest(dispatcher, work_id)
@@ -376,8 +379,10 @@
     )
 
 
-def decode_slot_request(message: messages.Ask) -> SlotRequest:
-    """Return the slot request of a message."""
+def decode_slot_request(
+    message: messages.Ask, sender: DaemonName = OWN_SENDER
+) -> SlotRequest:
+    """Return the slot request of a message from a gateway."""
     return SlotRequest(
         ServiceName(message.service),
         RouteName(message.route),
@@ -391,6 +396,7 @@
         frozenset(TargetId(ref.target) for ref in message.excluded),
         message.fingerprint,
         message.sends,
+        sender,
     )
 
 
--- a/src/laburnumyard/gateway/_slot_dispatcher.py
+++ b/src/laburnumyard/gateway/_slot_dispatcher.py
@@ -115,6 +115,9 @@
         self.scheduler = scheduler
         self.replies: dict[WorkId, ReplyCallback] = {}
         self.work_ids = count(1)
+        # Bound once: each access to a singledispatchmethod builds a wrapper,
+        # which costs several microseconds a decision.
+        self.slot_answer = self.slot_answer
 
     def submit(self, slot_request: SlotRequest, reply: ReplyCallback) -> WorkId:
         """Submit a request; ``reply`` is called once, now or later."""
@@ -202,7 +205,7 @@
             target=decision.target,
             key=work.key,
             running=slots.running,
-            waiting=len(self.scheduler.waiting),
+            waiting=len(self.scheduler.queue),
             waited_ms=round((work.sent_at - work.arrived_at) * 1000),
             pace=round(self.scheduler.times.pace(decision.target), 2),
             limit=rate.per_second if rate else 'none',
@@ -223,7 +226,7 @@
             service=self.service,
             reason=decision.reason,
             key=work.key,
-            waiting=len(self.scheduler.waiting),
+            waiting=len(self.scheduler.queue),
             targets=len(self.scheduler.targets),
             retry_after_ms=round(decision.retry_after_s * 1000),
         )
