Interface of load reports and run reports

Cause: placement by expected cost needs the load that targets report and what a request shows of its cost, and finish() had grown a parameter for each figure of a response.

Change: RunReport (outcome, payload bytes, rate limit, load report) is the argument of Scheduler.finish, SlotDispatcher.finish and Slots.release. The header Laburnumyard-Instance-Load is parsed strictly into ResponseHead.load_report. Done has the report and Ask the cost class as new fields at the end; 0 stands for none, which is what a message of an earlier release gives.

--- a/src/laburnumyard/core/scheduling/__init__.py
+++ b/src/laburnumyard/core/scheduling/__init__.py
@@ -1,6 +1,7 @@
 """Queueing, admission and target selection for the requests of a service."""
 
 from laburnumyard.core.scheduling._budget import BudgetMeter
+from laburnumyard.core.scheduling._run_report import RunReport
 from laburnumyard.core.scheduling._run_times import RunTimes
 from laburnumyard.core.scheduling._scheduler import Placement, Scheduler
 from laburnumyard.core.scheduling._settings import (
@@ -28,6 +29,7 @@
     'Refusal',
     'Refuse',
     'RetryBudget',
+    'RunReport',
     'RunTimes',
     'Scheduler',
     'SchedulerSettings',
--- a/src/laburnumyard/core/scheduling/_scheduler.py
+++ b/src/laburnumyard/core/scheduling/_scheduler.py
@@ -12,9 +12,9 @@
 from typing import Protocol
 
 from laburnumyard.core.ids import Seconds, ShardKey, TargetId
-from laburnumyard.core.rate_limits import UNKNOWN_LIMIT, LimitStatement
 from laburnumyard.core.scheduling._budget import BudgetMeter
 from laburnumyard.core.scheduling._crash_attribution import CrashAttribution
+from laburnumyard.core.scheduling._run_report import RunReport
 from laburnumyard.core.scheduling._run_times import RunTimes
 from laburnumyard.core.scheduling._send_rate import RateLimiter
 from laburnumyard.core.scheduling._sender_failures import SenderFailures
@@ -131,10 +131,8 @@
     def finish(
         self,
         work_id: WorkId,
-        outcome: Outcome,
+        report: RunReport,
         now: Seconds,
-        payload_bytes: int = 0,
-        rate_limit: LimitStatement = UNKNOWN_LIMIT,
     ) -> list[Decision]:
         """Free the slot of a request and dispatch waiting requests.
 
@@ -142,20 +140,17 @@
         ----------
         work_id
             The id of a sent request; an unknown id has no effect.
-        outcome
-            The outcome of its run.
+        report
+            How its run ended.
         now
             The current time, in seconds.
-        payload_bytes
-            Size of the request and its response; 0 without a response.
-        rate_limit
-            What the response says about the rate limit of the target.
         """
         work = self.running.pop(work_id, None)
         if work is None or work.target is None:
             return []
-        if payload_bytes:
-            self.payloads.record(work.route, payload_bytes)
+        outcome = report.outcome
+        if report.payload_bytes:
+            self.payloads.record(work.route, report.payload_bytes)
         slots = self.targets.get(work.target)
         if slots:
             slots.running -= 1
@@ -164,7 +159,7 @@
                 now,
                 is_count_complete=self.settings.is_only_scheduler,
             )
-            self.limiter.record(slots.record.life, rate_limit, now)
+            self.limiter.record(slots.record.life, report.rate_limit, now)
             self.crash_attribution.note(work, slots.record.life, outcome, now)
             if outcome is Outcome.NOT_OWNER and self.placement:
                 if work.key is not None:
@@ -175,7 +170,7 @@
     def withdraw(self, work_id: WorkId, now: Seconds) -> list[Decision]:
         """Drop a request whose caller no longer waits."""
         if work_id in self.running:
-            return self.finish(work_id, Outcome.CANCELLED, now)
+            return self.finish(work_id, RunReport(Outcome.CANCELLED), now)
         self.waiting = [
             work for work in self.waiting if work.work_id != work_id
         ]
@@ -219,7 +214,7 @@
         """Dispatch waiting requests and refuse those that waited too long."""
         for work in tuple(self.running.values()):
             if now > work.expires_at + ABANDONED_AFTER_S:
-                self.finish(work.work_id, Outcome.CANCELLED, now)
+                self.finish(work.work_id, RunReport(Outcome.CANCELLED), now)
         decisions = self.dispatch(now)
         too_late = [
             work
--- a/src/laburnumyard/core/scheduling/_work.py
+++ b/src/laburnumyard/core/scheduling/_work.py
@@ -84,6 +84,8 @@
         How many targets it has reached so far.
     sender
         The gateway that sends it.
+    cost_class
+        What it shows of its cost, as one number; 0 if nothing is known.
     """
 
     work_id: WorkId
@@ -99,6 +101,7 @@
     fingerprint: bytes = b''
     sends: int = 0
     sender: DaemonName = OWN_SENDER
+    cost_class: int = 0
     target: TargetId | None = None
     sent_at: float = 0
     order: tuple[float, ...] = field(default=())
--- a/src/laburnumyard/gateway/_attempt.py
+++ b/src/laburnumyard/gateway/_attempt.py
@@ -4,6 +4,7 @@
 
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import AttemptId, Seconds, ServiceName, TargetId
+from laburnumyard.core.load_reports import LoadReport
 from laburnumyard.core.quarantine import Fingerprint
 from laburnumyard.core.rate_limits import UNKNOWN_LIMIT, LimitStatement
 from laburnumyard.core.routes import Route
@@ -60,6 +61,8 @@
     payload_bytes: int = 0
     # What the target of the last send said about its rate limit.
     rate_limit: LimitStatement = UNKNOWN_LIMIT
+    # The load that it reported, None without a report.
+    load_report: LoadReport | None = None
     # Whether a send without a response may have run.
     may_have_run: bool = False
     failure: RequestResult | None = None
--- a/src/laburnumyard/gateway/_coordinator_roles.py
+++ b/src/laburnumyard/gateway/_coordinator_roles.py
@@ -3,7 +3,6 @@
 from collections.abc import Sized
 from dataclasses import dataclass, field, replace
 from functools import partial, singledispatchmethod
-from types import MappingProxyType
 
 import anyio
 
@@ -21,7 +20,6 @@
 )
 from laburnumyard.core.scheduling import (
     OWN_SENDER,
-    Outcome,
     Refusal,
     Scheduler,
     WorkId,
@@ -35,10 +33,8 @@
     is_same_process,
 )
 from laburnumyard.gateway._derived_settings import DerivedSettings
-from laburnumyard.gateway._limit_messages import (
-    decode_limits,
-    decode_statement,
-)
+from laburnumyard.gateway._limit_messages import decode_limits
+from laburnumyard.gateway._load_messages import decode_done
 from laburnumyard.gateway._platform_interface import Platform
 from laburnumyard.gateway._shard_runner import ShardRunner
 from laburnumyard.gateway._slot_dispatcher import (
@@ -65,7 +61,6 @@
 TICK_INTERVAL_S = 0.05
 # Timeout of a request to an earlier coordinator to stand down.
 STAND_DOWN_TIMEOUT_S = 0.4
-OUTCOMES = MappingProxyType({outcome.value: outcome for outcome in Outcome})
 
 Link = Connection
 
@@ -299,13 +294,7 @@
     def _(self, message: messages.Done, link: Link) -> None:
         work = self.remote.get(link, {}).pop(message.number, None)
         if work is not None:
-            outcome = OUTCOMES.get(message.outcome, Outcome.CANCELLED)
-            work.dispatcher.finish(
-                work.work_id,
-                outcome,
-                message.payload_bytes,
-                decode_statement(message.rate_limit),
-            )
+            work.dispatcher.finish(work.work_id, decode_done(message))
 
     @handle_message.register
     def _(self, message: messages.TargetLimits, link: Link) -> None:
@@ -373,6 +362,7 @@
         excluded=tuple(map(messages.TargetRef, slot_request.excluded)),
         fingerprint=slot_request.fingerprint,
         sends=slot_request.sends,
+        cost_class=slot_request.cost_class,
     )
 
 
@@ -391,6 +381,7 @@
         frozenset(TargetId(ref.target) for ref in message.excluded),
         message.fingerprint,
         message.sends,
+        cost_class=message.cost_class,
     )
 
 
--- a/src/laburnumyard/gateway/_platform_interface.py
+++ b/src/laburnumyard/gateway/_platform_interface.py
@@ -8,6 +8,7 @@
 from expression import Result
 
 from laburnumyard.core.ids import AttemptId, Seconds, ShardKey, TargetId
+from laburnumyard.core.load_reports import LoadReport
 from laburnumyard.core.rate_limits import NO_LIMIT, LimitStatement
 from laburnumyard.core.routes import RouteTable
 from laburnumyard.core.shards import Reply, TargetOrder
@@ -231,6 +232,8 @@
         Time the target keeps an idle connection, None if not given.
     rate_limit
         What the target says about its rate limit.
+    load_report
+        What it says about its load; None if absent or malformed.
     """
 
     attempt_id: AttemptId
@@ -239,6 +242,7 @@
     responder: TargetId | None = None
     idle_limit_s: Seconds | None = None
     rate_limit: LimitStatement = NO_LIMIT
+    load_report: LoadReport | None = None
 
 
 class WireFormat(Protocol):
--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -14,10 +14,10 @@
     Seconds,
 )
 from laburnumyard.core.quarantine import fingerprint_of
-from laburnumyard.core.rate_limits import UNKNOWN_LIMIT, LimitStatement
+from laburnumyard.core.rate_limits import UNKNOWN_LIMIT
 from laburnumyard.core.reachability import TargetReach
 from laburnumyard.core.routes import Route, WeightedServiceChooser
-from laburnumyard.core.scheduling import Outcome, Refusal
+from laburnumyard.core.scheduling import Outcome, Refusal, RunReport
 from laburnumyard.gateway._attempt import MIN_RETRY_S, Attempt
 from laburnumyard.gateway._cluster_view import ClusterView
 from laburnumyard.gateway._http_messages import (
@@ -315,9 +315,13 @@
     ) -> None:
         """Release the slot of a send and log its outcome."""
         self.limit_monitor.record(slot.life, attempt.rate_limit)
-        self.slots.release(
-            slot, outcome, attempt.payload_bytes, attempt.rate_limit
+        report = RunReport(
+            outcome,
+            attempt.payload_bytes,
+            attempt.rate_limit,
+            attempt.load_report,
         )
+        self.slots.release(slot, report)
         METRICS.count(
             'sends_total', service=attempt.service, outcome=outcome.value
         )
@@ -338,6 +342,7 @@
     ) -> tuple[RequestResult | None, Outcome]:
         """Send a request on a connection and classify the response."""
         attempt.rate_limit = UNKNOWN_LIMIT
+        attempt.load_report = None
         opened = await self.open_connection(attempt, slot)
         if opened.is_error():
             return None, opened.error
@@ -370,7 +375,9 @@
             connection.close()
             return self.record_lost_response(attempt, 'foreign-answer')
         self.pool.release(connection, head.idle_limit_s)
-        attempt.rate_limit = _limit_statement(attempt, response, head, slot)
+        if _is_own(attempt, response, head, slot):
+            attempt.rate_limit = head.rate_limit
+            attempt.load_report = head.load_report
         if head.is_not_run:
             attempt.may_have_run = may_have_run
             attempt.runs -= 1
@@ -516,18 +523,16 @@
     return head.is_not_run and connection.requests > 1
 
 
-def _limit_statement(
+def _is_own(
     attempt: Attempt, response: TargetResponse, head: ResponseHead, slot: Slot
-) -> LimitStatement:
-    """Return what the target of a slot says about its rate limit.
+) -> bool:
+    """Whether a response tells about the target of a slot.
 
     Responses that may come from another target at the address, or from none,
-    say nothing.
+    say nothing about its rate limit and load.
     """
     is_misdirected = response.status == HTTPStatus.MISDIRECTED_REQUEST
-    is_own = head.responder == slot.life.target or (
+    is_of_target = head.responder == slot.life.target or (
         head.responder is None and not is_misdirected
     )
-    if not is_own or head.attempt_id != attempt.attempt_id:
-        return UNKNOWN_LIMIT
-    return head.rate_limit
+    return is_of_target and head.attempt_id == attempt.attempt_id
--- a/src/laburnumyard/gateway/_slot_acquisition.py
+++ b/src/laburnumyard/gateway/_slot_acquisition.py
@@ -14,15 +14,16 @@
 
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import Seconds, ServiceName, TargetId
-from laburnumyard.core.rate_limits import LimitStatement, RateLimit
-from laburnumyard.core.scheduling import Outcome, Refusal, Scheduler, WorkId
+from laburnumyard.core.rate_limits import RateLimit
+from laburnumyard.core.scheduling import Refusal, RunReport, Scheduler, WorkId
 from laburnumyard.core.shards import ShardManager
 from laburnumyard.core.target_directory import TargetLife, records_of
 from laburnumyard.gateway._cluster_view import ClusterView, Coordinator
 from laburnumyard.gateway._coordinator_elections import Elections
 from laburnumyard.gateway._coordinator_roles import encode_slot_request
 from laburnumyard.gateway._derived_settings import DerivedSettings
-from laburnumyard.gateway._limit_messages import encode_limits, encode_statement
+from laburnumyard.gateway._limit_messages import encode_limits
+from laburnumyard.gateway._load_messages import encode_done
 from laburnumyard.gateway._record_encoding import decode_assignment
 from laburnumyard.gateway._slot_dispatcher import (
     SlotAnswer,
@@ -123,36 +124,20 @@
             return await self.acquire_local(dispatcher, slot_request)
         return await self.acquire_remote(coordinator, slot_request)
 
-    def release(
-        self,
-        slot: Slot,
-        outcome: Outcome,
-        payload_bytes: int,
-        rate_limit: LimitStatement,
-    ) -> None:
+    def release(self, slot: Slot, report: RunReport) -> None:
         """Release a slot.
 
         Parameters
         ----------
         slot
             The slot.
-        outcome, payload_bytes
-            Outcome and size of its request.
-        rate_limit
-            What the response says about the rate limit of the target.
+        report
+            How the run of its request ended.
         """
         if slot.dispatcher is not None and slot.work_id is not None:
-            slot.dispatcher.finish(
-                slot.work_id, outcome, payload_bytes, rate_limit
-            )
+            slot.dispatcher.finish(slot.work_id, report)
         elif slot.peer is not None:
-            done = messages.Done(
-                slot.number,
-                outcome.value,
-                payload_bytes,
-                encode_statement(rate_limit),
-            )
-            self.pool.send(slot.peer, done)
+            self.pool.send(slot.peer, encode_done(slot.number, report))
 
     def inform_coordinators(self) -> None:
         """Tell each new coordinator the rate limits of its targets."""
--- a/src/laburnumyard/gateway/_slot_dispatcher.py
+++ b/src/laburnumyard/gateway/_slot_dispatcher.py
@@ -16,13 +16,12 @@
     ShardKey,
     TargetId,
 )
-from laburnumyard.core.rate_limits import UNKNOWN_LIMIT, LimitStatement
 from laburnumyard.core.scheduling import (
     OWN_SENDER,
     Decision,
-    Outcome,
     Refusal,
     Refuse,
+    RunReport,
     Scheduler,
     Send,
     Work,
@@ -54,6 +53,8 @@
         Number of targets the request was already sent to.
     sender
         Gateway that will send it; empty for this one.
+    cost_class
+        What the request shows of its cost; 0 if nothing is known.
     """
 
     service: ServiceName
@@ -69,6 +70,7 @@
     fingerprint: bytes = b''
     sends: int = 0
     sender: DaemonName = OWN_SENDER
+    cost_class: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,24 +135,16 @@
             slot_request.fingerprint,
             slot_request.sends,
             slot_request.sender,
+            slot_request.cost_class,
         )
         self.replies[work.work_id] = reply
         returned = slot_request.is_returned
         self.deliver(self.scheduler.submit(work, now, is_returned=returned))
         return work.work_id
 
-    def finish(
-        self,
-        work_id: WorkId,
-        outcome: Outcome,
-        payload_bytes: int = 0,
-        rate_limit: LimitStatement = UNKNOWN_LIMIT,
-    ) -> None:
+    def finish(self, work_id: WorkId, report: RunReport) -> None:
         """Release the slot of a finished request."""
-        decisions = self.scheduler.finish(
-            work_id, outcome, boot_time(), payload_bytes, rate_limit
-        )
-        self.deliver(decisions)
+        self.deliver(self.scheduler.finish(work_id, report, boot_time()))
 
     def withdraw(self, work_id: WorkId) -> None:
         """Drop a request that is no longer waited for."""
--- a/src/laburnumyard/platform/_wire_format.py
+++ b/src/laburnumyard/platform/_wire_format.py
@@ -13,6 +13,7 @@
     ShardKey,
     TargetId,
 )
+from laburnumyard.core.load_reports import LoadReport
 from laburnumyard.core.rate_limits import (
     NO_LIMIT,
     LimitKind,
@@ -53,6 +54,13 @@
 NOT_EXECUTED_HEADER = 'laburnumyard-not-executed'
 # Requests per second that the target takes from all gateways together.
 RATE_LIMIT_HEADER = 'server-limit'
+# Load of the target: running, waiting, slots, and how long work takes in per
+# cent of the usual time, which may be missing.
+LOAD_HEADER = 'laburnumyard-instance-load'
+LOAD_REPORT = re.compile(
+    r'(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(\d{1,6}))?', re.ASCII
+)
+PERCENT = 100
 KEEP_ALIVE_HEADER = 'keep-alive'
 KEEP_ALIVE_TIMEOUT = re.compile(r'(?:^|[,;\s])timeout=(\d{1,6})', re.IGNORECASE)
 # Longer numbers exceed any plausible deadline.
@@ -114,6 +122,7 @@
             else None,
             Seconds(float(limit.group(1))) if limit else None,
             _read_rate_limit(headers),
+            _read_load_report(headers),
         )
 
     def decode_routes(self, content: bytes) -> Result[RouteTable, str]:
@@ -170,6 +179,23 @@
     return LimitStatement(LimitKind.STATED, float(values[0]))
 
 
+def _read_load_report(headers: Headers) -> LoadReport | None:
+    values = [text for name, text in headers if name == LOAD_HEADER]
+    if len(values) != 1:
+        return None
+    figures = LOAD_REPORT.fullmatch(values[0])
+    if figures is None:
+        return None
+    running, waiting, slots = map(int, figures.group(1, 2, 3))
+    slowdown = figures.group(4)
+    # No target has 0 slots, or does work in no time.
+    if not slots or (slowdown and not int(slowdown)):
+        return None
+    return LoadReport(
+        running, waiting, slots, int(slowdown) / PERCENT if slowdown else None
+    )
+
+
 def _parse_whole_number(text: str) -> int | None:
     return int(text) if WHOLE_NUMBER.fullmatch(text) else None
 
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -32,6 +32,7 @@
     excluded: tuple[TargetRef, ...]
     fingerprint: bytes
     sends: int
+    cost_class: int
 
 
 def _write_ask(message: Ask, builder: Any) -> None:
@@ -51,6 +52,7 @@
         _write_target_ref(part, slot)
     builder.fingerprint = message.fingerprint
     builder.sends = message.sends
+    builder.costClass = message.cost_class
 
 
 def _read_ask(reader: Any) -> Ask:
@@ -69,6 +71,7 @@
         excluded=tuple(map(_read_target_ref, get('excluded'))),
         fingerprint=get('fingerprint'),
         sends=get('sends'),
+        cost_class=get('costClass'),
     )
 
 
@@ -248,6 +251,10 @@
     outcome: str
     payload_bytes: int
     rate_limit: str
+    load_running: int
+    load_waiting: int
+    load_slots: int
+    load_slowdown: int
 
 
 def _write_done(message: Done, builder: Any) -> None:
@@ -255,6 +262,10 @@
     builder.outcome = message.outcome
     builder.payloadBytes = message.payload_bytes
     builder.rateLimit = message.rate_limit
+    builder.loadRunning = message.load_running
+    builder.loadWaiting = message.load_waiting
+    builder.loadSlots = message.load_slots
+    builder.loadSlowdown = message.load_slowdown
 
 
 def _read_done(reader: Any) -> Done:
@@ -264,6 +275,10 @@
         outcome=get('outcome'),
         payload_bytes=get('payloadBytes'),
         rate_limit=get('rateLimit'),
+        load_running=get('loadRunning'),
+        load_waiting=get('loadWaiting'),
+        load_slots=get('loadSlots'),
+        load_slowdown=get('loadSlowdown'),
     )
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -273,6 +273,8 @@
   excluded @10 :List(TargetRef);
   fingerprint @11 :Data;
   sends @12 :UInt32;
+  # What the request shows of its cost; 0 where nothing is known.
+  costClass @13 :UInt32;
 }
 
 struct TargetRef {
@@ -301,6 +303,12 @@
   # The target's rate limit in requests per second as a decimal number, "none"
   # where its response has none, and empty without a usable response.
   rateLimit @3 :Text;
+  # The target's load report; all 0 without one.
+  loadRunning @4 :UInt32;
+  loadWaiting @5 :UInt32;
+  loadSlots @6 :UInt32;
+  # In per cent of the usual time; 0 where the target does not say.
+  loadSlowdown @7 :UInt32;
 }
 
 # Tells a new coordinator of a service the rate limits that the sender knows.
--- a/src/standins/service_model.py
+++ b/src/standins/service_model.py
@@ -29,6 +29,7 @@
 from laburnumyard.core.scheduling import (
     Decision,
     Outcome,
+    RunReport,
     Scheduler,
     SchedulerSettings,
     Send,
@@ -256,7 +257,9 @@
 
     def shed(self, work: Work) -> None:
         """Send a request again that its target did not start."""
-        finished = self.scheduler.finish(work.work_id, Outcome.SHED, self.now)
+        finished = self.scheduler.finish(
+            work.work_id, RunReport(Outcome.SHED), self.now
+        )
         self.carry_out(finished)
         arrival = self.arrivals[work.work_id]
         if work.sends < MOST_SENDS:
@@ -287,7 +290,7 @@
             stated = LimitStatement(LimitKind.STATED, limit)
         self.carry_out(
             self.scheduler.finish(
-                work.work_id, Outcome.ANSWERED, self.now, 0, stated
+                work.work_id, RunReport(Outcome.ANSWERED, 0, stated), self.now
             )
         )
 
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -8,6 +8,7 @@
     Outcome,
     Refusal,
     Refuse,
+    RunReport,
     Scheduler,
     SchedulerSettings,
     Send,
@@ -38,7 +39,7 @@
     submit(single_slot_scheduler, first)
     assert_that(submit(single_slot_scheduler, second), Equals([]))
     decisions = single_slot_scheduler.finish(
-        first.work_id, Outcome.ANSWERED, 0.05
+        first.work_id, RunReport(Outcome.ANSWERED), 0.05
     )
     assert_that(decisions, Equals([Send(second, TargetId('one'))]))
 
@@ -48,7 +49,7 @@
     for work in (first, common, urgent):
         submit(single_slot_scheduler, work)
     decisions = single_slot_scheduler.finish(
-        first.work_id, Outcome.ANSWERED, 0.05
+        first.work_id, RunReport(Outcome.ANSWERED), 0.05
     )
     assert_that(decisions[0].work, Is(urgent))
 
@@ -61,7 +62,7 @@
     submit(single_slot_scheduler, new)
     submit(single_slot_scheduler, returned, is_returned=True)
     decisions = single_slot_scheduler.finish(
-        first.work_id, Outcome.ANSWERED, 0.05
+        first.work_id, RunReport(Outcome.ANSWERED), 0.05
     )
     assert_that(decisions[0].work, Is(returned))
 
@@ -113,7 +114,9 @@
     submit(single_slot_scheduler, second)
     single_slot_scheduler.withdraw(second.work_id, 0.01)
     assert_that(
-        single_slot_scheduler.finish(first.work_id, Outcome.ANSWERED, 0.1),
+        single_slot_scheduler.finish(
+            first.work_id, RunReport(Outcome.ANSWERED), 0.1
+        ),
         Equals([]),
     )
 
@@ -137,7 +140,7 @@
             if isinstance(decision, Refuse):
                 refused += decision.reason is Refusal.RETRY_BUDGET
             else:
-                service.finish(work.work_id, Outcome.ANSWERED, now)
+                service.finish(work.work_id, RunReport(Outcome.ANSWERED), now)
     return refused
 
 
@@ -183,7 +186,7 @@
 ):
     first = make_work()
     submit(single_slot_scheduler, first)
-    single_slot_scheduler.finish(first.work_id, outcome, 0)
+    single_slot_scheduler.finish(first.work_id, RunReport(outcome), 0)
     assert_that(submit(single_slot_scheduler, make_work()), Equals([]))
     assert_that(len(single_slot_scheduler.dispatch(0.3)), Equals(1))
 
@@ -195,14 +198,14 @@
     """
     work = make_work()
     target = submit(scheduler, work)[0].target
-    scheduler.finish(work.work_id, Outcome.SHED, 0)
+    scheduler.finish(work.work_id, RunReport(Outcome.SHED), 0)
     assert_that(scheduler.targets[target].has_room(0), Is(True))
 
 
 def test_a_target_that_sheds_with_all_slots_taken_rests(single_slot_scheduler):
     work = make_work()
     submit(single_slot_scheduler, work)
-    single_slot_scheduler.finish(work.work_id, Outcome.SHED, 0)
+    single_slot_scheduler.finish(work.work_id, RunReport(Outcome.SHED), 0)
     assert_that(single_slot_scheduler.targets['one'].has_room(0), Is(False))
 
 
@@ -211,7 +214,7 @@
     service.update_targets([make_record('one')])
     work = make_work()
     submit(service, work)
-    service.finish(work.work_id, Outcome.SHED, 0)
+    service.finish(work.work_id, RunReport(Outcome.SHED), 0)
     assert_that(service.targets['one'].has_room(0), Is(False))
 
 
@@ -242,7 +245,9 @@
 def test_a_new_start_of_a_target_has_a_clean_record(single_slot_scheduler):
     first = make_work()
     submit(single_slot_scheduler, first)
-    single_slot_scheduler.finish(first.work_id, Outcome.UNREACHABLE, 0)
+    single_slot_scheduler.finish(
+        first.work_id, RunReport(Outcome.UNREACHABLE), 0
+    )
     single_slot_scheduler.update_targets(
         [make_record('one', slots=1, started=2)]
     )
@@ -255,7 +260,7 @@
         submit(scheduler, work)
         target = work.target
         outcome = Outcome.FAILED if target == 'one' else Outcome.ANSWERED
-        scheduler.finish(work.work_id, outcome, 0.1)
+        scheduler.finish(work.work_id, RunReport(outcome), 0.1)
     work = make_work()
     submit(scheduler, work)
     assert_that(work.target, Equals('two'))
@@ -301,7 +306,7 @@
 def test_the_placement_learns_who_does_not_hold_a_key(sharded_scheduler):
     work = make_work(key=ShardKey(5))
     submit(sharded_scheduler, work)
-    sharded_scheduler.finish(work.work_id, Outcome.NOT_OWNER, 0.1)
+    sharded_scheduler.finish(work.work_id, RunReport(Outcome.NOT_OWNER), 0.1)
     assert_that(sharded_scheduler.placement.denied, Equals([(5, 'one')]))
 
 
@@ -311,7 +316,7 @@
     sent = submit(scheduler, work)
     if not sent or isinstance(sent[0], Refuse):
         return sent
-    scheduler.finish(work.work_id, Outcome.BROKE_OFF, 0)
+    scheduler.finish(work.work_id, RunReport(Outcome.BROKE_OFF), 0)
     scheduler.update_targets([make_record('one', slots=1, started=started)])
     return sent
 
@@ -336,7 +341,9 @@
     for _ in range(5):
         work = make_work(fingerprint=b'unlucky')
         submit(single_slot_scheduler, work)
-        single_slot_scheduler.finish(work.work_id, Outcome.BROKE_OFF, 0)
+        single_slot_scheduler.finish(
+            work.work_id, RunReport(Outcome.BROKE_OFF), 0
+        )
     work = make_work(fingerprint=b'unlucky')
     assert_that(
         submit(single_slot_scheduler, work),
@@ -348,7 +355,7 @@
 def test_a_target_that_a_sender_knows_left_rests(single_slot_scheduler):
     work = make_work()
     submit(single_slot_scheduler, work)
-    single_slot_scheduler.finish(work.work_id, Outcome.LEAVING, 0)
+    single_slot_scheduler.finish(work.work_id, RunReport(Outcome.LEAVING), 0)
     slots = single_slot_scheduler.targets['one']
     assert_that(slots.has_room(LEAVING_PAUSE_S - 0.1), Is(False))
     # The sender may know less than the store says by now.
--- a/tests/core/scheduling/test_send_rates.py
+++ b/tests/core/scheduling/test_send_rates.py
@@ -19,6 +19,7 @@
     Outcome,
     Refusal,
     Refuse,
+    RunReport,
     Scheduler,
     SchedulerSettings,
     Send,
@@ -63,7 +64,7 @@
         for work in pop_ended(running, now):
             said = statement if work.target == LIFE.target else NO_LIMIT
             decisions = service.finish(
-                work.work_id, Outcome.ANSWERED, now, 0, said
+                work.work_id, RunReport(Outcome.ANSWERED, 0, said), now
             )
             sent += started(decisions, running, now, run_s)
         if random.random() < rate * STEP_S:
--- a/tests/core/scheduling/test_target_cost.py
+++ b/tests/core/scheduling/test_target_cost.py
@@ -7,7 +7,12 @@
 from testtools.matchers import Equals
 
 from laburnumyard.core.ids import DataCentre
-from laburnumyard.core.scheduling import Outcome, Scheduler, SchedulerSettings
+from laburnumyard.core.scheduling import (
+    Outcome,
+    RunReport,
+    Scheduler,
+    SchedulerSettings,
+)
 from tests.core.scheduling.conftest import BUDGET, make_record, make_work
 
 DOWNLOAD_BYTES = 90_000
@@ -33,7 +38,9 @@
 def run_all(service, payload_bytes):
     for step in range(40):
         work = place(service, step)
-        service.finish(work.work_id, Outcome.SHED, step, payload_bytes)
+        service.finish(
+            work.work_id, RunReport(Outcome.SHED, payload_bytes), step
+        )
         service.targets[work.target].failure_rate = 0
     return place(service, 50).target
 
@@ -62,7 +69,7 @@
 def test_a_request_without_a_response_changes_no_size(service):
     run_all(service, DOWNLOAD_BYTES)
     work = place(service, 53)
-    service.finish(work.work_id, Outcome.UNREACHABLE, 53)
+    service.finish(work.work_id, RunReport(Outcome.UNREACHABLE), 53)
     assert_that(
         round(service.payloads.expect(work.route)), Equals(DOWNLOAD_BYTES)
     )
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -88,8 +88,8 @@
         address = self.addresses.pop(0)
         return Slot(TargetLife(TargetId(f'i-{address}'), 1), address)
 
-    def release(self, slot, outcome, payload_bytes, rate_limit):
-        self.outcomes.append(outcome.value)
+    def release(self, slot, report):
+        self.outcomes.append(report.outcome.value)
 
 
 def make_route(is_repeatable=True, timeout_s=1.0):
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -7,6 +7,7 @@
 from testtools.matchers import Contains, Equals, Is
 
 from laburnumyard.core.ids import TargetId
+from laburnumyard.core.load_reports import LoadReport
 from laburnumyard.core.rate_limits import LimitKind
 from laburnumyard.core.target_directory import TargetState
 from laburnumyard.gateway._platform_interface import SendContext
@@ -166,3 +167,33 @@
     statement = wire_format.read_response_head(200, headers).rate_limit
     assert_that(statement.kind, Is(kind))
     assert_that(statement.per_second, Equals(per_second))
+
+
+@pytest.mark.parametrize(
+    ('values', 'report'),
+    [
+        (('3,0,8,100',), LoadReport(3, 0, 8, 1)),
+        (('4,16,4,312',), LoadReport(4, 16, 4, 3.12)),
+        (('3,0,8',), LoadReport(3, 0, 8)),
+        ((), None),
+        (('',), None),
+        (('3,0',), None),
+        (('3,0,8,100,1',), None),
+        (('3,0,8,',), None),
+        (('3, 0, 8, 100',), None),
+        (('-3,0,8,100',), None),
+        (('3,0,8,1e3',), None),
+        (('3,0,8,nan',), None),
+        (('3,0,0,100',), None),
+        (('3,0,8,0',), None),
+        (('\u0663,0,8,100',), None),
+        (('9999999,0,8,100',), None),
+        (('3,0,8,100', '3,0,8,100'), None),
+        (('1,' * 60_000,), None),
+    ],
+)
+def test_the_load_report_of_a_response(wire_format, values, report):
+    """A value of another form must not be taken for a load."""
+    headers = tuple(('laburnumyard-instance-load', text) for text in values)
+    head = wire_format.read_response_head(200, headers)
+    assert_that(head.load_report, Equals(report))
