One admission decision with a reason; rates of cold targets; evacuations

Whether a target may get a request was decided in several places, without a reason, and knew neither evacuated data centres nor cold targets.

A cold target gets a token bucket of its service's rate that saves one request and starts empty, one second after the last request that was sent while it was not known to be cold. Gateways without a coordinator take turns, as 74 buckets of one token each could be emptied within one second.

--- a/src/laburnumyard/core/rate_limits.py
+++ b/src/laburnumyard/core/rate_limits.py
@@ -16,6 +16,15 @@
 # A limited target gets this many requests per second at least: only its
 # responses tell when the limit ends.
 MIN_PER_SECOND = 0.25
+# A cold target may get requests from its coordinator, from an earlier one that
+# lost the store, and from gateways that reach neither. Those that may not be
+# alone send this part of the rate together.
+UNCOORDINATED_PART = 0.25
+# A request may reach a cold target up to this long after its slot was granted,
+# so that the requests of one second come from the grants of this much more.
+COLD_GRANT_LIFE_S = 0.4
+# Length of a gateway's turn to send one request without a coordinator.
+TURN_S = 0.1
 # Limits to remember; the one that was stated longest ago is forgotten first.
 MAX_KNOWN_LIMITS = 1000
 
@@ -83,6 +92,38 @@
         return now - self.stated_at >= LIMIT_EXPIRY_S
 
 
+@dataclass(frozen=True, slots=True)
+class WarmUpBound:
+    """The operator's bound on the requests that a cold target gets.
+
+    In no second may it get more than the rate that it tolerates times
+    ``overshoot``, plus ``slack``.
+    """
+
+    overshoot: float
+    slack: float
+
+    def rate(self, per_second: float) -> float:
+        """Return the rate at which all schedulers together keep the bound.
+
+        Parameters
+        ----------
+        per_second
+            Requests per second that a cold target tolerates; 0 for no limit.
+        """
+        if not per_second:
+            return 0
+        most = per_second * self.overshoot + self.slack
+        # In one second: the coordinator and one that lost the store send a
+        # request that they have saved and those of their rates, the others
+        # take turns.
+        saved = 2
+        granted = (1 + UNCOORDINATED_PART) * (1 + COLD_GRANT_LIFE_S)
+        turns = UNCOORDINATED_PART * (1 + COLD_GRANT_LIFE_S + TURN_S)
+        allowed = (most - saved) / (granted + turns)
+        return min(per_second, max(MIN_PER_SECOND, allowed))
+
+
 class KnownLimits:
     """Newest known limit of each target instance.
 
--- a/src/laburnumyard/core/routes.py
+++ b/src/laburnumyard/core/routes.py
@@ -73,12 +73,19 @@
         Number of connections that each target accepts.
     is_keyed
         Whether each key is owned by exactly one target.
+    warm_up_s
+        How long a target is cold after its start, in seconds; 0 if unknown.
+    warm_up_per_s
+        Requests per second that a cold target tolerates from the whole fleet;
+        0 for no limit.
     """
 
     name: ServiceName
     health_path: str
     connections: int
     is_keyed: bool
+    warm_up_s: float = 0
+    warm_up_per_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/laburnumyard/core/scheduling/_target_slots.py
+++ b/src/laburnumyard/core/scheduling/_target_slots.py
@@ -1,12 +1,20 @@
 """Scheduler state of each target: slots, failure rate and pauses."""
 
+import math
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
+from laburnumyard.core.admission import (
+    ADMITTED,
+    RATE_REASONS,
+    AdmissionReason,
+    decide_admission,
+)
 from laburnumyard.core.ids import Seconds
 from laburnumyard.core.scheduling._run_times import RunTimes
 from laburnumyard.core.scheduling._send_rate import RateLimiter, SendRate
 from laburnumyard.core.scheduling._work import Outcome
-from laburnumyard.core.target_directory import TargetRecord, TargetState
+from laburnumyard.core.target_directory import TargetRecord
 
 # Initial pause after a loss, in seconds, doubled after each further loss; short
 # compared with the 3 s of a restart.
@@ -17,6 +25,18 @@
 # Pause of a target that a sender knows to be leaving, in seconds: by then a
 # coordinator has read its entry, or has been replaced.
 LEAVING_PAUSE_S = 2.0
+# The same for a target that a sender knows to be cold; a coordinator reads
+# entries more often than others.
+COLD_PAUSE_S = 1.0
+# Pauses after outcomes of requests that were not sent, which say nothing about
+# failures of the target.
+UNSENT_PAUSES = MappingProxyType(
+    {
+        Outcome.LEAVING: LEAVING_PAUSE_S,
+        Outcome.COLD: COLD_PAUSE_S,
+        Outcome.LAPSED: 0,
+    }
+)
 # Weight of a new outcome in the moving failure rate; about the last 8 count.
 FAILURE_GAIN = 0.12
 # Part of the capacity of a limited target that keys are assigned for.
@@ -52,7 +72,7 @@
     record
         Its latest record in the directory.
     limiter
-        Rate limits of the service's targets.
+        Send rates of the service's targets.
     """
 
     record: TargetRecord
@@ -61,26 +81,33 @@
     failure_rate: float = 0
     losses: int = 0
     paused_until: float = 0
+    # When the last request was sent while the target was not known to be cold.
+    warm_sent_at: float = -math.inf
+
+    @property
+    def has_rates(self) -> bool:
+        """Whether a target of the service states a limit."""
+        return bool(self.limiter.known.limits)
+
+    def admission(self, now: Seconds) -> AdmissionReason:
+        """Return whether the target may get a request now, and why not."""
+        return decide_admission(self, now)
 
     def has_room(self, now: Seconds) -> bool:
         """Whether a request may be sent to the target now."""
-        rate = self.rate(now)
-        has_token = rate is None or rate.has_token(now)
-        return has_token and self.has_free_slot(now)
+        return decide_admission(self, now) is ADMITTED
 
     def has_free_slot(self, now: Seconds) -> bool:
-        """Whether the target has a free slot, whatever its rate limit."""
-        if self.record.state is TargetState.DRAINING:
-            return False
-        if now < self.paused_until:
-            return False
-        # A lost target is probed with one request at a time.
-        limit = 1 if self.losses else self.record.slots
-        return self.running < limit
+        """Whether the target has a free slot, whatever its rate."""
+        reason = decide_admission(self, now)
+        return reason is ADMITTED or reason in RATE_REASONS
 
     def rate(self, now: Seconds) -> SendRate | None:
-        """Return the send rate, None if the target states no limit."""
-        return self.limiter.rate_of(self.record.life, now)
+        """Return the send rate, None if nothing limits the target."""
+        record = self.record
+        return self.limiter.rate_of(
+            record.life, now, record.cold_until, self.warm_sent_at
+        )
 
     def capacity(self, times: RunTimes, now: Seconds) -> float:
         """Return the capacity, in slot seconds per second."""
@@ -93,7 +120,7 @@
     def planned_capacity(self, times: RunTimes, now: Seconds) -> float:
         """Return the capacity to plan the assignment of keys for.
 
-        A limited target gets less than its limit: arrivals are random, and
+        A target with a send rate gets less than that: arrivals are random, and
         requests for its keys cannot go elsewhere.
         """
         capacity = self.capacity(times, now)
@@ -107,6 +134,8 @@
         rate = self.rate(now)
         if rate is not None:
             rate.take(now)
+        if now >= self.record.cold_until:
+            self.warm_sent_at = now
 
     def note(
         self, outcome: Outcome, now: Seconds, *, is_count_complete: bool
@@ -122,8 +151,9 @@
         is_count_complete
             Whether ``running`` includes all requests at the target.
         """
-        if outcome is Outcome.LEAVING:
-            self.paused_until = Seconds(now + LEAVING_PAUSE_S)
+        if outcome in UNSENT_PAUSES:
+            pause = UNSENT_PAUSES.get(outcome, 0)
+            self.paused_until = max(self.paused_until, Seconds(now + pause))
             return
         failed = outcome in FAILURE_OUTCOMES
         self.failure_rate += FAILURE_GAIN * (failed - self.failure_rate)
--- a/src/laburnumyard/core/scheduling/_work.py
+++ b/src/laburnumyard/core/scheduling/_work.py
@@ -32,6 +32,10 @@
     UNREACHABLE = 'unreachable'
     # The sender knew that the target is leaving, and did not send.
     LEAVING = 'leaving'
+    # The sender knew that the target has turned cold, and did not send.
+    COLD = 'cold'
+    # The slot was granted too long ago to send; so it is after a pause.
+    LAPSED = 'lapsed'
     BROKE_OFF = 'broke-off'
     # The target sent more than a response may have.
     OVERSIZED = 'oversized'
--- a/src/laburnumyard/core/target_directory.py
+++ b/src/laburnumyard/core/target_directory.py
@@ -8,10 +8,12 @@
 
 
 class TargetState(Enum):
-    """State that a target reports."""
+    """Whether a target accepts requests, and why not."""
 
     READY = 'ready'
     DRAINING = 'draining'
+    # Not stated by targets: an operator has evacuated their data centre.
+    EVACUATED = 'evacuated'
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +54,8 @@
         Remaining time of slow responses after its start, in seconds.
     sequence
         Number of its writes since its start; it orders entries of one start.
+    cold_until
+        Time until which its responses are slow, on the clock of this gateway.
     """
 
     life: TargetLife
@@ -62,12 +66,22 @@
     state: TargetState
     warm_up_left_s: Seconds
     sequence: int = field(default=0, compare=False)
+    cold_until: Seconds = field(default=Seconds(0), compare=False)
 
     @property
     def target(self) -> TargetId:
         """The identifier of the target."""
         return self.life.target
 
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether requests may be sent to the target."""
+        return self.state is TargetState.READY
+
+    def is_cold(self, now: Seconds) -> bool:
+        """Whether its responses are slow now."""
+        return now < self.cold_until
+
 
 Directory = Mapping[TargetId, TargetRecord]
 
--- a/src/laburnumyard/platform/_route_decoding.py
+++ b/src/laburnumyard/platform/_route_decoding.py
@@ -76,9 +76,15 @@
         read_name(fields, 'healthPath'),
         read_count(fields, 'maxConns'),
         fields.get('sharded') is True,
+        _read_optional(fields, 'warmupS'),
+        _read_optional(fields, 'warmupPerS'),
     )
 
 
+def _read_optional(fields: Fields, name: str) -> float:
+    return 0 if fields.get(name) is None else read_amount(fields, name)
+
+
 def _read_limits(fields: Fields) -> CallerLimits:
     return CallerLimits(
         read_count(fields, 'maxHeaderBytes'),
--- a/src/laburnumyard/platform/_wire_format.py
+++ b/src/laburnumyard/platform/_wire_format.py
@@ -61,14 +61,18 @@
 DECIMAL_NUMBER = re.compile(r'[0-9]{1,15}(?:\.[0-9]{1,15})?')
 # Malformed values are logged up to this length.
 MAX_LOGGED_CHARS = 60
-TARGET_STATES = MappingProxyType({state.value: state for state in TargetState})
+TARGET_STATES = MappingProxyType(
+    {state.value: state for state in (TargetState.READY, TargetState.DRAINING)}
+)
 MISDIRECTED_STATUS = 421
 
 
 class PlatformWireFormat:
     """Header names and entry formats of the users' platform."""
 
+    operator_prefix = 'op/'
     config_key = 'op/config'
+    evacuation_prefix = 'op/evacuate/'
     target_prefix = 'servers/'
     health_path = '/healthz'
 
