Gateways follow evacuations and cold targets

The store watch of op/ brings evacuations with the configuration's progress, to followers too. The directory shows targets of an evacuated data centre as evacuated, so that they get no requests and give their keys away. After the end they count as cold until an entry from after it says otherwise.

The last check before a send knows when and for what the slot was granted: a slot of a target that has turned cold or was evacuated since, or of before a pause of the gateway, is not used.

--- a/src/laburnumyard/gateway/_cluster_view.py
+++ b/src/laburnumyard/gateway/_cluster_view.py
@@ -5,8 +5,10 @@
 
 import anyio
 
+from laburnumyard.core.evacuation import Evacuations
 from laburnumyard.core.ids import (
     DaemonName,
+    DataCentre,
     Incarnation,
     Seconds,
     ServiceName,
@@ -18,7 +20,6 @@
     Directory,
     TargetLife,
     TargetRecord,
-    TargetState,
 )
 from laburnumyard.gateway._platform_interface import Item
 from laburnumyard.gateway._store_revision import era_of
@@ -96,6 +97,8 @@
     directory
         Targets by identifier: the entries of services in the route table. An
         entry of another service has no effect.
+    evacuations
+        Evacuated data centres; the directory shows their targets as evacuated.
     departed
         Targets that were in the directory and left it.
     coordinators
@@ -120,6 +123,7 @@
     routes: RouteTable | None = None
     entries: Directory = field(default_factory=dict)
     directory: dict[TargetId, TargetRecord] = field(default_factory=dict)
+    evacuations: Evacuations = field(default_factory=Evacuations)
     departed: dict[TargetLife, None] = field(default_factory=dict)
     coordinators: dict[ServiceName, Coordinator] = field(default_factory=dict)
     unconfirmed: dict[ServiceName, UnconfirmedCoordinator] = field(
@@ -200,23 +204,69 @@
 
         Without a route table all entries, as none can be told to be foreign.
         """
-        if self.routes is None:
-            return dict(self.entries)
-        named = self.routes.service_names()
+        named = None
+        if self.routes is not None:
+            named = self.routes.service_names()
         return {
-            target: record
+            target: self.evacuations.record_in_force(record)
             for target, record in self.entries.items()
-            if record.service in named
+            if named is None or record.service in named
         }
 
+    def begin_evacuation(self, data_centre: DataCentre) -> bool:
+        """Take the targets of a data centre out of use; False if they are."""
+        is_new = self.evacuations.begin(data_centre)
+        if is_new:
+            self.adopt_directory(self.entries)
+        return is_new
+
+    def end_evacuation(
+        self, data_centre: DataCentre, revision: int, now: Seconds
+    ) -> bool:
+        """Return the targets of a data centre to use, as cold ones.
+
+        Parameters
+        ----------
+        data_centre
+            The data centre.
+        revision
+            Store revision at which its evacuation ended.
+        now
+            The current time, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the data centre was evacuated.
+        """
+        services = self.routes.services if self.routes else {}
+        has_ended = self.evacuations.end(
+            data_centre, revision, self.entries.values(), services, now
+        )
+        if has_ended:
+            self.adopt_directory(self.entries)
+        return has_ended
+
+    def count_targets(self, data_centre: DataCentre) -> int:
+        """Return the number of targets of a data centre."""
+        return sum(
+            record.data_centre == data_centre
+            for record in self.directory.values()
+        )
+
+    def record_of(self, life: TargetLife) -> TargetRecord | None:
+        """Return the record of a target instance, None without one."""
+        record = self.directory.get(life.target)
+        return record if record and record.life == life else None
+
     def is_leaving(self, life: TargetLife) -> bool:
-        """Whether a target is known to leave, or to have left.
+        """Whether a target is known to accept no requests, or to have left.
 
         A target of which nothing is known is not: others learn of it first.
         """
-        record = self.directory.get(life.target)
-        if record is not None and record.life == life:
-            return record.state is TargetState.DRAINING
+        record = self.record_of(life)
+        if record is not None:
+            return not record.accepts_requests
         return life in self.departed
 
     def adopt_coordinator(
--- a/src/laburnumyard/gateway/_coordinator_roles.py
+++ b/src/laburnumyard/gateway/_coordinator_roles.py
@@ -1,6 +1,6 @@
 """Services that this gateway coordinates, and messages between gateways."""
 
-from collections.abc import Sized
+from collections.abc import Mapping, Sized
 from dataclasses import dataclass, field, replace
 from functools import partial, singledispatchmethod
 from types import MappingProxyType
@@ -28,13 +28,17 @@
 )
 from laburnumyard.core.shards import MAX_SHARD_KEY, ShardManager
 from laburnumyard.core.target_directory import records_of
+from laburnumyard.gateway._admission_metrics import (
+    REPORT_INTERVAL_S,
+    report_admission,
+)
 from laburnumyard.gateway._cluster_view import (
     ClusterView,
     Coordinator,
     Member,
     is_same_process,
 )
-from laburnumyard.gateway._derived_settings import DerivedSettings
+from laburnumyard.gateway._derived_settings import DerivedSettings, cold_rate
 from laburnumyard.gateway._limit_messages import (
     decode_limits,
     decode_statement,
@@ -167,6 +171,7 @@
         dispatcher = SlotDispatcher(service, Scheduler(settings, manager))
         role = CoordinatorRole(epoch, dispatcher)
         self.roles[service] = role
+        _update_cold_rate(self, service, role)
         dispatcher.update(records_of(self.view.directory, service))
         own_role = Coordinator(self.session.member, epoch)
         log_event(
@@ -203,6 +208,7 @@
         if role is None:
             return
         role.scope.cancel()
+        report_admission(service, (), boot_time())
         log_event(
             Event.COORDINATOR,
             service=service,
@@ -265,10 +271,15 @@
 
     async def run(self) -> None:
         """Tick each dispatcher until cancelled."""
+        report_at = Seconds(0)
         while True:
             await anyio.sleep(TICK_INTERVAL_S)
             self.drop_outdated_roles()
-            for role in tuple(self.roles.values()):
+            if boot_time() >= report_at:
+                report_at = Seconds(boot_time() + REPORT_INTERVAL_S)
+                _report_admissions(self.roles)
+            for service, role in tuple(self.roles.items()):
+                _update_cold_rate(self, service, role)
                 role.dispatcher.tick()
 
     @singledispatchmethod
@@ -357,6 +368,28 @@
             work.dispatcher.withdraw(work.work_id)
 
 
+def _report_admissions(roles: Mapping[ServiceName, CoordinatorRole]) -> None:
+    now = boot_time()
+    for service, role in roles.items():
+        targets = role.dispatcher.scheduler.targets.values()
+        report_admission(service, targets, now)
+
+
+def _update_cold_rate(
+    coordination: Coordination, service: ServiceName, role: CoordinatorRole
+) -> None:
+    """Pass a scheduler the rate of cold targets, and how long it is alone.
+
+    Once the session of this gateway may have expired, another gateway may
+    coordinate the service too.
+    """
+    limiter = role.dispatcher.scheduler.limiter
+    limiter.warm_up_per_s = cold_rate(
+        coordination.view, service, coordination.derived_settings
+    )
+    limiter.sole_until = coordination.session.fresh_until
+
+
 def encode_slot_request(slot_request: SlotRequest) -> messages.Ask:
     """Return a slot request as a message to the coordinator."""
     return messages.Ask(
@@ -414,8 +447,18 @@
             '',
             0,
             gateways,
+            1 + int(slot_answer.waited_s * MS_PER_SECOND),
+            slot_answer.is_for_cold,
         )
     retry_ms = int(slot_answer.retry_after_s * MS_PER_SECOND)
     return messages.Permit(
-        number, '', 0, '', slot_answer.reason.value, retry_ms, gateways
+        number,
+        '',
+        0,
+        '',
+        slot_answer.reason.value,
+        retry_ms,
+        gateways,
+        0,
+        is_for_cold=False,
     )
--- /dev/null
+++ b/src/laburnumyard/gateway/_evacuation_records.py
@@ -0,0 +1,74 @@
+"""Applies the evacuations that operators keep in the store."""
+
+from laburnumyard.clocks import boot_time
+from laburnumyard.core.ids import DataCentre
+from laburnumyard.gateway._cluster_view import ClusterView
+from laburnumyard.gateway._item_cache import ItemCache, with_removals
+from laburnumyard.gateway._platform_interface import Item, WireFormat
+from laburnumyard.telemetry import METRICS, Event, log_event
+
+# Content of an evacuation in the cache; peers take empty content for a removal.
+PRESENT = b'{}'
+
+
+class EvacuationRecords:
+    """Updates the evacuations of the view from store items.
+
+    Parameters
+    ----------
+    wire_format
+        Names of the keys.
+    view
+        View to update.
+    cache
+        Cache of the items, for peers.
+    """
+
+    def __init__(
+        self, wire_format: WireFormat, view: ClusterView, cache: ItemCache
+    ) -> None:
+        """Create the object; nothing is read yet."""
+        self.prefix = wire_format.evacuation_prefix
+        self.view = view
+        self.cache = cache
+
+    def with_ended(
+        self, items: tuple[Item, ...], revision: int
+    ) -> tuple[Item, ...]:
+        """Return a full listing with the end of each evacuation it lacks."""
+        known = tuple(self.view.evacuations.data_centres)
+        return with_removals(items, self.prefix, known, revision)
+
+    def apply_changes(self, items: tuple[Item, ...]) -> None:
+        """Apply changed evacuations; other items have no effect."""
+        for item in items:
+            if item.key.startswith(self.prefix):
+                self.apply_item(item)
+
+    def apply_item(self, item: Item) -> None:
+        """Apply the evacuation of one data centre, or its end."""
+        data_centre = DataCentre(item.key.removeprefix(self.prefix))
+        if not data_centre:
+            return
+        if item.content is None:
+            self.cache.update(item)
+            is_new = self.view.end_evacuation(
+                data_centre, item.revision, boot_time()
+            )
+            state = 'ended'
+        else:
+            self.cache.update(Item(item.key, PRESENT, item.revision))
+            is_new = self.view.begin_evacuation(data_centre)
+            state = 'begun'
+        if is_new:
+            METRICS.set_gauge(
+                'evacuated_data_centres',
+                len(self.view.evacuations.data_centres),
+            )
+            log_event(
+                Event.EVACUATION,
+                data_centre=data_centre,
+                state=state,
+                targets=self.view.count_targets(data_centre),
+                revision=item.revision,
+            )
--- a/src/laburnumyard/gateway/_item_cache.py
+++ b/src/laburnumyard/gateway/_item_cache.py
@@ -20,7 +20,8 @@
     Parameters
     ----------
     config, coordinators, targets
-        Store revisions; 0 if the kind was not read or may be outdated.
+        Store revisions; 0 if the kind was not read or may be outdated. The
+        configuration's covers all items of operators, also evacuations.
     """
 
     config: int = 0
--- a/src/laburnumyard/gateway/_item_server.py
+++ b/src/laburnumyard/gateway/_item_server.py
@@ -65,7 +65,8 @@
     def has_news(self, fetch: messages.FetchItems) -> bool:
         """Whether a peer has to learn of a change at once.
 
-        These are a configuration, a coordinator, and a target that leaves.
+        These are a configuration, an evacuation, a coordinator, and a target
+        that leaves or turns cold.
         """
         progress = self.watcher.progress
         departure = self.watcher.target_entries.departure_revision
@@ -87,7 +88,7 @@
             return item.revision > fetch.after and (
                 is_final or not progress.targets
             )
-        if item.key == wire_format.config_key:
+        if item.key.startswith(wire_format.operator_prefix):
             return item.revision > fetch.config_after
         if item.key.startswith(COORDINATOR_PREFIX):
             return item.revision > fetch.coordinators_after
--- a/src/laburnumyard/gateway/_platform_interface.py
+++ b/src/laburnumyard/gateway/_platform_interface.py
@@ -244,7 +244,9 @@
 class WireFormat(Protocol):
     """Names and formats of headers and store entries."""
 
+    operator_prefix: str
     config_key: str
+    evacuation_prefix: str
     target_prefix: str
     health_path: str
 
--- a/src/laburnumyard/gateway/_reach_monitor.py
+++ b/src/laburnumyard/gateway/_reach_monitor.py
@@ -7,7 +7,6 @@
 
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.reachability import Reach, TargetReach
-from laburnumyard.core.target_directory import TargetState
 from laburnumyard.gateway._cluster_view import ClusterView
 from laburnumyard.gateway._connection_probe import accepts_connections
 from laburnumyard.telemetry import METRICS, Event, log_event
@@ -56,7 +55,7 @@
         addresses = [
             record.address
             for record in self.view.directory.values()
-            if record.state is TargetState.READY
+            if record.accepts_requests
         ]
         chosen = random.sample(addresses, min(PROBES, len(addresses)))
         connected: list[str] = []
--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -35,6 +35,7 @@
 )
 from laburnumyard.gateway._relay_client import RelayClient
 from laburnumyard.gateway._slot_acquisition import Slot, Slots
+from laburnumyard.gateway._slot_check import SlotCheck
 from laburnumyard.gateway._slot_dispatcher import SlotRefused, SlotRequest
 from laburnumyard.gateway._target_connection_pool import TargetConnectionPool
 from laburnumyard.telemetry import METRICS, Event, log_decision
@@ -61,6 +62,8 @@
 DEADLINE_DECAY = 0.998
 FIRST_SERVER_ERROR_STATUS = 500
 STATUS_CLASS_SIZE = 100
+# Outcomes after which the same target may be tried again.
+MAY_TRY_AGAIN = frozenset((Outcome.NOT_OWNER, Outcome.LAPSED))
 SUCCESS_CLASS = 2
 
 
@@ -88,6 +91,8 @@
         Serves requests through peers while no target is reached.
     ends_at
         When this process exits, in seconds; infinite unless it is leaving.
+    slot_check
+        The last check before a send.
     """
 
     def __init__(
@@ -103,6 +108,7 @@
         self.reach = reach or TargetReach()
         self.relay: RelayClient | None = None
         self.ends_at = Seconds(math.inf)
+        self.slot_check = SlotCheck(view)
         self.send_numbers = count()
         self.wire_format = wire_format
         self.view = view
@@ -306,7 +312,7 @@
             result, outcome = await self.exchange(attempt, slot)
         finally:
             self.finish_send(attempt, slot, outcome)
-        if outcome is not Outcome.NOT_OWNER:
+        if outcome not in MAY_TRY_AGAIN:
             attempt.tried.add(slot.life.target)
         return result
 
@@ -397,12 +403,13 @@
         connection = acquired.ok
         if not connection.requests:
             self.reach.note_connected(boot_time())
-        # The coordinator may have lost the store, or the target has left while
-        # the connection was opened.
-        if self.view.is_leaving(slot.life):
+        # The coordinator may have lost the store, this gateway may have been
+        # paused, or the target has left while the connection was opened.
+        outcome = self.slot_check.unsent_outcome(slot)
+        if outcome is not None:
             connection.close()
             attempt.refusals += 1
-            return Error(Outcome.LEAVING)
+            return Error(outcome)
         return Ok(connection)
 
     def encode(self, attempt: Attempt, slot: Slot) -> TargetRequest:
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -160,6 +160,7 @@
             DataCentre(daemon.data_centre),
             self.reach_monitor.reach,
         )
+        self.router.slot_check.grant_life_s = derived_settings.grant_life_s
         self.router.relay = RelayClient(
             self.view, self.link_pool, self.peer_reader.readers
         )
@@ -296,7 +297,10 @@
             return
         self.settings = settings
         self.peer_reader.addresses = tuple(settings.machine.peers)
-        self.coordination.derived_settings = derive_settings(settings.bounds)
+        derived_settings = derive_settings(settings.bounds)
+        self.coordination.derived_settings = derived_settings
+        self.slots.derived_settings = derived_settings
+        self.router.slot_check.grant_life_s = derived_settings.grant_life_s
         log_event(
             Event.RELOADED,
             cause=cause,
--- a/src/laburnumyard/gateway/_shard_runner.py
+++ b/src/laburnumyard/gateway/_shard_runner.py
@@ -26,7 +26,6 @@
 from laburnumyard.core.target_directory import (
     TargetLife,
     TargetRecord,
-    TargetState,
     records_of,
 )
 from laburnumyard.core.target_lives import ended_lives, restarted_lives
@@ -413,9 +412,7 @@
             self.manager.note_dead(life)
         replaced = restarted_lives(self.lives, self.view.directory)
         self.manager.restarted.update(replaced)
-        return [
-            record for record in records if record.state is TargetState.READY
-        ]
+        return [record for record in records if record.accepts_requests]
 
     def capacity(self, record: TargetRecord) -> float:
         """Return the capacity of a target, in slot seconds per second."""
@@ -425,8 +422,9 @@
         slots = scheduler.targets.get(record.target)
         if slots is None:
             return float(record.slots)
-        capacity = slots.planned_capacity(scheduler.times, boot_time())
-        if record.warm_up_left_s > 0:
+        now = boot_time()
+        capacity = slots.planned_capacity(scheduler.times, now)
+        if record.is_cold(now):
             return min(capacity, record.slots / COLD_PACE)
         return capacity
 
--- a/src/laburnumyard/gateway/_slot_acquisition.py
+++ b/src/laburnumyard/gateway/_slot_acquisition.py
@@ -13,6 +13,7 @@
 import anyio
 
 from laburnumyard.clocks import boot_time
+from laburnumyard.core.admission import UNCHECKED_GRANT, Grant
 from laburnumyard.core.ids import Seconds, ServiceName, TargetId
 from laburnumyard.core.rate_limits import LimitStatement, RateLimit
 from laburnumyard.core.scheduling import Outcome, Refusal, Scheduler, WorkId
@@ -21,7 +22,7 @@
 from laburnumyard.gateway._cluster_view import ClusterView, Coordinator
 from laburnumyard.gateway._coordinator_elections import Elections
 from laburnumyard.gateway._coordinator_roles import encode_slot_request
-from laburnumyard.gateway._derived_settings import DerivedSettings
+from laburnumyard.gateway._derived_settings import DerivedSettings, cold_rate
 from laburnumyard.gateway._limit_messages import encode_limits, encode_statement
 from laburnumyard.gateway._record_encoding import decode_assignment
 from laburnumyard.gateway._slot_dispatcher import (
@@ -45,6 +46,10 @@
 ASSIGNMENT_INTERVAL_S = 0.5
 # Interval between ticks of local schedulers.
 TICK_INTERVAL_S = 0.05
+# Without a coordinator, a gateway that has just started knows few others. It
+# takes the fleet for larger than the largest deployment, of 74 gateways.
+FEW_KNOWN_S = 20.0
+ASSUMED_GATEWAYS = 100
 REFUSALS = MappingProxyType({refusal.value: refusal for refusal in Refusal})
 
 
@@ -60,6 +65,8 @@
         Dispatcher in this process that granted the slot; None if remote.
     peer, number
         Remote coordinator and message number of the request.
+    grant
+        When and for what it was granted.
     """
 
     life: TargetLife
@@ -68,6 +75,7 @@
     work_id: WorkId | None = None
     peer: Peer | None = None
     number: int = 0
+    grant: Grant = UNCHECKED_GRANT
 
 
 class Slots:
@@ -106,6 +114,7 @@
         self.assignment_read_at: dict[ServiceName, Seconds] = {}
         # Gateways that share each service, as its coordinator last counted.
         self.gateways: dict[ServiceName, int] = {}
+        self.started_at = boot_time()
         # Epoch of the coordinator that was last told the known rate limits.
         self.informed_epochs: dict[ServiceName, int] = {}
         view.on_directory.append(self.update_targets)
@@ -199,6 +208,7 @@
     ) -> Slot | SlotRefused:
         """Acquire a slot from a dispatcher in this process."""
         answer: asyncio.Future[SlotAnswer] = asyncio.Future()
+        asked_at = boot_time()
         work_id = dispatcher.submit(slot_request, partial(_resolve, answer))
         try:
             slot_answer = await answer
@@ -208,7 +218,10 @@
         if isinstance(slot_answer, SlotRefused):
             return slot_answer
         record = slot_answer.record
-        return Slot(record.life, record.address, dispatcher, work_id)
+        grant = Grant(asked_at + slot_answer.waited_s, slot_answer.is_for_cold)
+        return Slot(
+            record.life, record.address, dispatcher, work_id, grant=grant
+        )
 
     async def acquire_remote(
         self, coordinator: Coordinator, slot_request: SlotRequest
@@ -216,6 +229,7 @@
         """Acquire a slot from another gateway."""
         member = coordinator.member
         peer = Peer(member.name, member.address, member.incarnation)
+        asked_at = boot_time()
         reply = await self.pool.request(
             peer, encode_slot_request(slot_request), slot_request.expires_in_s
         )
@@ -237,11 +251,20 @@
         permit = reply.ok
         if not isinstance(permit, messages.Permit):
             return SlotRefused(Refusal.NOT_COORDINATOR, Seconds(0))
-        self.gateways[slot_request.service] = permit.gateways
+        # A new coordinator has counted few of them.
+        self.gateways[slot_request.service] = max(
+            permit.gateways, self.gateways.get(slot_request.service, 0)
+        )
         if permit.refusal:
             return _decode_refusal(permit)
         life = TargetLife(TargetId(permit.target), permit.started_at_ms)
-        return Slot(life, permit.address, peer=peer, number=permit.number)
+        return Slot(
+            life,
+            permit.address,
+            peer=peer,
+            number=permit.number,
+            grant=_read_grant(permit, asked_at),
+        )
 
     async def acquire_uncoordinated(
         self, slot_request: SlotRequest
@@ -282,6 +305,13 @@
         )
         limiter = dispatcher.scheduler.limiter
         limiter.share = 1 / gateways
+        if boot_time() - self.started_at < FEW_KNOWN_S:
+            gateways = max(gateways, ASSUMED_GATEWAYS)
+        limiter.cold_share = 1 / gateways
+        limiter.warm_up_per_s = cold_rate(
+            self.view, service, self.derived_settings
+        )
+        limiter.turns_of = self.elections.session.member.name
         for life, limit in self.limits_of(service).items():
             limiter.adopt(life, limit)
 
@@ -318,6 +348,14 @@
                 dispatcher.tick()
 
 
+def _read_grant(permit: messages.Permit, asked_at: Seconds) -> Grant:
+    """Return the grant of a permit, as early as it may have been."""
+    if not permit.waited_ms:
+        return Grant(boot_time(), permit.is_for_cold)
+    waited_s = (permit.waited_ms - 1) / MS_PER_SECOND
+    return Grant(asked_at + waited_s, permit.is_for_cold)
+
+
 def _decode_refusal(permit: messages.Permit) -> SlotRefused:
     reason = REFUSALS.get(permit.refusal, Refusal.NOT_COORDINATOR)
     return SlotRefused(reason, Seconds(permit.retry_after_ms / MS_PER_SECOND))
--- a/src/laburnumyard/gateway/_slot_dispatcher.py
+++ b/src/laburnumyard/gateway/_slot_dispatcher.py
@@ -73,9 +73,21 @@
 
 @dataclass(frozen=True, slots=True)
 class SlotGranted:
-    """A granted slot, held until it is released."""
+    """A granted slot, held until it is released.
+
+    Parameters
+    ----------
+    record
+        The target.
+    waited_s
+        How long the request waited for it, in seconds.
+    is_for_cold
+        Whether the request was counted against the rate of a cold target.
+    """
 
     record: TargetRecord
+    waited_s: float = 0
+    is_for_cold: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,7 +219,11 @@
             pace=round(self.scheduler.times.pace(decision.target), 2),
             limit=rate.per_second if rate else 'none',
         )
-        return SlotGranted(slots.record)
+        return SlotGranted(
+            slots.record,
+            work.sent_at - work.arrived_at,
+            slots.record.is_cold(Seconds(work.sent_at)),
+        )
 
     @slot_answer.register
     def _(self, decision: Refuse) -> SlotAnswer:
--- a/src/laburnumyard/gateway/_store_session.py
+++ b/src/laburnumyard/gateway/_store_session.py
@@ -72,6 +72,13 @@
         age = boot_time() - self.confirmed_at
         return self.session_id != NO_SESSION and age < self.settings.session_s
 
+    @property
+    def fresh_until(self) -> Seconds:
+        """Time until which the session cannot have expired, in seconds."""
+        if self.session_id == NO_SESSION:
+            return Seconds(0)
+        return Seconds(self.confirmed_at + self.settings.session_s)
+
     async def acquire(self) -> bool:
         """Open a session if there is none; return whether one is open.
 
--- a/src/laburnumyard/gateway/_store_watcher.py
+++ b/src/laburnumyard/gateway/_store_watcher.py
@@ -1,4 +1,4 @@
-"""Watches the store: configuration, targets and coordinators."""
+"""Watches the store: items of operators, targets and coordinators."""
 
 import random
 from collections.abc import Callable, Iterable
@@ -9,6 +9,7 @@
 
 from laburnumyard.core.ids import Seconds, ServiceName
 from laburnumyard.gateway._cluster_view import ClusterView
+from laburnumyard.gateway._evacuation_records import EvacuationRecords
 from laburnumyard.gateway._gateway_records import GatewayRecords
 from laburnumyard.gateway._item_cache import ItemCache, Progress
 from laburnumyard.gateway._platform_interface import Item, Platform, StoreFault
@@ -113,6 +114,9 @@
         self.news = anyio.Event()
         self.cache = ItemCache()
         self.gateway_records = GatewayRecords(view, self.cache)
+        self.evacuation_records = EvacuationRecords(
+            platform.wire_format, view, self.cache
+        )
         self.target_entries = TargetEntries(
             platform.wire_format, view, self.cache, health
         )
@@ -127,8 +131,10 @@
         wire_format = self.platform.wire_format
         return (
             PrefixWatch(
-                wire_format.config_key,
-                lambda items, _: self.apply_config(items),
+                wire_format.operator_prefix,
+                lambda items, revision: self.apply_config(
+                    self.evacuation_records.with_ended(items, revision)
+                ),
                 self.apply_config,
                 LONG_POLL_S,
                 _no_pause,
@@ -328,7 +334,7 @@
         ]
         prefix = self.platform.wire_format.target_prefix
         self.apply_config(
-            _with_prefix(newer_items, self.platform.wire_format.config_key)
+            _with_prefix(newer_items, self.platform.wire_format.operator_prefix)
         )
         self.gateway_records.apply_changes(
             _with_prefix(newer_items, COORDINATOR_PREFIX)
@@ -350,10 +356,11 @@
             log_event(Event.ADOPTED, document='items', count=len(newer_items))
 
     def apply_config(self, items: tuple[Item, ...]) -> None:
-        """Adopt a configuration if it is newer than the current one."""
+        """Apply changed items of operators: configurations and evacuations."""
         for item in items:
             if item.key == self.platform.wire_format.config_key:
                 self.adopt_config(item)
+        self.evacuation_records.apply_changes(items)
 
     def adopt_config(self, item: Item) -> None:
         """Adopt and cache a configuration, unless it is outdated.
--- a/src/laburnumyard/gateway/_target_entries.py
+++ b/src/laburnumyard/gateway/_target_entries.py
@@ -1,8 +1,10 @@
 """Applies the entries that targets keep in the store."""
 
+from dataclasses import replace
+
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import Seconds, TargetId
-from laburnumyard.core.target_directory import TargetRecord, TargetState
+from laburnumyard.core.target_directory import TargetRecord
 from laburnumyard.gateway._cluster_view import ClusterView
 from laburnumyard.gateway._entry_versions import EntryVersions
 from laburnumyard.gateway._item_cache import ItemCache, with_removals
@@ -48,6 +50,9 @@
         self.absent_until: dict[TargetId, Seconds] = {}
         # Revision of the last entry that took a target out of use.
         self.departure_revision = 0
+        # Whether an entry ended the time in which a target returns from an
+        # evacuation.
+        self.has_returned = False
 
     def apply_listing(self, items: tuple[Item, ...], revision: int) -> None:
         """Apply a full listing of targets; missing ones are removed."""
@@ -76,6 +81,7 @@
     ) -> None:
         """Apply changed targets, read from the store or by a peer."""
         before = dict(self.targets)
+        self.has_returned = False
         prefix = self.wire_format.target_prefix
         for item in items:
             self.apply_target(item, is_from_peer=is_from_peer)
@@ -86,7 +92,7 @@
                 self.targets.pop(target, None)
                 self.note_departure(self.cache.items[f'{prefix}{target}'])
                 log_event(Event.TARGET, target=target, state='gone')
-        if self.targets != before:
+        if self.targets != before or self.has_returned:
             self.view.adopt_directory(self.targets)
 
     def is_cached_as_removed(self, key: str) -> bool:
@@ -104,6 +110,7 @@
 
     def apply_target(self, item: Item, *, is_from_peer: bool) -> None:
         """Apply the entry of one target."""
+        now = boot_time()
         prefix = self.wire_format.target_prefix
         target = TargetId(item.key.removeprefix(prefix))
         if item.content is None:
@@ -126,21 +133,69 @@
         self.versions.record(decoded.ok, item.revision)
         self.absent_until.pop(target, None)
         known = self.targets.get(target)
-        self.targets[target] = decoded.ok
-        if known != decoded.ok and decoded.ok.state is TargetState.DRAINING:
+        record = _timed(decoded.ok, known, now)
+        self.targets[target] = record
+        if known != record and _must_hear_at_once(record, known):
             self.note_departure(item)
-        if known != decoded.ok or self.is_cached_as_removed(item.key):
+        is_awaited = self.view.evacuations.awaits_entry(record.life)
+        if known != record or is_awaited or self.is_cached_as_removed(item.key):
             self.cache.update(item)
-        if known is None or (known.life, known.state) != (
-            decoded.ok.life,
-            decoded.ok.state,
-        ):
-            log_event(
-                Event.TARGET,
-                target=target,
-                state=decoded.ok.state,
-                service=decoded.ok.service,
-                address=decoded.ok.address,
-                started_at_ms=decoded.ok.life.started_at_ms,
-                revision=item.revision,
-            )
+        if self.view.evacuations.note_entry(record, item.revision, now):
+            self.has_returned = True
+        _log_changes(record, known, item.revision)
+
+
+def _timed(
+    record: TargetRecord, known: TargetRecord | None, now: Seconds
+) -> TargetRecord:
+    """Return a record that was read now, with the time until it is cold.
+
+    An entry that is read again is as old as it was: it states the time left
+    when it was written.
+    """
+    if not record.warm_up_left_s:
+        return record
+    cold_until = Seconds(now + record.warm_up_left_s)
+    if known == record and known.sequence == record.sequence:
+        cold_until = known.cold_until
+    return replace(record, cold_until=cold_until)
+
+
+def _must_hear_at_once(
+    record: TargetRecord, known: TargetRecord | None
+) -> bool:
+    """Whether followers must hear of a change before their next fetch."""
+    if not record.accepts_requests:
+        return True
+    if known is None or known.life != record.life:
+        return False
+    return bool(record.warm_up_left_s) and not known.warm_up_left_s
+
+
+def _log_changes(
+    record: TargetRecord, known: TargetRecord | None, revision: int
+) -> None:
+    """Log what an entry changes."""
+    if known is None or (known.life, known.state) != (
+        record.life,
+        record.state,
+    ):
+        log_event(
+            Event.TARGET,
+            target=record.target,
+            state=record.state,
+            service=record.service,
+            address=record.address,
+            started_at_ms=record.life.started_at_ms,
+            revision=revision,
+        )
+    was_cold = known is not None and known.warm_up_left_s > 0
+    if was_cold != (record.warm_up_left_s > 0):
+        log_event(
+            Event.TARGET,
+            target=record.target,
+            state='warm' if was_cold else 'cold',
+            service=record.service,
+            warm_up_left_s=record.warm_up_left_s,
+            revision=revision,
+        )
--- a/src/laburnumyard/schema/_generated/gateway.py
+++ b/src/laburnumyard/schema/_generated/gateway.py
@@ -142,6 +142,18 @@
     """
     The longest hold of a grant, in milliseconds.
     """
+    warmup_overshoot: Annotated[float | None, Field(ge=0.0)] = None
+    """
+    In no second may a cold target get more requests than its rate times this, and the slack; without it no such bound applies.
+    """
+    warmup_slack: Annotated[float | None, Field(ge=0.0)] = None
+    """
+    Requests beside these in any second.
+    """
+    evacuate_ms: Annotated[float | None, Field(gt=0.0)] = None
+    """
+    How soon an evacuated data centre gets no new request, in milliseconds; without it no such bound applies.
+    """
 
 
 class Level(StrEnum):
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -803,6 +803,8 @@
     refusal: str
     retry_after_ms: int
     gateways: int
+    waited_ms: int
+    is_for_cold: bool
 
 
 def _write_permit(message: Permit, builder: Any) -> None:
@@ -813,6 +815,8 @@
     builder.refusal = message.refusal
     builder.retryAfterMs = message.retry_after_ms
     builder.gateways = message.gateways
+    builder.waitedMs = message.waited_ms
+    builder.isForCold = message.is_for_cold
 
 
 def _read_permit(reader: Any) -> Permit:
@@ -825,6 +829,8 @@
         refusal=get('refusal'),
         retry_after_ms=get('retryAfterMs'),
         gateways=get('gateways'),
+        waited_ms=get('waitedMs'),
+        is_for_cold=get('isForCold'),
     )
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -290,6 +290,11 @@
   retryAfterMs @5 :UInt32;
   # How many gateways ask this coordinator.
   gateways @6 :UInt32;
+  # How long the request waited for the slot; 0 if unknown, else 1 ms more.
+  waitedMs @7 :UInt32;
+  # Whether the coordinator counted the request against the rate of a cold
+  # target.
+  isForCold @8 :Bool;
 }
 
 # How the request of a granted Ask ended.
--- a/src/laburnumyard/telemetry/_log.py
+++ b/src/laburnumyard/telemetry/_log.py
@@ -39,6 +39,7 @@
     QUARANTINED = 'quarantined'
     COORDINATOR = 'coordinator'
     TARGET = 'target'
+    EVACUATION = 'evacuation'
     SHARDS = 'shards'
     ORDER = 'order'
     SENT = 'sent'
--- a/src/laburnumyard/telemetry/_metrics.py
+++ b/src/laburnumyard/telemetry/_metrics.py
@@ -1,4 +1,4 @@
-"""Counters and latency summaries in the Prometheus text format."""
+"""Counters, gauges and latency summaries in the Prometheus text format."""
 
 from collections import Counter, deque
 from collections.abc import Iterator
@@ -51,11 +51,12 @@
 
 
 class Metrics:
-    """Counters and latency summaries of one process."""
+    """Counters, gauges and latency summaries of one process."""
 
     def __init__(self) -> None:
         """Create an empty set of metrics."""
         self.counters: Counter[tuple[str, Series]] = Counter()
+        self.gauges: dict[tuple[str, Series], float] = {}
         self.latencies: dict[str, LatencySummary] = {}
 
     def count(self, name: str, **labels: object) -> None:
@@ -74,6 +75,23 @@
             key = (name, tuple((label, OTHER_LABEL) for label in labels))
         self.counters[key] += 1
 
+    def set_gauge(self, name: str, level: float, **labels: object) -> None:
+        """Set the current level of a gauge.
+
+        Parameters
+        ----------
+        name
+            Metric name without prefix.
+        level
+            Current level.
+        labels
+            Labels of the series; gauges beyond the limit are not kept.
+        """
+        series = tuple((label, str(text)) for label, text in labels.items())
+        key = (name, series)
+        if key in self.gauges or len(self.gauges) < MAX_SERIES:
+            self.gauges[key] = level
+
     def observe(self, service: str, seconds: float) -> None:
         """Record the latency of a request to a service, in seconds."""
         if service not in self.latencies:
@@ -82,12 +100,21 @@
 
     def render(self) -> str:
         """Return all metrics as text, one line per series."""
-        return '\n'.join([*self._counter_lines(), *self._latency_lines(), ''])
+        lines = (
+            *self._counter_lines(),
+            *self._gauge_lines(),
+            *self._latency_lines(),
+        )
+        return '\n'.join([*lines, ''])
 
     def _counter_lines(self) -> Iterator[str]:
         for (name, series), number in sorted(self.counters.items()):
             yield f'laburnumyard_{name}{_labels(series)} {number}'
 
+    def _gauge_lines(self) -> Iterator[str]:
+        for (name, series), level in sorted(self.gauges.items()):
+            yield f'laburnumyard_{name}{_labels(series)} {level}'
+
     def _latency_lines(self) -> Iterator[str]:
         name = 'laburnumyard_request_duration_seconds'
         for service, summary in sorted(self.latencies.items()):
--- a/tests/gateway/test_shard_runner.py
+++ b/tests/gateway/test_shard_runner.py
@@ -1,4 +1,5 @@
 from collections import defaultdict
+from dataclasses import replace
 
 import anyio
 import pytest
@@ -401,6 +402,96 @@
     assert_that(orders.given, Contains(('Release', '1', '10.0.0.1:80')))
 
 
+def held_only_by(target):
+    """Return whether a target holds all keys."""
+
+    def is_true_of(manager):
+        holders = {piece.holder.target for piece in manager.pieces}
+        return all_served(manager) and holders == {target}
+
+    return is_true_of
+
+
+def put_targets_apart(view):
+    """Put the second target into a data centre of its own."""
+    apart = replace(make_record('2'), data_centre=DataCentre('lima-b'))
+    view.adopt_directory({TargetId('1'): make_record('1'), '2': apart})
+
+
+# An evacuated target holds its keys until others get them, and releases them.
+async def test_keys_leave_an_evacuated_data_centre_and_come_back(
+    make_runner, view, orders
+):
+    put_targets_apart(view)
+    runner, dispatcher = make_runner()
+    await run_until(runner, dispatcher, all_served)
+    view.begin_evacuation(DataCentre('lima-a'))
+    await run_until(runner, dispatcher, held_only_by('2'))
+    assert_that(orders.given, Contains(('Release', '1', '10.0.0.1:80')))
+    view.end_evacuation(DataCentre('lima-a'), 99, boot_time())
+    await run_until(
+        runner,
+        dispatcher,
+        lambda manager: (
+            all_served(manager)
+            and '1' in {piece.holder.target for piece in manager.pieces}
+        ),
+    )
+    assert_that(orders.shared, Equals([]))
+
+
+async def confirm(member, service, epoch):
+    """Confirm that the earlier coordinator has stopped."""
+    return True
+
+
+# The coordinator is replaced while the keys are on their way.
+async def test_a_takeover_during_an_evacuation_moves_the_rest(
+    make_runner, view, orders
+):
+    put_targets_apart(view)
+    runner, dispatcher = make_runner()
+    await run_until(runner, dispatcher, all_served)
+    view.begin_evacuation(DataCentre('lima-a'))
+    await run_until(
+        runner,
+        dispatcher,
+        lambda manager: ('Release', '1', '10.0.0.1:80') in orders.given,
+    )
+    later, its_dispatcher = make_runner(epoch=9, session=ANOTHER)
+    later.stand_down = confirm
+    await run_until(later, its_dispatcher, held_only_by('2'))
+    assert_that(orders.shared, Equals([]))
+
+
+# With both data centres evacuated there is no better place for the keys.
+async def test_keys_stay_where_they_are_if_all_targets_are_evacuated(
+    make_runner, view, orders
+):
+    put_targets_apart(view)
+    runner, dispatcher = make_runner()
+    await run_until(runner, dispatcher, all_served)
+    for name in ('lima-a', 'lima-b'):
+        view.begin_evacuation(DataCentre(name))
+    assert_that(runner.refresh_targets(), Equals([]))
+    assert_that(runner.manager.plan({}, {}, boot_time()), Equals([]))
+
+
+# Keys of a cold target are planned for half of the rate that it tolerates.
+def test_a_cold_target_gets_keys_for_half_of_its_rate(make_runner, view):
+    runner, dispatcher = make_runner()
+    runner.dispatcher = dispatcher
+    record = replace(make_record('1'), cold_until=boot_time() + 60)
+    scheduler = dispatcher.scheduler
+    scheduler.limiter.warm_up_per_s = 4
+    scheduler.update_targets([record])
+    expected = 4 * scheduler.times.mean() / 2
+    assert_that(runner.capacity(record), Equals(expected))
+    assert_that(runner.capacity(make_record('1')), Equals(expected))
+    scheduler.update_targets([make_record('1')])
+    assert_that(runner.capacity(make_record('1')), Equals(3))
+
+
 def test_a_start_that_a_later_one_replaced_has_not_ended_for_certain():
     lives = {TargetLife(TargetId('1'), 1): '10.0.0.1:80'}
     directory = {TargetId('1'): make_record('1', started=2)}
