Elections: a claim no longer replaces a coordinator that was faster

The epoch for the conditional write was read after the session had been opened. Smaller VMs also wait longer than the news of a claim takes to reach followers.

--- a/src/laburnumyard/gateway/_coordinator_elections.py
+++ b/src/laburnumyard/gateway/_coordinator_elections.py
@@ -28,8 +28,9 @@
 # write settles the election.
 ELECTION_JITTER_S = 0.05
 # Extra delay per held role and for a VM with fewer cores, so that other
-# gateways can claim the role first.
-HANDICAP_DELAY_S = 0.1
+# gateways can claim the role first. Followers hear of a claim up to 0.15 s
+# after it, and each one that claims as well costs calls of the store.
+HANDICAP_DELAY_S = 0.25
 # Extra delay for a gateway that reaches no target: it can give no orders, and
 # claims a role only if no other gateway does.
 TARGETS_LOST_DELAY_S = 1.0
@@ -205,6 +206,10 @@
         if not await self.session.acquire():
             await anyio.sleep(SESSION_RETRY_PAUSE_S * (1 + random.random()))
             return
+        if not self.is_vacant(service):
+            # Another gateway claimed the role while the session was opened. A
+            # write on condition of its epoch would take the role from it.
+            return
         key = coordinator_key(service)
         coordinator = self.view.coordinators.get(service)
         write = ConditionalWrite(
--- a/tests/gateway/test_elections.py
+++ b/tests/gateway/test_elections.py
@@ -5,7 +5,13 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from laburnumyard.gateway._cluster_view import ClusterView
+from laburnumyard.core.ids import DaemonName, ServiceName
+from laburnumyard.core.routes import RouteTable, ServiceSpec
+from laburnumyard.gateway._cluster_view import (
+    ClusterView,
+    Coordinator,
+    Member,
+)
 from laburnumyard.gateway._coordinator_elections import Elections
 
 pytestmark = pytest.mark.anyio
@@ -78,3 +84,37 @@
     elections.reach.note_probes(0, 4, 0)
     await elections.elect('catalogue')
     assert_that(roles.events, Equals(['claimed']))
+
+
+async def test_a_role_is_not_taken_from_a_gateway_that_was_faster(roles):
+    """A claim took the role from a coordinator that had just been elected.
+
+    The epoch for the conditional write was read after the session was opened,
+    and by then it was that of the new coordinator.
+    """
+    service = ServiceName('catalogue')
+    view = ClusterView(has_coordinators=True)
+    view.adopt_routes(
+        RouteTable(1, (), {service: ServiceSpec(service, '/healthz', 9, False)})
+    )
+    faster = Coordinator(Member(DaemonName('lima-a-2'), '127.0.0.1:2', 1), 7)
+    writes = []
+
+    async def acquire():
+        view.adopt_coordinator(service, faster)
+        return True
+
+    async def compare_and_swap(write):
+        writes.append(write)
+
+    session = SimpleNamespace(
+        acquire=acquire,
+        session_id=1,
+        member=Member(DaemonName('lima-a-1'), '127.0.0.1:1', 1),
+    )
+    store = SimpleNamespace(compare_and_swap=compare_and_swap)
+    roles.is_leaving = False
+    elections = Elections(store, view, session, roles, None)
+    await elections.claim_role(service)
+    assert_that(writes, Equals([]))
+    assert_that(view.coordinators[service], Equals(faster))
