--- a/src/laburnumyard/core/scheduling/_run_times.py
+++ b/src/laburnumyard/core/scheduling/_run_times.py
@@ -15,6 +15,14 @@
 # Weight of a new sample in the pace that targets are chosen by. It varies less
 # by chance: with 0.2, pooled requests earned 0.7 % less near full load.
 STEADY_PACE_GAIN = 0.05
+# Samples of a mean target that the pace of a target begins with.
+PRIOR_RUNS = 2
+# Runs of a target count e times less after this time without any, in seconds,
+# and its pace returns to that of a mean target: a slow target that gets nothing
+# would never be seen to be fast again.
+IDLE_MEMORY_S = 4.0
+# A target is not idle before this time without runs, in seconds.
+IDLE_AFTER_S = 1.0
 # A mean of the last five answers counts as a change of the steady pace if its
 # logarithm differs from it by more than this.
 CHANCE_DIFFERENCE = 0.4
@@ -38,33 +46,55 @@
     mean, recent
         Moving means over about the last 20 and the last 5 answers.
     runs
-        Number of answers.
-    pace
+        Number of answers, of which those before idle times count less.
+    learned
         The mean, or between both if the target has changed.
+    pace
+        The same, nearer to 1 after an idle time.
+    at
+        Time of the last send or answer, in seconds.
     """
 
     mean: float = 1
     recent: float = 1
-    runs: int = 0
+    runs: float = 0
+    learned: float = 1
     pace: float = 1
+    at: float = 0
 
-    def add(self, sample: float) -> None:
+    def add(self, sample: float, now: float) -> None:
         """Add the relative run time of an answer."""
-        sample = min(sample, MAX_SAMPLE_FACTOR * self.pace)
+        sample = min(sample, MAX_SAMPLE_FACTOR * self.learned)
+        self.use(now)
         self.runs += 1
-        gain = max(STEADY_PACE_GAIN, min(PACE_GAIN, 1 / self.runs))
+        gain = max(STEADY_PACE_GAIN, 1 / (self.runs + PRIOR_RUNS))
         self.mean += gain * (sample - self.mean)
-        self.recent += PACE_GAIN * (sample - self.recent)
+        self.recent += max(gain, PACE_GAIN) * (sample - self.recent)
         difference = math.log(self.recent / self.mean)
         chance = CHANCE_DIFFERENCE / max(CHANCE_DIFFERENCE, abs(difference))
         changed = self.mean * math.exp((1 - chance * chance) * difference)
-        self.pace = min(MAX_PACE, max(MIN_PACE, changed))
+        self.learned = min(MAX_PACE, max(MIN_PACE, changed))
+        self.pace = self.learned
+
+    def use(self, now: float) -> None:
+        """Record that the target gets or answers a request."""
+        self.runs *= math.exp(-max(0, now - self.at) / IDLE_MEMORY_S)
+        self.at = now
+        self.pace = self.learned
+
+    def relax(self, now: float) -> None:
+        """Let the pace of an idle target return to that of a mean target."""
+        idle = now - self.at - IDLE_AFTER_S
+        if idle > 0 and self.learned > 1:
+            kept = math.exp(-idle / IDLE_MEMORY_S)
+            self.pace = 1 + kept * (self.learned - 1)
 
     def slow_down(self, factor: float) -> None:
         """Increase the pace."""
         self.mean = min(MAX_PACE, self.mean * factor)
         self.recent = min(MAX_PACE, self.recent * factor)
-        self.pace = min(MAX_PACE, self.pace * factor)
+        self.learned = min(MAX_PACE, self.learned * factor)
+        self.pace = self.learned
 
 
 @dataclass(slots=True)
@@ -125,6 +155,7 @@
         route: RouteName,
         target: TargetId,
         run_time: Seconds,
+        now: float = 0,
         cost_factor: float = 1,
         stretch: float = 1,
     ) -> None:
@@ -138,6 +169,8 @@
             The target that ran it.
         run_time
             How long it occupied its slot, in seconds.
+        now
+            The current time, in seconds.
         cost_factor
             Its expected work relative to the mean of the route.
         stretch
@@ -163,7 +196,7 @@
         if steady is None:
             steady = SteadyPace()
             self.steady[target] = steady
-        steady.add(run_time / (usual * stretch))
+        steady.add(run_time / (usual * stretch), now)
 
     def slow_down(self, target: TargetId, factor: float) -> None:
         """Increase the pace of a target, as after an interrupted run."""
--- a/src/laburnumyard/core/scheduling/_target_cost.py
+++ b/src/laburnumyard/core/scheduling/_target_cost.py
@@ -40,6 +40,8 @@
 # a key is corrected. The whole of it moved keys by chance: the busiest target
 # of a hot spot had 1.44 of the mean load for 1.32, and 14 % more keys moved.
 MEASURED_PART = 0.25
+# Interval in which the paces of idle targets are updated, in seconds.
+RELAX_INTERVAL_S = 0.25
 FLOOR = attrgetter('floor')
 
 
@@ -132,6 +134,7 @@
         self.remaining = RemainingWork(times)
         self.candidates: dict[TargetId, Candidate] = {}
         self.by_floor: list[Candidate] = []
+        self.relax_at: float = 0
 
     def update(self, targets: Mapping[TargetId, TargetSlots]) -> None:
         """Replace the targets."""
@@ -148,9 +151,7 @@
             )
             for target, slots in targets.items()
         }
-        for each in self.candidates.values():
-            each.floor = self._floor(each)
-        self.by_floor = sorted(self.candidates.values(), key=FLOOR)
+        self._sort()
 
     def choose(self, work: Work, now: Seconds) -> TargetId | None:
         """Return the target with room where a request is expected to end first.
@@ -159,6 +160,8 @@
         only if its cost is the lowest so far, and the search ends where no
         later target can cost less.
         """
+        if now >= self.relax_at:
+            self._relax(now)
         far = self.distance(work.route)
         best, lowest = None, math.inf
         for each in self.by_floor:
@@ -200,6 +203,10 @@
         work.pace = self.times.steady_pace(target) * work.stretch
         work.reported = self.times.reported.prediction(target, now)
         self.remaining.add(work)
+        steady = self.times.steady.get(target)
+        if steady is not None:
+            steady.use(now)
+            self._reposition(target)
 
     def note_report(
         self, slots: TargetSlots, report: LoadReport | None, now: Seconds
@@ -208,11 +215,7 @@
         self.times.reported.note_report(
             slots.record.target, report, slots.running, now
         )
-        each = self.candidates.get(slots.record.target)
-        if each is not None:
-            self.by_floor.remove(each)
-            each.floor = self._floor(each)
-            insort(self.by_floor, each, key=FLOOR)
+        self._reposition(slots.record.target)
 
     def note_run(self, work: Work, outcome: Outcome, now: Seconds) -> Seconds:
         """Record the end of a run.
@@ -239,6 +242,7 @@
             work.route,
             target,
             Seconds(ran_for),
+            now,
             work.cost_factor,
             work.stretch,
         )
@@ -247,6 +251,25 @@
             * (min(measured, MAX_MEASURED_FACTOR * work.cost) - work.cost)
         )
 
+    def _reposition(self, target: TargetId) -> None:
+        each = self.candidates.get(target)
+        if each is not None:
+            self.by_floor.remove(each)
+            each.floor = self._floor(each)
+            insort(self.by_floor, each, key=FLOOR)
+
+    def _relax(self, now: Seconds) -> None:
+        """Let the paces of idle targets return to that of a mean target."""
+        self.relax_at = now + RELAX_INTERVAL_S
+        for steady in self.times.steady.values():
+            steady.relax(now)
+        self._sort()
+
+    def _sort(self) -> None:
+        for each in self.candidates.values():
+            each.floor = self._floor(each)
+        self.by_floor = sorted(self.candidates.values(), key=FLOOR)
+
     def _floor(self, each: Candidate) -> float:
         floor = self.times.steady_pace(each.target) * each.warm_up
         reports = self.times.reported.targets.get(each.target)
