Wait for a clearly faster target; comparison of placements

Cause: with all fast targets full, a request went to a machine that was three times as slow, although a fast slot was about to be free.

Change: a request of a pooled service waits for a full target if it ends there by 1.5 mean run times earlier.

--- a/src/laburnumyard/core/scheduling/_run_times.py
+++ b/src/laburnumyard/core/scheduling/_run_times.py
@@ -77,7 +77,14 @@
         self.pace = self.learned
 
     def use(self, now: float) -> None:
-        """Record that the target gets or answers a request."""
+        """Record that the target gets or answers a request.
+
+        After an idle time, what was learned before it no longer counts, but the
+        target is chosen once before its answer shows its pace.
+        """
+        if self.pace < self.learned:
+            self.mean = self.pace
+            self.recent = self.pace
         self.runs *= math.exp(-max(0, now - self.at) / IDLE_MEMORY_S)
         self.at = now
         self.pace = self.learned
--- a/src/laburnumyard/core/scheduling/_target_cost.py
+++ b/src/laburnumyard/core/scheduling/_target_cost.py
@@ -13,7 +13,8 @@
 from laburnumyard.core.scheduling._run_times import MIN_RUN_TIME_S, RunTimes
 from laburnumyard.core.scheduling._settings import SchedulerSettings
 from laburnumyard.core.scheduling._target_slots import TargetSlots
-from laburnumyard.core.scheduling._work import Outcome, Work
+from laburnumyard.core.scheduling._work import Outcome, Work, WorkId
+from laburnumyard.core.target_directory import TargetState
 
 # Weight of a new sample in the mean payload of a route; about the last 20
 # count.
@@ -42,6 +43,13 @@
 MEASURED_PART = 0.25
 # Interval in which the paces of idle targets are updated, in seconds.
 RELAX_INTERVAL_S = 0.25
+# A request waits for a faster target if it ends there this much earlier, in
+# mean run times. A smaller gain is within what run times vary by.
+MIN_WAIT_GAIN = 1.5
+# Of the targets with the lowest costs, this many may be waited for.
+MAX_WAIT_TARGETS = 8
+# The least time for which a request may hold a reservation, in seconds.
+TICK_S = 0.05
 FLOOR = attrgetter('floor')
 
 
@@ -135,6 +143,8 @@
         self.candidates: dict[TargetId, Candidate] = {}
         self.by_floor: list[Candidate] = []
         self.relax_at: float = 0
+        # Requests that wait for a full target, and until when they do.
+        self.reserved: dict[TargetId, tuple[WorkId, float]] = {}
 
     def update(self, targets: Mapping[TargetId, TargetSlots]) -> None:
         """Replace the targets."""
@@ -163,6 +173,14 @@
         if now >= self.relax_at:
             self._relax(now)
         far = self.distance(work.route)
+        best, lowest = self._best_free(work, far, now)
+        if self._ends_first_elsewhere(work, lowest, far, now):
+            return None
+        return best
+
+    def _best_free(
+        self, work: Work, far: float, now: Seconds
+    ) -> tuple[TargetId | None, float]:
         best, lowest = None, math.inf
         for each in self.by_floor:
             if each.floor * work.cost_factor >= lowest:
@@ -171,15 +189,59 @@
             if cost < lowest and each.target not in work.excluded:
                 if each.slots.has_room(now):
                     best, lowest = each.target, cost
-        return best
+        return best, lowest
+
+    def _ends_first_elsewhere(
+        self, work: Work, lowest: float, far: float, now: Seconds
+    ) -> bool:
+        """Whether a request ends clearly earlier if it waits for a full target.
+
+        One request at a time waits for a target; it is reconsidered with each
+        event.
+        """
+        mean = self.times.routes.get(work.route)
+        if mean is None or lowest is math.inf:
+            return False
+        limit = lowest - MIN_WAIT_GAIN
+        for each in self.by_floor[:MAX_WAIT_TARGETS]:
+            if each.floor * work.cost_factor >= limit:
+                return False
+            if not self._may_be_waited_for(each, work, now):
+                continue
+            free_in = self.remaining.free_in(each.target, now)
+            cost = self._run_cost(each, work, far, now) + free_in / mean
+            if cost < limit:
+                until = now + max(TICK_S, 2 * free_in)
+                self.reserved[each.target] = (work.work_id, until)
+                return True
+        return False
+
+    def _may_be_waited_for(
+        self, each: Candidate, work: Work, now: Seconds
+    ) -> bool:
+        slots = each.slots
+        if slots.running < each.limit or each.target in work.excluded:
+            return False
+        if slots.losses or now < slots.paused_until:
+            return False
+        holder, until = self.reserved.get(each.target, (work.work_id, now))
+        if holder != work.work_id and now < until:
+            return False
+        is_ready = slots.record.state is TargetState.READY
+        return is_ready and slots.rate(now) is None
 
     def _cost(
         self, each: Candidate, work: Work, far: float, now: Seconds
     ) -> float:
         """Return the cost of a request at a target, infinite if it is full."""
-        slots = each.slots
-        if slots.running >= each.limit:
+        if each.slots.running >= each.limit:
             return math.inf
+        return self._run_cost(each, work, far, now)
+
+    def _run_cost(
+        self, each: Candidate, work: Work, far: float, now: Seconds
+    ) -> float:
+        slots = each.slots
         pace = self.times.present_pace(each.target, now) * each.warm_up
         run_time = work.cost_factor * pace
         cost = run_time * (1 + each.occupancy * slots.running)
@@ -203,6 +265,12 @@
         work.pace = self.times.steady_pace(target) * work.stretch
         work.reported = self.times.reported.prediction(target, now)
         self.remaining.add(work)
+        if self.reserved:
+            self.reserved = {
+                each: held
+                for each, held in self.reserved.items()
+                if held[0] != work.work_id and now < held[1]
+            }
         steady = self.times.steady.get(target)
         if steady is not None:
             steady.use(now)
--- a/src/standins/placement_policies.py
+++ b/src/standins/placement_policies.py
@@ -62,6 +62,10 @@
         return super().submit(work, now, is_returned=is_returned)
 
     def _choose(self, work: Work, now: Seconds) -> TargetId | None:
+        return self.choose(work, now)
+
+    def choose(self, work: Work, now: Seconds) -> TargetId | None:
+        """Return the target of the shortest run."""
         run_time = partial(self.run_time, work)
         best = min(self.free(work, now), key=run_time, default=None)
         return best.record.target if best else None
--- a/src/standins/pooled_model.py
+++ b/src/standins/pooled_model.py
@@ -52,7 +52,8 @@
 PATHS = (('/short/1', 0.6, 0.8), ('/long/1', 2.6, 0.2))
 
 
-class Kind(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class Kind:
     """A kind of request, as in the table of the design page."""
 
     name: str
--- a/tests/core/scheduling/test_target_cost.py
+++ b/tests/core/scheduling/test_target_cost.py
@@ -7,6 +7,7 @@
 from testtools.matchers import Equals
 
 from laburnumyard.core.ids import DataCentre
+from laburnumyard.core.load_reports import LoadReport
 from laburnumyard.core.scheduling import (
     Outcome,
     RunReport,
@@ -73,3 +74,68 @@
     assert_that(
         round(service.payloads.expect(work.route)), Equals(DOWNLOAD_BYTES)
     )
+
+
+def reported(slowdown):
+    return RunReport(Outcome.ANSWERED, load=LoadReport(1, 0, 2, slowdown))
+
+
+@pytest.fixture
+def uneven():
+    """Return a service with a slow target that is free and a fast one."""
+    service = Scheduler(SchedulerSettings(BUDGET))
+    service.update_targets(
+        [make_record('slow', slots=1), make_record('fast', slots=1)]
+    )
+    service.times.routes['benches'] = 0.1
+    service.times.paces.update({'slow': 4, 'fast': 1})
+    return service
+
+
+# A machine is three times as slow for a moment, and a request runs there for
+# longer than it would have waited for the next fast slot.
+def test_a_request_waits_for_a_much_faster_target(uneven):
+    first = place(uneven, 1)
+    second = place(uneven, 1.06)
+    assert_that((first.target, second.target), Equals(('fast', None)))
+    decisions = uneven.finish(first.work_id, reported(1.0), 1.1)
+    assert_that([each.target for each in decisions], Equals(['fast']))
+
+
+def test_only_one_request_waits_for_a_target(uneven):
+    """Guards against free slots that stay free while requests queue up."""
+    place(uneven, 1)
+    second, third = place(uneven, 1.06), place(uneven, 1.06)
+    assert_that((second.target, third.target), Equals((None, 'slow')))
+
+
+def test_a_request_does_not_wait_for_a_run_that_takes_long(uneven):
+    """A run beyond its usual time may take as long again."""
+    place(uneven, 1)
+    second = place(uneven, 1.06)
+    uneven.tick(1.8)
+    assert_that(second.target, Equals('slow'))
+
+
+def test_a_request_does_not_wait_for_a_target_that_rests(uneven):
+    place(uneven, 1)
+    uneven.targets['fast'].paused_until = 2
+    assert_that(place(uneven, 1.06).target, Equals('slow'))
+
+
+def test_what_a_request_may_wait_for_is_not_what_it_was_sent_to(uneven):
+    place(uneven, 1)
+    work = make_work(1.06, excluded=frozenset(('fast',)))
+    uneven.submit(work, 1.06, is_returned=False)
+    assert_that(work.target, Equals('slow'))
+
+
+def test_a_costly_request_goes_to_the_faster_target_far_away(service):
+    """A cheap one does not gain there what the distance costs."""
+    service.times.paces.update({'near': 1.0, 'far': 0.85})
+    service.times.routes['benches'] = 0.1
+    cheap = place(service, 1)
+    costly = make_work(1)
+    costly.cost_factor = 3
+    assert_that(cheap.target, Equals('near'))
+    assert_that(service.cost.choose(costly, 1), Equals('far'))
--- a/tests/core/test_pooled_load.py
+++ b/tests/core/test_pooled_load.py
@@ -5,7 +5,7 @@
 """
 
 from dataclasses import replace
-from functools import cache
+from functools import cache, partial
 from statistics import mean
 
 import pytest
@@ -110,9 +110,7 @@
     fastest = max(model.machines.values(), key=lambda each: each.speed)
     usual = fastest.speed
     for at, factor in changes.items():
-        model.at(
-            at, lambda part=factor: setattr(fastest, 'speed', part * usual)
-        )
+        model.at(at, partial(setattr, fastest, 'speed', factor * usual))
     return model.run(20).sent_at[fastest.name]
 
 
