--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -80,6 +80,7 @@
         self.addresses = list(addresses)
         self.asked = []
         self.outcomes = []
+        self.reports = []
 
     async def acquire(self, slot_request):
         self.asked.append(slot_request)
@@ -90,6 +91,7 @@
 
     def release(self, slot, report):
         self.outcomes.append(report.outcome.value)
+        self.reports.append(report)
 
 
 def make_route(is_repeatable=True, timeout_s=1.0):
