--- a/src/laburnumyard/core/scheduling/_refusals.py
+++ b/src/laburnumyard/core/scheduling/_refusals.py
@@ -55,10 +55,10 @@
             claim = Claim(
                 lane,
                 work.rank,
-                work.expected_s,
+                work.cost,
                 now + earliest,
                 now + latest,
-                work.due_at - work.expected_s,
+                work.due_at - work.cost,
             )
             capacity = self.index.capacity_of(lane)
             retry_after = self.returns.reserve(claim, capacity, now) - now
--- a/src/laburnumyard/core/scheduling/_scheduler.py
+++ b/src/laburnumyard/core/scheduling/_scheduler.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable, Iterable
-from functools import partial
 from typing import Protocol
 
 from laburnumyard.core.ids import Seconds, ShardKey, TargetId
@@ -14,8 +13,8 @@
 from laburnumyard.core.scheduling._crash_attribution import CrashAttribution
 from laburnumyard.core.scheduling._demand_rates import DemandRates
 from laburnumyard.core.scheduling._refusals import Refusals
-from laburnumyard.core.scheduling._run_report import RunReport
 from laburnumyard.core.scheduling._return_times import ReturnTimes
+from laburnumyard.core.scheduling._run_report import RunReport
 from laburnumyard.core.scheduling._run_times import RunTimes
 from laburnumyard.core.scheduling._running import RunningRequests
 from laburnumyard.core.scheduling._send_rate import RateLimiter
@@ -39,17 +38,6 @@
 # Slots of requests whose entry gateway stopped responding are freed this many
 # seconds after the requests have expired.
 ABANDONED_AFTER_S = 0.5
-# Factor on the pace of a target after a run that was interrupted beyond twice
-# its expected time, since its full run time is not known.
-INTERRUPTED_RUN_FACTOR = 1.1
-INTERRUPTED_OUTCOMES = frozenset(
-    (
-        Outcome.CANCELLED,
-        Outcome.TIMED_OUT,
-        Outcome.BROKE_OFF,
-        Outcome.OVERSIZED,
-    )
-)
 
 
 class Placement(Protocol):
@@ -64,6 +52,11 @@
     def note_arrival(self, key: ShardKey, cost: Seconds, now: Seconds) -> None:
         """Count a request for a key."""
 
+    def note_work(
+        self, key: ShardKey, correction: Seconds, now: Seconds
+    ) -> None:
+        """Correct the cost of a request by the measured one."""
+
     def note_not_owner(self, key: ShardKey, target: TargetId) -> None:
         """Record that a target reported that it does not hold a key."""
 
@@ -131,10 +124,9 @@
         is_returned
             Whether it was refused before; it precedes others of its rank.
         """
-        work.expected_s = self._expect(work, None)
+        self.cost.note_arrival(work, now)
         if work.key is not None and self.placement:
-            cost = Seconds(work.expected_s)
-            self.placement.note_arrival(work.key, cost, now)
+            self.placement.note_arrival(work.key, Seconds(work.cost), now)
         if self.crash_attribution.is_quarantined(work, now):
             return [self.refusals.refuse(work, Refusal.QUARANTINED, now)]
         if work.sends:
@@ -187,6 +179,7 @@
         work = self.at_targets.pop(work_id)
         if work is None or work.target is None:
             return []
+        self.cost.remaining.remove(work)
         outcome = report.outcome
         if report.payload_bytes:
             self.payloads.record(work.route, report.payload_bytes)
@@ -204,6 +197,7 @@
                 if work.key is not None:
                     self.placement.note_not_owner(work.key, work.target)
             self._record_run_time(work, outcome, now)
+            self.cost.note_report(slots, report.load, now)
             self.index.refresh(slots, now)
         woken = self._catch_up(now)
         return self._serve_targets([work.target, *woken], now)
@@ -247,6 +241,7 @@
                 self.times.forget(record.target)
             slots.record = record
             self.targets[record.target] = slots
+        self.cost.update(self.targets)
         self.limiter.forget_replaced(
             [slots.record.life for slots in self.targets.values()]
         )
@@ -284,7 +279,7 @@
         work.last_end_at = self.estimate.last_end_of(work)
         lane = self.queue.lane_of(work)
         if not is_returned:
-            self.demands.add(lane, work.rank, work.expected_s, now)
+            self.demands.add(lane, work.rank, work.cost, now)
         elif self.returns.take(lane, work.rank, now):
             work.last_end_at = work.expires_at
 
@@ -357,6 +352,7 @@
         slots = self.targets[target]
         slots.occupy(now)
         self.index.refresh_room(slots, now)
+        self.cost.note_sent(work, target, now)
         return Send(work, target)
 
     def _choose(self, work: Work, now: Seconds) -> TargetId | None:
@@ -364,28 +360,11 @@
             owner = self.placement.owner(work.key, now)
             slots = self.targets.get(owner) if owner else None
             return owner if slots and slots.has_room(now) else None
-        free = [
-            slots
-            for slots in self.index.free.values()
-            if slots.has_room(now) and slots.record.target not in work.excluded
-        ]
-        best = min(free, key=partial(self.cost.of, work), default=None)
-        return best.record.target if best else None
+        return self.cost.choose(work, now)
 
     def _record_run_time(
         self, work: Work, outcome: Outcome, now: Seconds
     ) -> None:
-        target = work.target
-        ran_for = Seconds(now - work.sent_at)
-        if target is None or work.sent_at == 0:
-            return
-        if outcome in {Outcome.ANSWERED, Outcome.FAILED}:
-            self.times.record(work.route, target, ran_for)
-        elif outcome in INTERRUPTED_OUTCOMES:
-            expected = self.times.expect(work.route, target)
-            if ran_for > 2 * expected:
-                self.times.slow_down(target, INTERRUPTED_RUN_FACTOR)
-
-    def _expect(self, work: Work, target: TargetId | None) -> Seconds:
-        """Return the run time to expect of a request."""
-        return self.times.expect(work.route, target)
+        correction = self.cost.note_run(work, outcome, now)
+        if correction and work.key is not None and self.placement:
+            self.placement.note_work(work.key, correction, now)
--- a/src/laburnumyard/core/scheduling/_wait_estimate.py
+++ b/src/laburnumyard/core/scheduling/_wait_estimate.py
@@ -72,7 +72,7 @@
         if lane_id == ANY_TARGET:
             if not ahead.requests and self.index.has_room(now):
                 return Seconds(0)
-            seconds = ahead.seconds + work.expected_s
+            seconds = ahead.seconds + work.cost
             return Seconds(self.backlog(seconds) / self.share(work.rank, now))
         slots = self.index.targets.get(lane_id) if lane_id else None
         if slots is None:
@@ -109,8 +109,8 @@
         pace = self.times.pace(target)
         rests = [
             max(
-                MIN_REST_FRACTION * work.expected_s * pace,
-                work.sent_at + work.expected_s * pace - now,
+                MIN_REST_FRACTION * work.cost * pace,
+                work.sent_at + work.cost * pace - now,
             )
             for work in self.at_targets.at_target(target).values()
         ]
@@ -140,11 +140,11 @@
         for work in lane.works:
             # What is first may start in any moment, whatever was estimated.
             wait = first + ahead * per_second if ahead else 0
-            wait -= LATENESS_TOLERANCE * work.expected_s
+            wait -= LATENESS_TOLERANCE * work.cost
             if self.is_too_late(work, Seconds(max(0, wait)), now):
                 found.append(work)
             else:
-                ahead += work.expected_s
+                ahead += work.cost
         return found
 
     def _service_of(
@@ -165,7 +165,7 @@
 
     def is_too_late(self, work: Work, wait: Seconds, now: Seconds) -> bool:
         """Whether a request that starts after a wait ends too late."""
-        return now + wait + work.expected_s > work.last_end_at
+        return now + wait + work.cost > work.last_end_at
 
     def last_end_of(self, work: Work) -> Seconds:
         """Return when a request has to end that has to wait."""
@@ -185,8 +185,8 @@
         if wait:
             is_pooled = self.queue.lane_of(work) == ANY_TARGET
             margin = POOL_MARGIN if is_pooled else OWNER_MARGIN
-            latest = Seconds(wait + margin * work.expected_s)
+            latest = Seconds(wait + margin * work.cost)
             return not self.is_too_late(work, latest, now)
-        if now + work.expected_s <= work.expires_at:
+        if now + work.cost <= work.expires_at:
             return True
         return work.route not in self.at_targets.routes
--- a/src/laburnumyard/core/scheduling/_waiting_queue.py
+++ b/src/laburnumyard/core/scheduling/_waiting_queue.py
@@ -63,13 +63,13 @@
     def add(self, work: Work) -> None:
         """Insert a request."""
         insort(self.works, work, key=attrgetter('order'))
-        self.demands.setdefault(work.order_class, Demand()).add(work.expected_s)
+        self.demands.setdefault(work.order_class, Demand()).add(work.cost)
 
     def remove(self, work: Work) -> None:
         """Remove a request of the lane."""
         del self.works[self.position(work)]
         demand = self.demands[work.order_class]
-        demand.subtract(work.expected_s)
+        demand.subtract(work.cost)
         if not demand.requests:
             self.demands.pop(work.order_class)
 
@@ -147,13 +147,13 @@
         """Insert a request behind those of its order."""
         work.order = (*work.order_class, work.arrived_at, next(self.numbers))
         self.by_id[work.work_id] = work
-        self.total.add(work.expected_s)
+        self.total.add(work.cost)
         self._enter(work)
 
     def remove(self, work: Work) -> None:
         """Remove a waiting request."""
         self.by_id.pop(work.work_id)
-        self.total.subtract(work.expected_s)
+        self.total.subtract(work.cost)
         lane = self.lanes[work.lane]
         lane.remove(work)
         if not lane.works:
--- a/src/laburnumyard/core/scheduling/_work.py
+++ b/src/laburnumyard/core/scheduling/_work.py
@@ -99,8 +99,15 @@
         Its class, and its place in the queue; lower ones are served first.
     lane
         The target that it waits for; see ``WaitingQueue``.
-    expected_s
-        Run time to expect when it was submitted, in seconds.
+    cost
+        Expected run time at a target of pace 1, in seconds, when it was
+        submitted.
+    cost_factor
+        The same relative to the mean of the route.
+    pace, stretch, reported
+        When it was sent: the pace expected of its target; the part of it that
+        the target's reports explain; and what they would explain of the run
+        time if they were fully trusted, as a logarithm.
     last_end_at
         When it has to end if it has to wait, in seconds.
     """
@@ -119,12 +126,16 @@
     sends: int = 0
     sender: DaemonName = OWN_SENDER
     cost_class: int = 0
+    cost: float = 0
+    cost_factor: float = 1
+    pace: float = 1
+    stretch: float = 1
+    reported: float = 0
     target: TargetId | None = None
     sent_at: float = 0
     order_class: OrderClass = (0, 0)
     order: tuple[float, ...] = field(default=())
     lane: TargetId | None = None
-    expected_s: float = 0
     last_end_at: float = 0
 
 
