--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -390,6 +390,7 @@
         """Return a connection to the target of a slot, or why there is none."""
         if self.must_relay(attempt):
             return Error(Outcome.CANCELLED)
+        await self.slot_check.wait_until_current()
         acquired = await self.pool.acquire(
             slot.address,
             is_repeatable=attempt.route.is_repeatable,
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -260,6 +260,7 @@
                 self.coordination.run,
                 self.elections.run,
                 self.slots.tick,
+                self.router.slot_check.run,
                 self.peer_reader.run,
                 self.reach_monitor.run,
                 self.watch_settings,
--- a/src/laburnumyard/gateway/_slot_check.py
+++ b/src/laburnumyard/gateway/_slot_check.py
@@ -2,6 +2,8 @@
 
 from types import MappingProxyType
 
+import anyio
+
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.admission import (
     ADMITTED,
@@ -9,6 +11,7 @@
     recheck_grant,
 )
 from laburnumyard.core.ids import Seconds
+from laburnumyard.core.pauses import NOTE_INTERVAL_S, PauseDetector
 from laburnumyard.core.scheduling import Outcome
 from laburnumyard.gateway._cluster_view import ClusterView
 from laburnumyard.gateway._slot_acquisition import Slot
@@ -40,16 +43,34 @@
         """Create a check without a limit on the age of grants."""
         self.view = view
         self.grant_life_s: Seconds | None = None
+        self.pauses = PauseDetector()
+
+    async def run(self) -> None:
+        """Look for pauses of this process until cancelled."""
+        while True:
+            await anyio.sleep(NOTE_INTERVAL_S)
+            if self.pauses.note(boot_time()):
+                METRICS.count('pauses_total')
+
+    async def wait_until_current(self) -> None:
+        """Wait after a pause until this gateway has read what it missed."""
+        if self.grant_life_s is None:
+            return
+        behind_s = self.pauses.time_behind(boot_time())
+        if behind_s:
+            await anyio.sleep(behind_s)
 
     def unsent_outcome(self, slot: Slot) -> Outcome | None:
         """Return why a slot may no longer be used, None if it may."""
+        now = boot_time()
+        is_behind = self.pauses.time_behind(now) > 0
+        if self.grant_life_s is not None and is_behind:
+            return Outcome.LAPSED
         record = self.view.record_of(slot.life)
         if record is None:
             is_leaving = self.view.is_leaving(slot.life)
             return Outcome.LEAVING if is_leaving else None
-        reason = recheck_grant(
-            slot.grant, record, self.grant_life_s, boot_time()
-        )
+        reason = recheck_grant(slot.grant, record, self.grant_life_s, now)
         if reason is ADMITTED:
             return None
         METRICS.count('unused_slots_total', reason=reason.value)
--- a/src/standins/_gateway_target.py
+++ b/src/standins/_gateway_target.py
@@ -17,6 +17,7 @@
 EXPECTED = b'laburnumyard-expect-instance'
 SHARD_KEY = b'laburnumyard-shard-key'
 MAX_TAKEN = 20_000
+COLD_FACTOR = 3
 NOT_RUN = (b'laburnumyard-not-executed', b'1')
 SIGNATURE = (b'laburnumyard-instance-signature', b'stand-in')
 
@@ -81,6 +82,8 @@
     ----------
     rate_limit
         The limit that its responses state; empty for none.
+    cold_until
+        When it is warm, in seconds; until then requests run longer.
     arrivals
         When each request came, in seconds.
     began
@@ -103,6 +106,7 @@
     born_ms: int = field(default_factory=lambda: int(time.time() * MS_PER_S))
     sequence: int = 0
     state: str = 'ready'
+    cold_until: float = 0
     rate_limit: str = ''
     arrivals: list[float] = field(default_factory=list)
     began: set[str] = field(default_factory=set)
@@ -123,12 +127,17 @@
             'version': 'v1',
             'maxConcurrency': self.slots,
             'state': self.state,
-            'warmupLeftMs': 0,
+            'warmupLeftMs': int(self.cold_s * MS_PER_S),
             'sequence': self.sequence,
             'born': self.born_ms,
         }
         return json.dumps(fields).encode()
 
+    @property
+    def cold_s(self) -> float:
+        """How long it stays cold, in seconds."""
+        return max(0, self.cold_until - time.monotonic())
+
     def held(self, now: float) -> list[Hold]:
         """Return the ranges that it holds now."""
         return [hold for hold in self.holds if now < hold.until]
@@ -218,7 +227,8 @@
             return
         self.arrivals.append(now)
         self.began.add(call.headers.get(ATTEMPT_ID, b'').decode())
-        await anyio.sleep(self.work_s)
+        factor = COLD_FACTOR if self.cold_s else 1
+        await anyio.sleep(self.work_s * factor)
         await self.reply(call, HTTPStatus.OK, [SIGNATURE])
 
     async def reply(
--- a/src/standins/gateway_cluster.py
+++ b/src/standins/gateway_cluster.py
@@ -34,6 +34,7 @@
 from standins.partitioned_gateway import CUT_VARIABLE, Cut
 
 HOST = 'shop.example'
+EVACUATION_PREFIX = 'op/evacuate/'
 HEARTBEAT_S = 0.4
 POLL_S = 0.05
 CALL_TIMEOUT_S = 3.0
@@ -56,6 +57,9 @@
 peers = {seeds}
 [bounds]
 retry_allowance = 50
+warmup_overshoot = 1.5
+warmup_slack = 8
+evacuate_ms = 5000
 """
 
 
@@ -158,6 +162,9 @@
         What callers got.
     version
         The configuration that the operator wrote last.
+    warm_up_s, warm_up_per_s
+        How long targets are cold, and the requests per second that one
+        tolerates meanwhile; 0 for no limit.
     """
 
     folder: Path
@@ -169,6 +176,8 @@
     answered: list[Answered] = field(default_factory=list)
     version: int = 0
     keyed: bool = True
+    warm_up_s: float = 0
+    warm_up_per_s: float = 0
     routes: list[str] = field(default_factory=list)
     numbers: 'count[int]' = field(default_factory=count)
 
@@ -204,6 +213,8 @@
                     'healthPath': '/healthz',
                     'maxConns': 110,
                     'sharded': self.keyed,
+                    'warmupS': self.warm_up_s,
+                    'warmupPerS': self.warm_up_per_s,
                 }
                 for service in services
             ],
@@ -216,6 +227,17 @@
         }
         return json.dumps(document).encode()
 
+    def evacuate(self, data_centre: str) -> None:
+        """Have the operator evacuate a data centre."""
+        self.store.put(f'{EVACUATION_PREFIX}{data_centre}', b'{}')
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """End an evacuation, after which the targets there are cold."""
+        self.store.remove(f'{EVACUATION_PREFIX}{data_centre}')
+        for target in self.targets:
+            if target.data_centre == data_centre:
+                target.cold_until = time.monotonic() + self.warm_up_s
+
     async def write_entries(self) -> None:
         """Write the entries of all targets again and again."""
         while True:
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -382,6 +382,24 @@
     assert_that(slots.outcomes, Equals([outcome, 'answered']))
 
 
+# A gateway that was paused while its data centre was evacuated reads of it only
+# after its first tasks have run.
+async def test_a_paused_gateway_waits_until_it_has_caught_up(target):
+    async with target.running():
+        slots = GrantingSlots(Grant(boot_time(), False), target.address)
+        router = make_router(slots, make_route(is_repeatable=False))
+        router.slot_check.grant_life_s = 2
+        record = record_at(target.address)
+        router.view.adopt_directory({record.target: record})
+        router.slot_check.pauses.seen_at = boot_time() - 9
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(router.serve, make_request())
+            await anyio.sleep(0.1)
+            evacuate(router.view)
+    assert_that(target.received, Equals([]))
+    assert_that(slots.outcomes, Equals(['leaving']))
+
+
 @pytest.mark.parametrize('change', [turn_cold, change_nothing])
 async def test_a_slot_of_a_cold_target_is_used_in_time(
     change, target, other_target
