A service without a rate for cold targets is served as before

The last check before a send refused slots of targets that only the sender knew to be cold, also where the configuration names no rate. It now applies where warmupPerS does.

--- a/src/laburnumyard/core/admission.py
+++ b/src/laburnumyard/core/admission.py
@@ -127,7 +127,12 @@
 
 
 def recheck_grant(
-    grant: Grant, record: TargetRecord, life_s: float | None, now: Seconds
+    grant: Grant,
+    record: TargetRecord,
+    life_s: float | None,
+    now: Seconds,
+    *,
+    has_cold_rate: bool,
 ) -> AdmissionReason:
     """Return whether a granted slot may still be used, just before the send.
 
@@ -144,13 +149,15 @@
         How long a grant may be used, in seconds; None for no limit.
     now
         The current time, in seconds.
+    has_cold_rate
+        Whether cold targets of the service tolerate only so many requests.
     """
     age = now - grant.granted_at
     if record.state is not READY:
         return REASONS_BY_STATE[record.state]
     if life_s is not None and age > life_s:
         return AdmissionReason.LAPSED
-    if now >= record.cold_until:
+    if now >= record.cold_until or not has_cold_rate:
         return ADMITTED
     if not grant.is_for_cold:
         return AdmissionReason.COLD
--- a/src/laburnumyard/gateway/_cluster_view.py
+++ b/src/laburnumyard/gateway/_cluster_view.py
@@ -254,6 +254,11 @@
             for record in self.directory.values()
         )
 
+    def warm_up_per_s(self, service: ServiceName) -> float:
+        """Return the configured rate of a service's cold targets, or 0."""
+        spec = self.routes.services.get(service) if self.routes else None
+        return spec.warm_up_per_s if spec else 0
+
     def record_of(self, life: TargetLife) -> TargetRecord | None:
         """Return the record of a target instance, None without one."""
         record = self.directory.get(life.target)
--- a/src/laburnumyard/gateway/_derived_settings.py
+++ b/src/laburnumyard/gateway/_derived_settings.py
@@ -100,12 +100,10 @@
     float
         The rate of the whole fleet; 0 for no limit.
     """
-    spec = view.routes.services.get(service) if view.routes else None
-    if spec is None or not spec.warm_up_per_s:
-        return 0
+    per_second = view.warm_up_per_s(service)
     if settings.warm_up_bound is None:
-        return spec.warm_up_per_s
-    return settings.warm_up_bound.rate(spec.warm_up_per_s)
+        return per_second
+    return settings.warm_up_bound.rate(per_second)
 
 
 def _warm_up_bound(bounds: BoundSettings) -> WarmUpBound | None:
--- a/src/laburnumyard/gateway/_slot_check.py
+++ b/src/laburnumyard/gateway/_slot_check.py
@@ -70,7 +70,13 @@
         if record is None:
             is_leaving = self.view.is_leaving(slot.life)
             return Outcome.LEAVING if is_leaving else None
-        reason = recheck_grant(slot.grant, record, self.grant_life_s, now)
+        reason = recheck_grant(
+            slot.grant,
+            record,
+            self.grant_life_s,
+            now,
+            has_cold_rate=self.view.warm_up_per_s(record.service) > 0,
+        )
         if reason is ADMITTED:
             return None
         METRICS.count('unused_slots_total', reason=reason.value)
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -11,7 +11,8 @@
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.admission import Grant
 from laburnumyard.core.evacuation import WRITTEN_AFTER_S
-from laburnumyard.core.ids import DataCentre
+from laburnumyard.core.ids import DataCentre, ServiceName
+from laburnumyard.core.routes import RouteTable, ServiceSpec
 from laburnumyard.gateway import Platform
 from laburnumyard.gateway._cluster_view import ClusterView
 from laburnumyard.gateway._item_cache import (
@@ -331,12 +332,21 @@
         return slot
 
 
+def limit_cold_targets(router):
+    """Have the configuration and the settings name the bounds."""
+    spec = ServiceSpec(ServiceName('catalogue'), '/healthz', 9, False, 9, 7.1)
+    routes = router.view.routes.routes
+    table = RouteTable(2, routes, {spec.name: spec})
+    router.view.adopt_routes(table)
+    router.slot_check.grant_life_s = 2
+
+
 async def serve_changed(change, grant, target, other_target):
     """Serve a request whose first target changes after the grant."""
     async with target.running(), other_target.running():
         slots = GrantingSlots(grant, target.address, other_target.address)
         router = make_router(slots, make_route(is_repeatable=False))
-        router.slot_check.grant_life_s = 2
+        limit_cold_targets(router)
         record = record_at(target.address)
         router.view.adopt_directory({record.target: record})
         change(router.view)
@@ -388,7 +398,7 @@
     async with target.running():
         slots = GrantingSlots(Grant(boot_time(), False), target.address)
         router = make_router(slots, make_route(is_repeatable=False))
-        router.slot_check.grant_life_s = 2
+        limit_cold_targets(router)
         record = record_at(target.address)
         router.view.adopt_directory({record.target: record})
         router.slot_check.pauses.seen_at = boot_time() - 9
