Counts of gateways for cold targets apart from those for stated limits

Permits of earlier versions state nothing about cold targets; their slots are used. A pause is counted whichever task notices it first.

--- a/src/laburnumyard/core/pauses.py
+++ b/src/laburnumyard/core/pauses.py
@@ -43,5 +43,4 @@
 
     def time_behind(self, now: Seconds) -> float:
         """Return how long the process still catches up, in seconds."""
-        self.note(now)
         return max(0, self.behind_until - now)
--- a/src/laburnumyard/gateway/_slot_acquisition.py
+++ b/src/laburnumyard/gateway/_slot_acquisition.py
@@ -114,6 +114,8 @@
         self.assignment_read_at: dict[ServiceName, Seconds] = {}
         # Gateways that share each service, as its coordinator last counted.
         self.gateways: dict[ServiceName, int] = {}
+        # The most that any coordinator has counted.
+        self.most_gateways = 0
         self.started_at = boot_time()
         # Epoch of the coordinator that was last told the known rate limits.
         self.informed_epochs: dict[ServiceName, int] = {}
@@ -251,10 +253,9 @@
         permit = reply.ok
         if not isinstance(permit, messages.Permit):
             return SlotRefused(Refusal.NOT_COORDINATOR, Seconds(0))
+        self.gateways[slot_request.service] = permit.gateways
         # A new coordinator has counted few of them.
-        self.gateways[slot_request.service] = max(
-            permit.gateways, self.gateways.get(slot_request.service, 0)
-        )
+        self.most_gateways = max(self.most_gateways, permit.gateways)
         if permit.refusal:
             return _decode_refusal(permit)
         life = TargetLife(TargetId(permit.target), permit.started_at_ms)
@@ -305,9 +306,7 @@
         )
         limiter = dispatcher.scheduler.limiter
         limiter.share = 1 / gateways
-        if boot_time() - self.started_at < FEW_KNOWN_S:
-            gateways = max(gateways, ASSUMED_GATEWAYS)
-        limiter.cold_share = 1 / gateways
+        limiter.cold_share = 1 / max(gateways, self.least_gateways())
         limiter.warm_up_per_s = cold_rate(
             self.view, service, self.derived_settings
         )
@@ -315,6 +314,12 @@
         for life, limit in self.limits_of(service).items():
             limiter.adopt(life, limit)
 
+    def least_gateways(self) -> int:
+        """Return how many gateways may send to a cold target at least."""
+        if boot_time() - self.started_at < FEW_KNOWN_S:
+            return max(self.most_gateways, ASSUMED_GATEWAYS)
+        return self.most_gateways
+
     async def refresh_assignment(
         self, service: ServiceName, manager: ShardManager
     ) -> None:
@@ -351,7 +356,8 @@
 def _read_grant(permit: messages.Permit, asked_at: Seconds) -> Grant:
     """Return the grant of a permit, as early as it may have been."""
     if not permit.waited_ms:
-        return Grant(boot_time(), permit.is_for_cold)
+        # A coordinator of an earlier version does not state either.
+        return Grant(boot_time(), is_for_cold=True)
     waited_s = (permit.waited_ms - 1) / MS_PER_SECOND
     return Grant(asked_at + waited_s, permit.is_for_cold)
 
--- a/src/laburnumyard/gateway/_slot_check.py
+++ b/src/laburnumyard/gateway/_slot_check.py
@@ -49,21 +49,29 @@
         """Look for pauses of this process until cancelled."""
         while True:
             await anyio.sleep(NOTE_INTERVAL_S)
-            if self.pauses.note(boot_time()):
-                METRICS.count('pauses_total')
+            self.time_behind(boot_time())
+
+    def time_behind(self, now: Seconds) -> float:
+        """Return how long this gateway catches up after a pause, in seconds.
+
+        The first task that runs after a pause has to notice it.
+        """
+        if self.pauses.note(now):
+            METRICS.count('pauses_total')
+        return self.pauses.time_behind(now)
 
     async def wait_until_current(self) -> None:
         """Wait after a pause until this gateway has read what it missed."""
         if self.grant_life_s is None:
             return
-        behind_s = self.pauses.time_behind(boot_time())
+        behind_s = self.time_behind(boot_time())
         if behind_s:
             await anyio.sleep(behind_s)
 
     def unsent_outcome(self, slot: Slot) -> Outcome | None:
         """Return why a slot may no longer be used, None if it may."""
         now = boot_time()
-        is_behind = self.pauses.time_behind(now) > 0
+        is_behind = self.time_behind(now) > 0
         if self.grant_life_s is not None and is_behind:
             return Outcome.LAPSED
         record = self.view.record_of(slot.life)
