--- a/src/standins/gateway_faults.py
+++ b/src/standins/gateway_faults.py
@@ -6,6 +6,7 @@
 
 import signal
 import time
+from bisect import bisect_left
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 from itertools import combinations, pairwise
@@ -16,7 +17,7 @@
 
 from standins._gateway_target import GatewayTarget, Taken
 from standins._keyvalue import StoreCopy
-from standins.gateway_cluster import GatewayCluster
+from standins.gateway_cluster import EVACUATION_PREFIX, GatewayCluster
 
 # No two targets may hold a key for longer than this.
 SHARED_HOLD_S = 0.5
@@ -24,6 +25,12 @@
 COPY_INTERVAL_S = 0.5
 # How much the store loses at most, in copies.
 MAX_COPIES = 10
+# An evacuated data centre gets no request after this time, and a cold target no
+# more requests a second than this; the settings of the gateways say the same.
+EVACUATE_S = 5.0
+OVERSHOOT = 1.5
+SLACK = 8
+EVACUABLE = 'lima-b'
 LIMITS = ('0', '0.3', '2', '1000000000', '-1', 'soon')
 
 
@@ -47,12 +54,21 @@
         How long two targets held the same key at most, in seconds.
     log
         The faults, with their times.
+    evacuated_since
+        When the evacuated data centre was, in seconds; None if none is.
+    late
+        How long after the beginning of an evacuation requests came too late.
+    most_when_cold
+        The most requests that a target got in a second after an evacuation.
     """
 
     cluster: GatewayCluster
     seed: int
     longest_shared: float = 0
     log: list[str] = field(default_factory=list)
+    evacuated_since: float | None = None
+    late: list[float] = field(default_factory=list)
+    most_when_cold: int = 0
     copies: list[StoreCopy] = field(default_factory=list)
     store_lock: anyio.Lock = field(default_factory=anyio.Lock)
     random: Random = field(init=False)
@@ -72,6 +88,7 @@
             self.restore_store,
             self.limit_target,
             self.change_configuration,
+            self.evacuate,
         )
         until = time.monotonic() + duration_s
         async with anyio.create_task_group() as tasks:
@@ -153,8 +170,57 @@
             store.faults.down = False
             # The operator and the targets write again what was lost.
             store.put('op/config', self.cluster.configuration())
+            self.write_evacuation_again()
             await anyio.sleep(self.random.uniform(0, 0.5))
 
+    async def evacuate(self) -> None:
+        """Evacuate a data centre for a while; its targets return cold."""
+        async with self.store_lock:
+            if self.evacuated_since is not None:
+                return
+            self.cluster.evacuate(EVACUABLE)
+            self.evacuated_since = time.monotonic()
+        await anyio.sleep(self.random.uniform(1, 8))
+        async with self.store_lock:
+            self.note_late(self.evacuated_since)
+            self.evacuated_since = None
+            self.cluster.end_evacuation(EVACUABLE)
+            ended_at = time.monotonic()
+        await anyio.sleep(self.cluster.warm_up_s)
+        self.note_cold(ended_at, ended_at + self.cluster.warm_up_s)
+
+    def evacuable(self) -> list[GatewayTarget]:
+        """Return the targets of the data centre that is evacuated at times."""
+        return [
+            target
+            for target in self.cluster.targets
+            if target.data_centre == EVACUABLE
+        ]
+
+    def write_evacuation_again(self) -> None:
+        """Write or remove what the store has lost of evacuations."""
+        if self.evacuated_since is None:
+            self.cluster.store.remove(f'{EVACUATION_PREFIX}{EVACUABLE}')
+        else:
+            self.cluster.evacuate(EVACUABLE)
+            self.evacuated_since = time.monotonic()
+
+    def note_late(self, since: float) -> None:
+        """Note the requests that came too late after an evacuation began."""
+        self.late.extend(
+            at - since
+            for target in self.evacuable()
+            for at in target.arrivals
+            if at > since + EVACUATE_S
+        )
+
+    def note_cold(self, since: float, until: float) -> None:
+        """Note the requests of cold targets."""
+        for target in self.evacuable():
+            most = most_in_a_second(target.arrivals, since, until)
+            self.note(f'{target.name} got {most} in a second when cold')
+            self.most_when_cold = max(self.most_when_cold, most)
+
     async def limit_target(self) -> None:
         """Have a target state a rate limit for a while."""
         target = self.random.choice(self.cluster.targets)
@@ -173,6 +239,15 @@
         self.log.append(f'{time.monotonic() - self.started:7.3f} {text}')
 
 
+def most_in_a_second(arrivals: list[float], since: float, until: float) -> int:
+    """Return the most requests that came in any second of a time."""
+    times = [at for at in arrivals if since <= at < until]
+    return max(
+        (bisect_left(times, at + 1) - index for index, at in enumerate(times)),
+        default=0,
+    )
+
+
 def shared_keys(
     targets: list[GatewayTarget], now: float
 ) -> Iterator[tuple[int, str, str]]:
--- a/tests/processes/test_gateway_evacuations.py
+++ b/tests/processes/test_gateway_evacuations.py
@@ -1,7 +1,5 @@
 """Gateway processes that empty a data centre, and fill it again."""
 
-from bisect import bisect_left
-
 import anyio
 import pytest
 from testtools.assertions import assert_that
@@ -9,6 +7,7 @@
 
 from standins._gateway_target import GatewayTarget
 from standins.gateway_cluster import running_gateways
+from standins.gateway_faults import EVACUATE_S, most_in_a_second
 
 pytestmark = pytest.mark.anyio
 HERE = 'lima-a'
@@ -18,7 +17,6 @@
 PER_SECOND = 1.0
 # The operator's bounds, as the settings of the gateways have them.
 CAP = PER_SECOND * 1.5 + 8
-EVACUATE_S = 5.0
 PER_SECOND_OF_ALL = 60
 
 
@@ -36,14 +34,6 @@
     ]
 
 
-def most_in_a_second(arrivals, since, until):
-    times = [at for at in arrivals if since <= at < until]
-    return max(
-        (bisect_left(times, at + 1) - index for index, at in enumerate(times)),
-        default=0,
-    )
-
-
 # Requests reach an evacuated data centre, keys have no target meanwhile, or
 # cold targets get more than they tolerate when it returns. The coordinator is
 # killed in both phases.
