--- a/src/standins/contended_service.py
+++ b/src/standins/contended_service.py
@@ -24,6 +24,7 @@
     Decision,
     Outcome,
     Refuse,
+    RunReport,
     Scheduler,
     SchedulerSettings,
     Send,
@@ -289,7 +290,9 @@
         """Send a request again that its target did not run."""
         caller = self.callers[work.work_id]
         self.sheds[outcome.value] += 1
-        self.carry_out(self.scheduler.finish(work.work_id, outcome, self.now))
+        self.carry_out(
+            self.scheduler.finish(work.work_id, RunReport(outcome), self.now)
+        )
         caller.tried.add(TargetId(str(work.target)))
         if work.sends < MOST_SENDS:
             self.ask(caller, work.sends + 1)
@@ -324,7 +327,9 @@
             kind.late += 1
         self.result.answers[str(work.target)] += 1
         self.carry_out(
-            self.scheduler.finish(work.work_id, Outcome.ANSWERED, self.now)
+            self.scheduler.finish(
+                work.work_id, RunReport(Outcome.ANSWERED), self.now
+            )
         )
 
 
--- a/tests/core/scheduling/test_cold_targets.py
+++ b/tests/core/scheduling/test_cold_targets.py
@@ -21,6 +21,7 @@
 )
 from laburnumyard.core.scheduling import (
     Outcome,
+    RunReport,
     Scheduler,
     SchedulerSettings,
     Send,
@@ -231,7 +232,9 @@
         for ends_at, work in tuple(running):
             if ends_at <= now:
                 running.remove((ends_at, work))
-                decisions += service.finish(work.work_id, Outcome.ANSWERED, now)
+                decisions += service.finish(
+                    work.work_id, RunReport(Outcome.ANSWERED), now
+                )
         if random.random() < 60 * STEP_S:
             work = make_work(now)
             decisions += service.submit(work, now, is_returned=False)
