Tests of memory and descriptors under untrusted callers

They start one gateway process with two targets on loopback, let a crowd attack it, and check its peak resident size (VmHWM) against memory_mb, its open descriptors against max_descriptors, that it lives, and that an ordinary request is answered afterwards.

All fail here: the settings don't exist yet, so the gateway doesn't start.

--- a/src/standins/_gateway_target.py
+++ b/src/standins/_gateway_target.py
@@ -232,9 +232,13 @@
         if self.rate_limit:
             common.append((b'server-limit', self.rate_limit.encode()))
         await answer(
-            call, status, self.name.encode(), [*common, *(headers or ())]
+            call, status, self.content(call), [*common, *(headers or ())]
         )
 
+    def content(self, call: Call) -> bytes:
+        """Return the body of an answer."""
+        return self.name.encode()
+
 
 def _remainder(hold: Hold, dropped: Hold) -> Iterator[Hold]:
     """Yield the parts of a range that lie outside another."""
--- a/src/standins/gateway_cluster.py
+++ b/src/standins/gateway_cluster.py
@@ -54,6 +54,7 @@
 [machine]
 cores = 1.0
 peers = {seeds}
+{machine}
 [bounds]
 retry_allowance = 50
 """
@@ -146,6 +147,22 @@
         ]
 
 
+@dataclass(frozen=True, slots=True)
+class ClusterLimits:
+    """Limits of the gateways of a cluster.
+
+    Parameters
+    ----------
+    max_body_bytes
+        Largest body of a request that the configuration allows.
+    machine
+        Further lines of the ``[machine]`` table of the settings.
+    """
+
+    max_body_bytes: int = 1000
+    machine: tuple[str, ...] = ()
+
+
 @dataclass(slots=True)
 class GatewayCluster:
     """A store, targets and gateways.
@@ -169,6 +186,7 @@
     answered: list[Answered] = field(default_factory=list)
     version: int = 0
     keyed: bool = True
+    limits: ClusterLimits = field(default_factory=ClusterLimits)
     routes: list[str] = field(default_factory=list)
     numbers: 'count[int]' = field(default_factory=count)
 
@@ -209,7 +227,7 @@
             ],
             'limits': {
                 'maxHeaderBytes': 16384,
-                'maxBodyBytes': 1000,
+                'maxBodyBytes': self.limits.max_body_bytes,
                 'headerTimeoutMs': 3000,
                 'idleTimeoutMs': 15000,
             },
@@ -307,6 +325,7 @@
     *,
     keyed: bool = True,
     seed: int = 1,
+    limits: ClusterLimits | None = None,
 ) -> AsyncIterator[GatewayCluster]:
     """Run a cluster until the context ends.
 
@@ -322,8 +341,12 @@
         Whether the keys of the service have owners.
     seed
         Seed of the load.
+    limits
+        Limits that differ from the defaults, if any do.
     """
-    cluster = GatewayCluster(folder, seed, keyed=keyed)
+    cluster = GatewayCluster(
+        folder, seed, keyed=keyed, limits=limits or ClusterLimits()
+    )
     async with AsyncExitStack() as stack:
         tasks: TaskGroup = await stack.enter_async_context(
             anyio.create_task_group()
@@ -363,6 +386,7 @@
             'peers': peers,
             'store': cluster.store_address,
             'seeds': seeds,
+            'machine': '\n'.join(cluster.limits.machine),
         }
         gateway.settings.write_text(SETTINGS.format(**fields))
         cluster.gateways.append(gateway)
