--- a/bench/http_senders.py
+++ b/bench/http_senders.py
@@ -9,7 +9,7 @@
 from laburnumyard.clients import TargetConnection, TargetRequest
 from laburnumyard.transport._address import split_address
 from laburnumyard.transport._endpoint import Endpoint, HttpRequest
-from laburnumyard.transport._target_encoder import encode_request
+from laburnumyard.transport._target_encoder import encode_head
 from laburnumyard.transport._target_parser import ResponseParser, ResponseState
 
 REQUEST = TargetRequest('GET', '/catalogue/read?echo=bench')
@@ -88,7 +88,7 @@
 ) -> bytes:
     parser.expect(is_head=False)
     with anyio.fail_after(TIMEOUT_S):
-        await stream.send(encode_request(REQUEST, address))
+        await stream.send(encode_head(REQUEST, address) + REQUEST.body)
         state = ResponseState.WAITING
         while state is ResponseState.WAITING:
             state = parser.feed(await stream.receive(READ_BYTES))
--- a/src/laburnumyard/schema/_generated/gateway.py
+++ b/src/laburnumyard/schema/_generated/gateway.py
@@ -107,6 +107,18 @@
     """
     Addresses of peers that may know the configuration.
     """
+    memory_mb: Annotated[float, Field(ge=0.0)] = 0
+    """
+    The memory that the process may use, in millions of bytes; 0 for no limit.
+    """
+    max_descriptors: Annotated[int, Field(ge=0)] = 0
+    """
+    The descriptors that the process may open; 0 for no limit.
+    """
+    connections_per_address: Annotated[int, Field(ge=0)] = 0
+    """
+    The connections of callers at one address; 0 for three quarters of those that max_descriptors allows.
+    """
 
 
 class BoundSettings(BaseModel):
--- a/src/laburnumyard/transport/_target_connection.py
+++ b/src/laburnumyard/transport/_target_connection.py
@@ -7,8 +7,9 @@
 
 from laburnumyard.core.fast_results import ok
 from laburnumyard.transport._address import split_address
+from laburnumyard.transport._paced_writer import PacedWriter
 from laburnumyard.transport._response_memory import ResponseMemory
-from laburnumyard.transport._target_encoder import encode_request
+from laburnumyard.transport._target_encoder import encode_head
 from laburnumyard.transport._target_exchange import (
     FailureKind,
     TargetFailure,
@@ -46,6 +47,7 @@
         self.address = address
         self.loop = asyncio.get_running_loop()
         self.parser = ResponseParser(max_body_bytes, memory)
+        self.writer = PacedWriter()
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future[Answered] | None = None
         self.opened_at = self.loop.time()
@@ -122,7 +124,7 @@
         if self.transport is None or not self.is_reusable:
             return self.fail(FailureKind.NOT_REUSABLE, has_left=False)
         try:
-            encoded = encode_request(request, request.host or self.address)
+            head = encode_head(request, request.host or self.address)
         except ValueError as fault:
             return self.fail(
                 FailureKind.BAD_REQUEST,
@@ -132,12 +134,13 @@
         self.requests += 1
         self.waiter = self.loop.create_future()
         self.parser.expect(is_head=request.method == 'HEAD')
-        self.transport.write(encoded)
+        self.writer.write(head, request.body)
         return await self._wait(self.waiter, timeout_s)
 
     def close(self) -> None:
         """Abort the connection; the target cancels a request in flight."""
         self.parser.is_reusable = False
+        self.writer.drop()
         if self.transport is not None:
             self.transport.abort()
 
@@ -155,11 +158,21 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self.transport = transport  # type: ignore[assignment]
+        self.writer.transport = self.transport
+
+    def pause_writing(self) -> None:
+        """Write no more of a request until the target reads it."""
+        self.writer.pause()
+
+    def resume_writing(self) -> None:
+        """Write more of a request."""
+        self.writer.resume()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in flight."""
         self.parser.is_reusable = False
         self.parser.discard()
+        self.writer.drop()
         self._complete(self.fail(FailureKind.BROKE_OFF, has_left=True))
 
     def eof_received(self) -> bool:
@@ -184,7 +197,7 @@
 
         The target would read the next request as the rest of this one.
         """
-        if self.transport and self.transport.get_write_buffer_size():
+        if not self.writer.is_idle:
             self.parser.is_reusable = False
 
     async def _wait(
--- a/src/laburnumyard/transport/_target_encoder.py
+++ b/src/laburnumyard/transport/_target_encoder.py
@@ -11,13 +11,13 @@
 VALUE_PATTERN = re.compile('[\t -~\x80-\xff]*')
 
 
-def encode_request(request: TargetRequest, host: str) -> bytes:
-    """Return a request as HTTP/1.1 bytes.
+def encode_head(request: TargetRequest, host: str) -> bytes:
+    """Return the head of a request as HTTP/1.1 bytes.
 
     Parameters
     ----------
     request
-        Request to encode.
+        Request whose head is encoded; its body is sent as it is.
     host
         Value of the ``host`` header.
 
@@ -36,7 +36,7 @@
             lines.append(f'{name}: {text}')
     lines.append(f'content-length: {len(request.body)}')
     lines.append(LINE_END)
-    return LINE_END.join(lines).encode('latin-1') + request.body
+    return LINE_END.join(lines).encode('latin-1')
 
 
 def _check(pattern: re.Pattern[str], text: str) -> None:
--- a/src/laburnumyard/transport/_target_exchange.py
+++ b/src/laburnumyard/transport/_target_exchange.py
@@ -75,7 +75,7 @@
     headers
         Pairs of name and value; hop-by-hop headers are not sent.
     body
-        Complete body.
+        Complete body; must not change while it is sent.
     host
         Value of the ``host`` header; empty for the address of the target.
     """
@@ -83,7 +83,7 @@
     method: str
     path: str
     headers: Headers = ()
-    body: bytes = b''
+    body: bytes | bytearray = b''
     host: str = ''
 
 
@@ -103,7 +103,7 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
 
     def header(self, name: str) -> str:
         """Return the first value of a header, empty if absent."""
--- a/src/laburnumyard/transport/_target_parser.py
+++ b/src/laburnumyard/transport/_target_parser.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from laburnumyard.transport._paced_writer import PIECE_BYTES
 from laburnumyard.transport._response_memory import ResponseMemory
 from laburnumyard.transport._target_exchange import FailureKind, TargetResponse
 
@@ -108,7 +109,9 @@
     def take(self) -> TargetResponse:
         """Return the complete response and reset the state to idle."""
         self.state = ResponseState.IDLE
-        body = bytes(self.body)
+        # A large body is passed on without a second copy.
+        is_small = len(self.body) <= PIECE_BYTES
+        body = bytes(self.body) if is_small else self.body
         headers = tuple(self.headers)
         self.discard()
         return TargetResponse(self.status, headers, body)
@@ -194,7 +197,7 @@
         return is_split or self.body_bytes > self.max_body_bytes
 
     def _reserve(self, size: int) -> None:
-        if not self.memory.reserve(size):
+        if not self.memory.reserve(size, self.held_bytes):
             self._fail(FailureKind.TOO_LARGE)
         self.held_bytes += size
 
