The memory and the connections of callers are bounded

Cause: heads, trailers, bodies, pipelined requests and unread responses of callers were kept without a common bound and in several copies.

- A body is kept in one buffer; chunks are added to it.
Trailers are counted and discarded.
Received bytes are parsed in steps, so that a connection that holds more than its share takes no further request.
- A response waits until the caller has read the one before, and is written in pieces.
- When the account is full, the caller with the least progress for its bytes is cut: refused with 503 and Retry-After if its request was not received whole, closed otherwise.
- The listener stops accepting before descriptors run out, closes an idle connection for a waiting one, and bounds connections per address.
- Buffers from 512 KiB on are mapped one by one: growing side by side in the heap they left holes.

--- a/src/laburnumyard/core/memory_account.py
+++ b/src/laburnumyard/core/memory_account.py
@@ -15,14 +15,14 @@
 BYTES_PER_MB = 1_000_000
 # What an idle process uses (47 MB), and room for what isn't counted: buffers of
 # the system, fragmentation, and what is freed an iteration of the loop late.
-BASE_BYTES = 64 * BYTES_PER_MB
+BASE_BYTES = 64_000_000
 BASE_RATIO = 0.25
 # Part of the account that only small requests and responses get.
 RESERVED_RATIO = 0.125
 # A claim, response or message up to this size is small.
 SMALL_BYTES = 65_536
 # Part of the account above which a connection takes no further request.
-SHARE_RATIO = 1 / 16
+SHARE_RATIO = 0.0625
 # Time in which progress counts half as much, in seconds.
 PROGRESS_HALF_LIFE_S = 1.0
 # Added to each claim's progress, so that small claims are not the first to be
@@ -135,7 +135,7 @@
     total_bytes: int = 0
     held: dict[Holder, int] = field(default_factory=dict)
     progress_bytes: float = 0
-    progress_at: Seconds = Seconds(0)
+    progress_at: float = 0
     is_forwarded: bool = False
     is_closed: bool = False
 
--- /dev/null
+++ b/src/laburnumyard/gateway/_caller_listener.py
@@ -0,0 +1,202 @@
+"""Accepts connections of callers while there are descriptors for them."""
+
+import asyncio
+import socket
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from laburnumyard.gateway._task_supervision import SupervisedTasks
+from laburnumyard.telemetry import METRICS, Event, log_event
+
+LISTEN_BACKLOG = 1024
+# Connections that are accepted in one iteration of the loop.
+ACCEPT_BATCH = 64
+# Time until accepting is tried again without a connection having ended.
+RETRY_S = 0.25
+# Part of the descriptors that callers may use; targets, peers and the store
+# need the others.
+CALLER_RATIO = 0.75
+# Part of the descriptors above which a connection is closed at once.
+CLOSE_RATIO = 0.875
+# Part of the callers' descriptors that one address may use: a load balancer
+# may open nearly all of them, and the health check needs some.
+ADDRESS_RATIO = 0.75
+# Buffer of the system for each direction of a connection, if the memory is
+# limited; the system reserves twice as much. A link of 100 Mbit/s needs this
+# much for a round trip of 10 ms.
+SOCKET_BUFFER_BYTES = 131_072
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """Limits on the connections of callers; 0 for no limit.
+
+    Parameters
+    ----------
+    descriptors
+        Number of descriptors that the process may open.
+    for_each_address
+        Connections from one address; by default a part of the descriptors.
+    socket_buffer_bytes
+        Buffer of the system for each direction of a connection.
+    """
+
+    descriptors: int = 0
+    for_each_address: int = 0
+    socket_buffer_bytes: int = 0
+
+    @property
+    def highest_accepted(self) -> int:
+        """Descriptor from which no connection is accepted; 0 for none.
+
+        A new connection gets the lowest number that is free, so its number
+        tells how many descriptors are open at least.
+        """
+        return int(self.descriptors * CALLER_RATIO)
+
+    @property
+    def address_limit(self) -> int:
+        """Connections that one address may have; 0 for no limit."""
+        default = int(self.highest_accepted * ADDRESS_RATIO)
+        return self.for_each_address or default
+
+
+NO_LIMITS = ConnectionLimits()
+
+
+class CallerListener:
+    """Listening socket that stops accepting before descriptors run out.
+
+    Parameters
+    ----------
+    connect
+        Creates the protocol of a connection.
+    tasks
+        Background tasks; set up the connections.
+    limits
+        Limits on the connections.
+    free_one
+        Closes a connection that does nothing, if there is one.
+    """
+
+    def __init__(
+        self,
+        connect: Callable[[], asyncio.Protocol],
+        tasks: SupervisedTasks,
+        limits: ConnectionLimits,
+        free_one: Callable[[], None],
+    ) -> None:
+        """Create a listener without a socket; see ``start``."""
+        self.connect = connect
+        self.tasks = tasks
+        self.limits = limits
+        self.free_one = free_one
+        self.loop = asyncio.get_running_loop()
+        self.sockets: tuple[socket.socket, ...] = ()
+        self.addresses: Counter[str] = Counter()
+        self.is_paused = False
+
+    def start(self, host: str, port: int) -> None:
+        """Listen on an address.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound.
+        """
+        # asyncio sets TCP_NODELAY only where the protocol is named.
+        listener = socket.socket(
+            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+        )
+        try:
+            self.bind(listener, host, port)
+        except OSError:
+            listener.close()
+            raise
+        self.sockets = (listener,)
+        self.loop.add_reader(listener, self.accept)
+
+    def bind(self, listener: socket.socket, host: str, port: int) -> None:
+        """Bind a socket; accepted ones inherit its options."""
+        listener.setblocking(False)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        size = self.limits.socket_buffer_bytes
+        if size:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+        listener.bind((host, port))
+        listener.listen(LISTEN_BACKLOG)
+
+    def accept(self) -> None:
+        """Accept the connections that wait."""
+        for _ in range(ACCEPT_BATCH):
+            if self.is_paused or not self.sockets:
+                return
+            try:
+                link, address = self.sockets[0].accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as fault:
+                self.pause(repr(fault))
+                return
+            self.admit(link, address[0])
+
+    def admit(self, link: socket.socket, address: str) -> None:
+        """Start a connection, unless its address has too many."""
+        limits = self.limits
+        number = link.fileno()
+        has_limit = bool(limits.descriptors)
+        if has_limit and number >= limits.descriptors * CLOSE_RATIO:
+            self.refuse(link, 'descriptors')
+        elif (
+            limits.address_limit
+            and self.addresses[address] >= limits.address_limit
+        ):
+            self.refuse(link, 'connections-of-address')
+        else:
+            self.addresses[address] += 1
+            work = partial(
+                self.loop.connect_accepted_socket, self.connect, link
+            )
+            self.tasks.start_soon('accept', work)
+        if has_limit and number >= limits.highest_accepted:
+            self.pause('descriptors')
+
+    def refuse(self, link: socket.socket, reason: str) -> None:
+        """Close a connection that was just accepted."""
+        link.close()
+        METRICS.count('cuts_total', reason=reason)
+        log_event(Event.CUT, 'WARNING', reason=reason)
+
+    def pause(self, reason: str) -> None:
+        """Accept no connection until one ends, or for a while."""
+        if self.is_paused or not self.sockets:
+            return
+        self.is_paused = True
+        self.loop.remove_reader(self.sockets[0])
+        METRICS.count('accept_pauses_total')
+        log_event(Event.LISTENER, 'WARNING', state='paused', reason=reason)
+        self.loop.call_later(RETRY_S, self.resume)
+        self.free_one()
+
+    def resume(self) -> None:
+        """Accept connections again."""
+        if self.is_paused and self.sockets:
+            self.is_paused = False
+            self.loop.add_reader(self.sockets[0], self.accept)
+
+    def note_end(self, address: str) -> None:
+        """Note that a connection from an address has ended."""
+        self.addresses[address] -= 1
+        if self.addresses[address] <= 0:
+            del self.addresses[address]
+        self.resume()
+
+    def close(self) -> None:
+        """Stop listening."""
+        for listener in self.sockets:
+            self.loop.remove_reader(listener)
+            listener.close()
+        self.sockets = ()
--- a/src/laburnumyard/gateway/_derived_settings.py
+++ b/src/laburnumyard/gateway/_derived_settings.py
@@ -5,7 +5,14 @@
 from laburnumyard.core.ids import Seconds
 from laburnumyard.core.scheduling import RetryBudget, SchedulerSettings
 from laburnumyard.core.shards import ShardSettings
-from laburnumyard.schema._generated.gateway import BoundSettings
+from laburnumyard.gateway._caller_listener import (
+    SOCKET_BUFFER_BYTES,
+    ConnectionLimits,
+)
+from laburnumyard.schema._generated.gateway import (
+    BoundSettings,
+    MachineSettings,
+)
 from laburnumyard.wire import LinkSettings
 
 MS_PER_SECOND = 1000
@@ -58,3 +65,12 @@
     return DerivedSettings(
         SchedulerSettings(budget), ShardSettings(hold_s=Seconds(hold))
     )
+
+
+def derive_connection_limits(machine: MachineSettings) -> ConnectionLimits:
+    """Derive the limits on the connections of callers from the machine."""
+    return ConnectionLimits(
+        machine.max_descriptors,
+        machine.connections_per_address,
+        SOCKET_BUFFER_BYTES if machine.memory_mb else 0,
+    )
--- a/src/laburnumyard/gateway/_http_messages.py
+++ b/src/laburnumyard/gateway/_http_messages.py
@@ -22,7 +22,7 @@
     headers
         Pairs of lower-case name and value.
     body
-        Complete body.
+        Complete body, only a large one as a ``bytearray``; must not be changed.
     arrived_at
         Time of its first byte (``boot_time``), in seconds.
     """
@@ -31,7 +31,7 @@
     path: str
     host: str
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     arrived_at: Seconds
 
 
@@ -51,7 +51,7 @@
 
     status: int
     headers: Headers = ()
-    body: bytes = b''
+    body: bytes | bytearray = b''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/laburnumyard/gateway/_http_request_reader.py
+++ b/src/laburnumyard/gateway/_http_request_reader.py
@@ -8,11 +8,29 @@
 
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import Seconds
+from laburnumyard.core.memory_account import (
+    HEADER_LINE_BYTES,
+    SMALL_BYTES,
+    Holder,
+)
 from laburnumyard.core.routes import CallerLimits
 from laburnumyard.gateway._http_messages import CallerRequest
+from laburnumyard.gateway._reading_cost import ParsingStoppedError, ReadingCost
 
 # Request target with scheme and authority (RFC 9112, section 3.2.2).
 ABSOLUTE_FORM = re.compile('https?://(?:[^/?#@]*@)?([^/?#@]*)(.*)', re.I)
+# Header lines of a request; one has at least four bytes, so that the lines
+# within the users' limit of 16,384 bytes are fewer.
+MAX_HEADER_LINES = 4096
+# Parts of a body, above which they must have this many bytes on average: each
+# is a call, and many small ones occupy the event loop. It exceeds what arrives
+# within a deadline.
+MAX_SMALL_PARTS = 1_048_576
+MIN_PART_BYTES = 16
+# Bytes that are parsed at once: a head may be followed by other requests, the
+# rest of a body of known size may not.
+HEAD_STEP_BYTES = 4096
+CHUNKS_STEP_BYTES = 16_384
 
 
 class RequestReceiver(Protocol):
@@ -32,6 +50,15 @@
             What is not complete, for the log.
         """
 
+    def draw(self, holder: Holder, size: int) -> bool:
+        """Draw bytes from the memory account; return whether there are any.
+
+        The caller has been refused or cut if there are none.
+        """
+
+    def give_back(self, holder: Holder, size: int) -> None:
+        """Give bytes back to the memory account."""
+
     def send_continue(self) -> None:
         """Send ``100 Continue``."""
 
@@ -72,21 +99,40 @@
         self.is_parsed_again = False
         # Bytes received since a head or a part of a body was complete.
         self.head_bytes = 0
+        self.cost = ReadingCost(receiver.draw, receiver.give_back)
+        self.has_received_body = False
         self.begin_message()
 
-    def feed(self, received: bytes) -> None:
+    def step_bytes(self, received: int) -> int:
+        """Return how many of the received bytes to parse at once."""
+        if not self.is_head_read or not self.is_in_message:
+            return HEAD_STEP_BYTES
+        if self.body_length is None:
+            return CHUNKS_STEP_BYTES
+        return max(1, min(received, self.body_length - self.body_bytes))
+
+    def feed(self, received: bytes | memoryview) -> None:
         """Parse received bytes."""
         self.head_bytes += len(received)
+        self.has_received_body = False
         try:
             self.parse(received)
+            if self.has_received_body and self.is_in_message:
+                self.expect_body()
+                self.cost.body += self.cost.draw_rest(Holder.BODIES)
+        except ParsingStoppedError:
+            return
         except httptools.HttpParserCallbackError as fault:
+            if isinstance(fault.__context__, ParsingStoppedError):
+                return
             # The input is not at fault, but the receiver.
             raise fault.__context__ or fault from None
         except httptools.HttpParserError as error:
             self.receiver.reject(HTTPStatus.BAD_REQUEST, str(error))
-        self.check_head()
+        if self.is_in_message:
+            self.check_head()
 
-    def parse(self, received: bytes) -> None:
+    def parse(self, received: bytes | memoryview) -> None:
         """Parse received bytes, and ignore offers to change the protocol.
 
         A server may ignore ``Upgrade`` (RFC 9110, section 7.8): the request is
@@ -96,7 +142,7 @@
         while unparsed:
             unparsed = unparsed[self.parse_until_offer(unparsed) :]
 
-    def parse_until_offer(self, received: bytes) -> int:
+    def parse_until_offer(self, received: bytes | memoryview) -> int:
         """Parse up to the end of a head that offers an upgrade.
 
         Returns
@@ -143,13 +189,26 @@
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
         self.url += url
+        if len(self.url) > self.limits.header_bytes:
+            self.reject_head(len(self.url))
+            raise ParsingStoppedError
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Append a header."""
-        self.field_bytes += len(name) + len(text)
+        """Append a header; trailers are counted and discarded."""
+        size = len(name) + len(text)
+        self.field_bytes += size
+        if self.is_head_read:
+            if self.field_bytes > self.limits.header_bytes:
+                self.reject_head(self.field_bytes)
+                raise ParsingStoppedError
+            return
         self.headers.append(
             (name.decode('latin-1').lower(), text.decode('latin-1'))
         )
+        self.cost.add_head(size + HEADER_LINE_BYTES)
+        if len(self.headers) > MAX_HEADER_LINES:
+            self.reject_head(len(self.headers), 'lines')
+            raise ParsingStoppedError
 
     def on_headers_complete(self) -> None:
         """Check the size limits and answer ``Expect: 100-continue``."""
@@ -161,34 +220,49 @@
         self.expect_body()
         fields = dict(self.headers)
         length = fields.get('content-length', '0')
+        if 'transfer-encoding' not in fields and length.isdecimal():
+            self.body_length = int(length)
         if self.field_bytes > self.limits.header_bytes:
             self.reject_head(self.field_bytes)
         elif length.isdecimal() and int(length) > self.limits.body_bytes:
             self.reject_body(length)
         elif fields.get('expect', '').lower() == '100-continue':
             self.receiver.send_continue()
+        self.field_bytes = 0
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self.head_bytes = 0
-        self.expect_body()
-        self.body_bytes += len(body)
+        self.has_received_body = True
+        size = len(body)
+        self.body_bytes += size
+        self.body_parts += 1
         if self.body_bytes > self.limits.body_bytes:
             self.reject_body(self.body_bytes)
-        else:
-            self.body.append(body)
+            raise ParsingStoppedError
+        if self.body_parts > MAX_SMALL_PARTS:
+            if self.body_bytes < self.body_parts * MIN_PART_BYTES:
+                self.reject_body(self.body_bytes, f'{self.body_parts} parts')
+                raise ParsingStoppedError
+        self.cost.add_body(size)
+        if not self.body:
+            self.body = body
+            return
+        if isinstance(self.body, bytes):
+            self.body = bytearray(self.body)
+        self.body += body
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the receiver."""
         if self.parser.should_upgrade():
             return
-        self.is_in_message = False
         self.head_bytes = 0
         method = self.parser.get_method().decode('latin-1')
         keep_alive = self.parser.should_keep_alive()
         self.receiver.handle_request(
             self.request(method), keep_alive=keep_alive
         )
+        self.is_in_message = False
 
     def expect_body(self) -> None:
         """Let the body pause for as long as an idle connection."""
@@ -197,10 +271,17 @@
     def begin_message(self) -> None:
         """Reset the state for the next request."""
         self.limits = self.receiver.limits()
-        self.url = b''
+        if self.cost.drawn:
+            self.cost.release()
+        self.cost.undrawn = 0
         self.headers: list[tuple[str, str]] = []
-        self.body: list[bytes] = []
+        self.url = b''
+        # One part of a body is kept as it is, several in one buffer.
+        self.body: bytes | bytearray = b''
         self.body_bytes = 0
+        self.body_parts = 0
+        # None for a body in chunks.
+        self.body_length: int | None = None
         self.field_bytes = 0
         self.is_head_read = False
         self.started_at = Seconds(0)
@@ -214,32 +295,46 @@
             # The authority replaces the header.
             host, path = absolute.groups()
             path = path if path.startswith('/') else f'/{path}'
-        return CallerRequest(
+        request = CallerRequest(
             method,
             path,
             host,
             tuple(self.headers),
-            b''.join(self.body),
+            _settled(self.body),
             self.started_at,
         )
+        # The request holds the only reference to its body.
+        self.body = b''
+        return request
+
+    def release(self) -> None:
+        """Drop the request that is being read, and give its bytes back."""
+        self.cost.release()
+        self.headers = []
+        self.body = b''
 
     def check_head(self) -> None:
-        """Reject an incomplete head that exceeds the limit."""
-        if self.is_head_read or not self.is_in_message:
-            return
+        """Reject an incomplete head, or trailers, that exceed the limit."""
         if self.head_bytes > self.limits.header_bytes:
             self.reject_head(self.head_bytes)
 
-    def reject_head(self, size: int) -> None:
+    def reject_head(self, size: int, unit: str = 'bytes') -> None:
         """Reject a head that exceeds the limit."""
         self.receiver.reject(
             HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-            f'head of {size} bytes, limit {self.limits.header_bytes}',
+            f'head of {size} {unit}, limit {self.limits.header_bytes} bytes',
         )
 
-    def reject_body(self, size: int | str) -> None:
-        """Reject a body that exceeds the limit."""
+    def reject_body(self, size: int | str, kind: str = 'body') -> None:
+        """Reject a body that exceeds a limit."""
         self.receiver.reject(
             HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            f'body of {size} bytes, limit {self.limits.body_bytes}',
+            f'{kind} of {size} bytes, limit {self.limits.body_bytes}',
         )
+
+
+def _settled(body: bytes | bytearray) -> bytes | bytearray:
+    """Return a complete body; a small one as ``bytes``."""
+    if isinstance(body, bytearray) and len(body) <= SMALL_BYTES:
+        return bytes(body)
+    return body
--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -7,23 +7,41 @@
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from contextlib import suppress
 from functools import partial
 from http import HTTPStatus
-from types import MappingProxyType
 
 import anyio
 
+from laburnumyard.clocks import boot_time
+from laburnumyard.core.memory_account import (
+    CONNECTION_BYTES,
+    Holder,
+    MemoryAccount,
+    choose_cut,
+)
 from laburnumyard.core.routes import CallerLimits
+from laburnumyard.gateway._caller_listener import (
+    NO_LIMITS,
+    CallerListener,
+    ConnectionLimits,
+)
 from laburnumyard.gateway._connection_timeout import ConnectionTimeout
 from laburnumyard.gateway._disconnect_probe import (
     INTERIM_RESPONSE,
     DisconnectProbe,
 )
-from laburnumyard.gateway._http_messages import CallerRequest, CallerResponse
+from laburnumyard.gateway._http_messages import (
+    CallerRequest,
+    CallerResponse,
+)
 from laburnumyard.gateway._http_request_reader import RequestReader
+from laburnumyard.gateway._metered_connection import (
+    MAX_PIPELINED_REQUESTS,
+    MeteredConnection,
+    PendingRequest,
+)
 from laburnumyard.gateway._task_supervision import (
     SupervisedTasks,
     confine,
@@ -32,25 +50,14 @@
 from laburnumyard.telemetry import METRICS, Event, log_decision, log_event
 
 RequestHandler = Callable[[CallerRequest], Awaitable[CallerResponse]]
-# Concurrent requests on one connection; reading pauses at this limit.
-MAX_PIPELINED_REQUESTS = 64
-LISTEN_BACKLOG = 1024
-REASON_PHRASES = MappingProxyType(
-    {status.value: status.phrase for status in HTTPStatus}
-)
 # Delay between the last response and closing the socket. Closing while the
 # caller still sends could reset the connection and lose the response.
 CLOSE_LINGER_S = 0.5
+# A connection that has done nothing for this long may be closed for another.
+MIN_IDLE_S = 1.0
 
 
-@dataclass(slots=True, eq=False)
-class PendingRequest:
-    """A request in flight on a connection, and its response once known."""
-
-    keep_alive: bool
-    method: str
-    response: CallerResponse | None = None
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+__all__ = ('MAX_PIPELINED_REQUESTS', 'CallerConnection', 'CallerServer')
 
 
 class CallerServer:
@@ -64,6 +71,10 @@
         Returns the current size and time limits.
     tasks
         Background tasks; run the requests.
+    account
+        Account of the memory of the process.
+    connection_limits
+        Limits on the connections.
     """
 
     def __init__(
@@ -71,6 +82,8 @@
         serve: RequestHandler,
         limits: Callable[[], CallerLimits],
         tasks: SupervisedTasks,
+        account: MemoryAccount | None = None,
+        connection_limits: ConnectionLimits = NO_LIMITS,
     ) -> None:
         """Create a server that does not listen yet; see ``listen``."""
         self.serve = serve
@@ -80,18 +93,20 @@
         self.is_leaving = False
         # Set and replaced when a connection ends or becomes free.
         self.changed = anyio.Event()
-        self.listener: asyncio.Server | None = None
+        self.account = account or MemoryAccount()
+        self.connection_limits = connection_limits
+        self.listener: CallerListener | None = None
 
     async def listen(self, address: str) -> None:
         """Accept connections on ``IP:PORT``."""
         host, _, port = address.rpartition(':')
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(
-            lambda: CallerConnection(self),
-            host,
-            int(port),
-            backlog=LISTEN_BACKLOG,
+        self.listener = CallerListener(
+            partial(CallerConnection, self),
+            self.tasks,
+            self.connection_limits,
+            self.close_one,
         )
+        self.listener.start(host, int(port))
 
     @property
     def in_flight(self) -> int:
@@ -109,6 +124,43 @@
             if connection.pending_requests:
                 connection.stop_reading()
 
+    def make_room(self) -> bool:
+        """Cut the caller with the least progress for the memory it holds.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
+        now = boot_time()
+        by_claim = {}
+        for connection in self.connections:
+            connection.note_state()
+            by_claim[connection.claim] = connection
+        chosen = choose_cut(by_claim, now)
+        if chosen is None:
+            return False
+        by_claim[chosen].cut('memory')
+        return True
+
+    def close_one(self) -> None:
+        """Close the connection that has done nothing for longest.
+
+        It may be one that stopped inside a request; none that waits for a
+        response is closed.
+        """
+        latest = boot_time() - MIN_IDLE_S
+        candidates = [
+            connection
+            for connection in self.connections
+            if connection.active_at <= latest
+            and not connection.pending_requests
+            and not connection.is_closing
+        ]
+        if candidates:
+            oldest = min(candidates, key=lambda each: each.active_at)
+            oldest.cut('descriptors')
+
     def close_idle(self) -> None:
         """Stop accepting connections and close the idle ones."""
         if self.listener is not None:
@@ -134,7 +186,7 @@
             self.changed = anyio.Event()
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(MeteredConnection):
     """Protocol of one caller connection.
 
     A caller that closes only its sending side gets the responses to what it has
@@ -148,25 +200,27 @@
 
     def __init__(self, server: CallerServer) -> None:
         """Create the state of a new connection."""
+        super().__init__(server)
         self.server = server
         self.limits = server.limits
         self.loop = asyncio.get_running_loop()
         self.reader = RequestReader(self)
-        self.transport: asyncio.Transport | None = None
-        self.pending_requests: deque[PendingRequest] = deque()
+        self.address = ''
         self.timeout = ConnectionTimeout(self.loop, self.abort)
         # Requests that were read on this connection.
         self.served = 0
-        # Set with the last request; received bytes are ignored from then on.
-        self.is_closing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self.transport = transport  # type: ignore[assignment]
+        self.writer.transport = self.transport
+        peer = transport.get_extra_info('peername')
+        self.address = peer[0] if peer else ''
         self.server.connections.add(self)
         with confined('connection', self.abort):
             self.transport.set_write_buffer_limits(high=0)
             self.wait_for_request()
+            self.draw(Holder.CONNECTIONS, CONNECTION_BYTES)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that disconnected."""
@@ -178,10 +232,9 @@
         for pending in self.pending_requests:
             pending.scope.cancel()
         self.pending_requests.clear()
-        self.server.announce_change()
-
-    def resume_writing(self) -> None:
-        """Note that the socket has taken all bytes that were written."""
+        self.release()
+        if self.server.listener is not None:
+            self.server.listener.note_end(self.address)
         self.server.announce_change()
 
     @property
@@ -189,16 +242,9 @@
         """Whether a response is due, or the caller may not have all of it."""
         if self.transport is None or self not in self.server.connections:
             return False
-        is_unsent = bool(self.transport.get_write_buffer_size())
+        is_unsent = not self.writer.is_idle
         return bool(self.pending_requests) or is_unsent or self.is_closing
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
-        if self.is_closing:
-            return
-        with confined('connection', self.abort):
-            self.reader.feed(data)
-
     def eof_received(self) -> bool:
         """Go on with the requests of a caller that may still receive."""
         has_left = not (self.pending_requests and self.reader.allows_interim)
@@ -211,11 +257,16 @@
 
     def expect_more(self, timeout_s: float, part: str) -> None:
         """Reject the request if the rest of a part takes too long."""
-        reject = partial(
-            self.reject, HTTPStatus.REQUEST_TIMEOUT, f'{part} not complete'
-        )
+        reject = partial(self.reject_late, timeout_s, part)
         self.timeout.start(timeout_s, reject)
 
+    def reject_late(self, timeout_s: float, part: str) -> None:
+        """Reject a request whose rest is late, unless nothing is read."""
+        if self.is_read_paused:
+            self.expect_more(timeout_s, part)
+            return
+        self.reject(HTTPStatus.REQUEST_TIMEOUT, f'{part} not complete')
+
     def send_continue(self) -> None:
         """Send ``100 Continue``."""
         if not self.pending_requests and self.transport:
@@ -228,16 +279,14 @@
         if self.is_closing:
             return
         self.timeout.stop()
-        pending = PendingRequest(keep_alive, request.method)
+        costs = self.reader.cost.settle()
+        pending = PendingRequest(keep_alive, request.method, costs)
         self.pending_requests.append(pending)
         self.served += 1
         if self.server.is_leaving or not pending.keep_alive:
             self.stop_reading()
-        elif (
-            len(self.pending_requests) >= MAX_PIPELINED_REQUESTS
-            and self.transport
-        ):
-            self.transport.pause_reading()
+        else:
+            self.pause_reading()
         self.server.tasks.start_soon('request', self.serve, pending, request)
 
     async def serve(
@@ -249,7 +298,9 @@
         """
         if not await confine('request', self.run_request, pending, request):
             pending.response = CallerResponse(HTTPStatus.BAD_GATEWAY)
-        if self in self.server.connections:
+        _drop_body(request)
+        if self in self.server.connections and not self.claim.is_closed:
+            self.hold_response(pending)
             self.write_responses()
         self.server.announce_change()
 
@@ -266,21 +317,17 @@
             while (
                 self.pending_requests
                 and self.pending_requests[0].response is not None
+                and self.writer.is_idle
             ):
                 pending = self.pending_requests.popleft()
                 if self.transport is None or self.transport.is_closing():
                     return
                 is_last = not self.pending_requests
                 closes = is_last and self.is_closing
-                self.transport.write(encode_response(pending, closes=closes))
+                self.write_response(pending, closes=closes)
                 if closes:
-                    self.close()
                     return
-            if (
-                len(self.pending_requests) < MAX_PIPELINED_REQUESTS
-                and self.transport
-            ):
-                self.transport.resume_reading()
+            self.resume_reading()
             if not self.pending_requests and not self.reader.is_in_message:
                 self.wait_for_request()
 
@@ -298,6 +345,7 @@
         bytes would reset the connection and could lose the response.
         """
         self.is_closing = True
+        self.is_read_paused = False
         if self.transport:
             self.transport.resume_reading()
 
@@ -320,12 +368,19 @@
             self.abandon()
 
     def abandon(self) -> None:
-        """Close the connection without a response."""
+        """Close the connection without a further response."""
         self.is_closing = True
-        if self.transport:
+        if not self.writer.is_idle:
+            self.closes_when_sent = True
+        elif self.transport:
             self.transport.close()
 
-    def reject(self, status: HTTPStatus, reason: str) -> None:
+    def reject(
+        self,
+        status: HTTPStatus,
+        reason: str,
+        response: CallerResponse | None = None,
+    ) -> None:
         """Queue an error response behind those pending, then close.
 
         Parameters
@@ -334,12 +389,15 @@
             Status of the response.
         reason
             Why, for the log.
+        response
+            Response, if it has more than the status.
         """
         if self.is_closing:
             return
         self.is_closing = True
         pending = PendingRequest(keep_alive=False, method='GET')
-        pending.response = CallerResponse(status)
+        pending.response = response or CallerResponse(status)
+        self.reader.release()
         self.pending_requests.append(pending)
         METRICS.count('rejected_total', status=status.value)
         log_event(
@@ -358,25 +416,12 @@
         self.timeout.start(idle_s, self.close_if_idle)
 
 
-def encode_response(pending: PendingRequest, *, closes: bool) -> bytes:
-    """Return a response as HTTP/1.1 bytes.
-
-    Parameters
-    ----------
-    exchange
-        Request whose response is known.
-    closes
-        Whether the connection is closed after the response.
-    """
-    response = pending.response or CallerResponse(HTTPStatus.BAD_GATEWAY)
-    phrase = REASON_PHRASES.get(response.status, 'Unknown')
-    lines = [f'HTTP/1.1 {response.status} {phrase}']
-    lines.extend(f'{name}: {text}' for name, text in response.headers)
-    lines.append(f'content-length: {len(response.body)}')
-    if closes:
-        lines.append('connection: close')
-    head = '\r\n'.join((*lines, '', '')).encode('latin-1')
-    return head if pending.method == 'HEAD' else head + response.body
+def _drop_body(request: CallerRequest) -> None:
+    """Free the body of a request at once, whatever still refers to it."""
+    if isinstance(request.body, bytearray):
+        # A target that has not read it all keeps a view until it is closed.
+        with suppress(BufferError):
+            request.body.clear()
 
 
 def _log_unanswered(requests: int, exc: Exception | None) -> None:
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -11,14 +11,17 @@
 
 from laburnumyard.clocks import boot_time, new_incarnation
 from laburnumyard.core.ids import DaemonName, DataCentre, Incarnation, Seconds
+from laburnumyard.core.memory_account import account_of
 from laburnumyard.core.reachability import TargetReach
 from laburnumyard.core.routes import CallerLimits
+from laburnumyard.gateway._allocator import map_large_buffers
 from laburnumyard.gateway._cluster_view import ClusterView, Member
 from laburnumyard.gateway._coordinator_elections import Elections
 from laburnumyard.gateway._coordinator_roles import Coordination
 from laburnumyard.gateway._derived_settings import (
     FETCH_LINK_SETTINGS,
     LINK_SETTINGS,
+    derive_connection_limits,
     derive_settings,
 )
 from laburnumyard.gateway._http_messages import CallerRequest, CallerResponse
@@ -151,7 +154,8 @@
             self.link_pool,
             derived_settings,
         )
-        self.connection_pool = TargetConnectionPool()
+        account = account_of(settings.machine.memory_mb)
+        self.connection_pool = TargetConnectionPool(account)
         self.router = RequestRouter(
             platform.wire_format,
             self.view,
@@ -168,7 +172,14 @@
             partial(self.router.process, may_relay=False),
             self.can_relay,
         )
-        self.caller_server = CallerServer(self.router.serve, self.limits, tasks)
+        self.caller_server = CallerServer(
+            self.router.serve,
+            self.limits,
+            tasks,
+            account,
+            derive_connection_limits(settings.machine),
+        )
+        account.make_room = self.caller_server.make_room
         self.readiness_server = CallerServer(
             self.serve_readiness, CallerLimits, tasks
         )
@@ -364,6 +375,8 @@
     platform
         Platform that the gateway runs on.
     """
+    if settings.machine.memory_mb:
+        map_large_buffers()
     handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*handled) as signals:
         asyncio.get_running_loop().set_exception_handler(_log_callback_fault)
--- a/src/laburnumyard/gateway/_target_connection_pool.py
+++ b/src/laburnumyard/gateway/_target_connection_pool.py
@@ -6,6 +6,7 @@
 from expression import Result
 
 from laburnumyard.core.ids import Seconds
+from laburnumyard.core.memory_account import MemoryAccount
 from laburnumyard.transport import (
     ResponseMemory,
     TargetConnection,
@@ -39,14 +40,21 @@
 
     A connection that receives data while idle, or is closed by the target, is
     dropped.
+
+    Parameters
+    ----------
+    account
+        Account of the memory of the process.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, account: MemoryAccount | None = None) -> None:
         """Create an empty pool."""
         self.idle: defaultdict[str, list[TargetConnection]]
         self.idle = defaultdict(list)
         self.limits: dict[str, Seconds] = {}
-        self.memory = ResponseMemory(MAX_INCOMPLETE_BYTES)
+        self.memory = ResponseMemory(
+            MAX_INCOMPLETE_BYTES, account=account or MemoryAccount()
+        )
         self.opened = 0
 
     async def acquire(
--- a/src/laburnumyard/telemetry/_log.py
+++ b/src/laburnumyard/telemetry/_log.py
@@ -48,6 +48,8 @@
     REACH = 'reach'
     RELAYED = 'relayed'
     RELOADED = 'reloaded'
+    CUT = 'cut'
+    LISTENER = 'listener'
     FAULT = 'fault'
 
 
--- a/src/laburnumyard/transport/__init__.py
+++ b/src/laburnumyard/transport/__init__.py
@@ -20,6 +20,7 @@
     read_object,
     read_text,
 )
+from laburnumyard.transport._paced_writer import PIECE_BYTES, PacedWriter
 from laburnumyard.transport._response_memory import ResponseMemory
 from laburnumyard.transport._target_connection import TargetConnection
 from laburnumyard.transport._target_endpoint import TargetEndpoint
@@ -32,6 +33,7 @@
 )
 
 __all__ = (
+    'PIECE_BYTES',
     'Endpoint',
     'ExchangeError',
     'ExchangeFault',
@@ -39,6 +41,7 @@
     'Fields',
     'HttpRequest',
     'HttpResponse',
+    'PacedWriter',
     'ResponseMemory',
     'TargetConnection',
     'TargetEndpoint',
