Relayed requests and frames are counted; refused slot requests forgotten

- A peer's request draws from the account and is refused as not run when there is no room.
A body beyond the frames of links is no longer encoded for a peer in vain.
- Frames that links hold are counted four times a second.
- Gauges held_bytes by holder on the metrics address.
- Coordination.remote kept an entry for each refused slot request until its link closed: nothing more is sent about it.

--- a/src/laburnumyard/core/memory_account.py
+++ b/src/laburnumyard/core/memory_account.py
@@ -108,6 +108,15 @@
         self.held[holder] += size
         return True
 
+    def note(self, holder: Holder, size: int) -> None:
+        """Replace what a holder holds by what was counted there."""
+        self.used_bytes += size - self.held[holder]
+        self.held[holder] = size
+
+    def gauges(self) -> dict[str, int]:
+        """Return the bytes that each holder holds."""
+        return {holder.value: size for holder, size in self.held.items()}
+
     def give_back(self, holder: Holder, size: int) -> None:
         """Hold bytes no longer."""
         self.used_bytes -= size
--- a/src/laburnumyard/gateway/_coordinator_roles.py
+++ b/src/laburnumyard/gateway/_coordinator_roles.py
@@ -1,6 +1,5 @@
 """Services that this gateway coordinates, and messages between gateways."""
 
-from collections.abc import Sized
 from dataclasses import dataclass, field, replace
 from functools import partial, singledispatchmethod
 from types import MappingProxyType
@@ -68,6 +67,9 @@
 OUTCOMES = MappingProxyType({outcome.value: outcome for outcome in Outcome})
 
 Link = Connection
+RemoteRequests = dict[Link, dict[int, 'RemoteRequest']]
+# Stands in a request that its dispatcher has not numbered yet.
+NO_WORK = WorkId(0)
 
 
 @dataclass(slots=True)
@@ -97,7 +99,7 @@
     """A slot request of another gateway."""
 
     dispatcher: SlotDispatcher
-    work_id: WorkId
+    work_id: WorkId = NO_WORK
 
 
 class Coordination:
@@ -136,7 +138,7 @@
         self.derived_settings = derived_settings
         self.tasks = tasks
         self.roles: dict[ServiceName, CoordinatorRole] = {}
-        self.remote: dict[Link, dict[int, RemoteRequest]] = {}
+        self.remote: RemoteRequests = {}
         self.is_leaving = False
         view.on_directory.append(self.update_targets)
         view.on_coordinators.append(self.drop_lost_roles)
@@ -289,11 +291,13 @@
             self.remote[link] = remote_requests
             link.on_closed.append(self.withdraw_link_requests)
         sender = DaemonName(link.remote.daemon) if link.remote else OWN_SENDER
-        work_id = dispatcher.submit(
+        # A refusal removes the entry, maybe before `submit` returns.
+        remote_request = RemoteRequest(dispatcher)
+        remote_requests[number] = remote_request
+        remote_request.work_id = dispatcher.submit(
             replace(decode_slot_request(message), sender=sender),
             partial(_send_permit, link, number, self.remote),
         )
-        remote_requests[number] = RemoteRequest(dispatcher, work_id)
 
     @handle_message.register
     def _(self, message: messages.Done, link: Link) -> None:
@@ -395,10 +399,13 @@
 
 
 def _send_permit(
-    link: Link, number: int, links: Sized, slot_answer: SlotAnswer
+    link: Link, number: int, remote: RemoteRequests, slot_answer: SlotAnswer
 ) -> None:
+    if isinstance(slot_answer, SlotRefused):
+        # Nothing more is sent about a refused request.
+        remote.get(link, {}).pop(number, None)
     # This gateway sends requests too.
-    link.send(_encode_permit(number, slot_answer, len(links) + 1))
+    link.send(_encode_permit(number, slot_answer, len(remote) + 1))
 
 
 def _encode_permit(
--- a/src/laburnumyard/gateway/_relay_client.py
+++ b/src/laburnumyard/gateway/_relay_client.py
@@ -101,6 +101,9 @@
             Whether the request may run twice.
         """
         asked: set[str] = set()
+        if len(request.body) > self.pool.settings.body_bytes:
+            # No frame has room for it; it would be encoded in vain.
+            return refuse_request('too-large-to-relay', RETRY_AFTER_S)
         failed = refuse_request(TARGETS_LOST, RETRY_AFTER_S)
         peer = self.choose_peer(asked)
         while peer is not None and expires_at - boot_time() > ROUND_TRIP_S:
--- a/src/laburnumyard/gateway/_relay_messages.py
+++ b/src/laburnumyard/gateway/_relay_messages.py
@@ -37,7 +37,7 @@
         method=request.method,
         path=request.path,
         headers=_encode_headers(request.headers),
-        body=request.body,
+        body=bytes(request.body),
         deadline_ms=max(1, int(deadline_s * MS_PER_SECOND)),
         repeatable=False,
         ticket='',
@@ -74,7 +74,7 @@
         '',
         int(response.status),
         _encode_headers(response.headers),
-        response.body,
+        bytes(response.body),
     )
 
 
--- a/src/laburnumyard/gateway/_relay_server.py
+++ b/src/laburnumyard/gateway/_relay_server.py
@@ -6,6 +6,12 @@
 import anyio
 
 from laburnumyard.clocks import boot_time
+from laburnumyard.core.memory_account import (
+    REQUEST_BYTES,
+    SMALL_BYTES,
+    Holder,
+    MemoryAccount,
+)
 from laburnumyard.gateway._http_messages import CallerRequest, RequestResult
 from laburnumyard.gateway._platform_interface import RequestHead, WireFormat
 from laburnumyard.gateway._relay_messages import (
@@ -31,6 +37,8 @@
         Routes a request without relaying it once more.
     is_available
         Whether this gateway reaches targets itself, and is not about to stop.
+    account
+        Account of the memory of the process.
     """
 
     def __init__(
@@ -38,11 +46,13 @@
         wire_format: WireFormat,
         process: Process,
         is_available: Callable[[], bool],
+        account: MemoryAccount | None = None,
     ) -> None:
         """Create a server without requests."""
         self.wire_format = wire_format
         self.process = process
         self.is_available = is_available
+        self.account = account or MemoryAccount()
         self.active: dict[Connection, dict[int, anyio.CancelScope]] = {}
         # Set and replaced when a request ends.
         self.ended = anyio.Event()
@@ -54,7 +64,8 @@
 
     async def serve(self, link: Connection, message: messages.Submit) -> None:
         """Serve a request of a peer until it ends or is cancelled."""
-        if not self.is_available():
+        cost = len(message.body) + REQUEST_BYTES
+        if not (self.is_available() and self.draw(cost)):
             link.send(refuse_relay(message.number))
             return
         scopes = self.active.get(link)
@@ -68,10 +79,16 @@
                 link.send(await self.answer(message))
         finally:
             scopes.pop(message.number, None)
-            self.announce_end()
+            self.end(cost)
+
+    def draw(self, cost: int) -> bool:
+        """Draw the bytes of a request; return whether there are any."""
+        is_small = cost <= SMALL_BYTES
+        return self.account.draw(Holder.RELAYED, cost, is_small=is_small)
 
-    def announce_end(self) -> None:
-        """Wake who waits for the end of requests."""
+    def end(self, cost: int) -> None:
+        """Give the bytes of a request back, and announce its end."""
+        self.account.give_back(Holder.RELAYED, cost)
         self.ended.set()
         self.ended = anyio.Event()
 
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -11,7 +11,7 @@
 
 from laburnumyard.clocks import boot_time, new_incarnation
 from laburnumyard.core.ids import DaemonName, DataCentre, Incarnation, Seconds
-from laburnumyard.core.memory_account import account_of
+from laburnumyard.core.memory_account import Holder, account_of
 from laburnumyard.core.reachability import TargetReach
 from laburnumyard.core.routes import CallerLimits
 from laburnumyard.gateway._allocator import map_large_buffers
@@ -53,6 +53,8 @@
 MILLI_CORES = 1000
 # Interval between reads of the settings, which may change without a signal.
 RELOAD_INTERVAL_S = 2.0
+# Interval at which the bytes that links hold are counted.
+FRAMES_INTERVAL_S = 0.25
 # The load balancer removes a gateway after two failed checks, one a second,
 # and sends new connections until then.
 LOAD_BALANCER_DELAY_S = 2.6
@@ -171,6 +173,7 @@
             platform.wire_format,
             partial(self.router.process, may_relay=False),
             self.can_relay,
+            account,
         )
         self.caller_server = CallerServer(
             self.router.serve,
@@ -179,6 +182,7 @@
             account,
             derive_connection_limits(settings.machine),
         )
+        METRICS.watch('held_bytes', 'holder', account.gauges)
         account.make_room = self.caller_server.make_room
         self.readiness_server = CallerServer(
             self.serve_readiness, CallerLimits, tasks
@@ -273,6 +277,7 @@
                 self.peer_reader.run,
                 self.reach_monitor.run,
                 self.watch_settings,
+                self.count_frames,
             ):
                 self.tasks.keep_running(start.__qualname__, start)
             log_event(
@@ -300,6 +305,16 @@
             await anyio.sleep(RELOAD_INTERVAL_S)
             await self.reload_settings('interval')
 
+    async def count_frames(self) -> None:
+        """Count the frames of peers in the account until cancelled.
+
+        They are bounded for each link; counting each would cost more.
+        """
+        while True:
+            await anyio.sleep(FRAMES_INTERVAL_S)
+            size = self.peer_server.held_bytes + self.link_pool.held_bytes
+            self.caller_server.account.note(Holder.FRAMES, size)
+
     async def reload_settings(self, cause: str) -> None:
         """Apply changed settings; listen addresses need a restart."""
         settings = self.reload()
--- a/src/laburnumyard/platform/_route_decoding.py
+++ b/src/laburnumyard/platform/_route_decoding.py
@@ -16,6 +16,10 @@
 )
 from laburnumyard.transport import Fields, read_count, read_list, read_object
 
+# Values of `routeType` whose requests may be repeated; the responses of
+# `download` are large.
+REPEATABLE_TYPES = frozenset(('safe', 'download'))
+
 
 def read_routes(document: Fields) -> RouteTable:
     """Return the route table of a configuration document.
@@ -47,8 +51,7 @@
         read_name(fields, 'host').lower(),
         read_name(fields, 'prefix'),
         _read_parts(fields),
-        # `routeType` states whether requests may be repeated.
-        read_name(fields, 'routeType') == 'safe',
+        read_name(fields, 'routeType') in REPEATABLE_TYPES,
         _read_seconds(fields, 'timeoutMs'),
         _read_seconds(fields, 'sloMs'),
         read_count(fields, 'priority'),
--- a/src/laburnumyard/telemetry/_metrics.py
+++ b/src/laburnumyard/telemetry/_metrics.py
@@ -1,7 +1,7 @@
 """Counters and latency summaries in the Prometheus text format."""
 
 from collections import Counter, deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Mapping
 from statistics import quantiles
 
 PERMILLE = 1000
@@ -14,6 +14,7 @@
 OTHER_LABEL = 'other'
 
 Series = tuple[tuple[str, str], ...]
+ReadGauge = Callable[[], Mapping[str, float]]
 
 
 class LatencySummary:
@@ -57,6 +58,21 @@
         """Create an empty set of metrics."""
         self.counters: Counter[tuple[str, Series]] = Counter()
         self.latencies: dict[str, LatencySummary] = {}
+        self.gauges: dict[tuple[str, str], ReadGauge] = {}
+
+    def watch(self, name: str, label: str, read: ReadGauge) -> None:
+        """Show the current values of a gauge.
+
+        Parameters
+        ----------
+        name
+            Metric name without prefix.
+        label
+            Label that distinguishes the values.
+        read
+            Returns the values by the text of the label.
+        """
+        self.gauges[name, label] = read
 
     def count(self, name: str, **labels: object) -> None:
         """Increment a counter.
@@ -82,12 +98,25 @@
 
     def render(self) -> str:
         """Return all metrics as text, one line per series."""
-        return '\n'.join([*self._counter_lines(), *self._latency_lines(), ''])
+        return '\n'.join(
+            [
+                *self._counter_lines(),
+                *self._gauge_lines(),
+                *self._latency_lines(),
+                '',
+            ]
+        )
 
     def _counter_lines(self) -> Iterator[str]:
         for (name, series), number in sorted(self.counters.items()):
             yield f'laburnumyard_{name}{_labels(series)} {number}'
 
+    def _gauge_lines(self) -> Iterator[str]:
+        for (name, label), read in sorted(self.gauges.items()):
+            for text, number in read().items():
+                labels = _labels(((label, text),))
+                yield f'laburnumyard_{name}{labels} {number}'
+
     def _latency_lines(self) -> Iterator[str]:
         name = 'laburnumyard_request_duration_seconds'
         for service, summary in sorted(self.latencies.items()):
--- a/src/laburnumyard/wire/_connection.py
+++ b/src/laburnumyard/wire/_connection.py
@@ -113,6 +113,11 @@
             quiet = now - self.received_at
             self.close(LinkErrorKind.SILENT, f'no data for {quiet:.3f} s')
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of frames that are not sent, or not received whole."""
+        return len(self.reader.buffer) + self.writer.queue.waiting_bytes
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the hello, which must be the first message."""
         if self.closed_by:
--- a/src/laburnumyard/wire/_pool.py
+++ b/src/laburnumyard/wire/_pool.py
@@ -93,6 +93,12 @@
         for daemon in tuple(self.slots):
             self.forget(daemon)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of frames that the links hold."""
+        links = (slot.link for slot in self.slots.values())
+        return sum(link.held_bytes for link in links if link is not None)
+
     def send(self, peer: Peer, message: messages.Message) -> Sent:
         """Queue a message without waiting; no response is expected.
 
--- a/src/laburnumyard/wire/_queue.py
+++ b/src/laburnumyard/wire/_queue.py
@@ -82,6 +82,11 @@
         """Return whether any frame is queued."""
         return bool(self.control.frames or self.bulk.frames)
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Size of all queued frames."""
+        return self.control.waiting_bytes + self.bulk.waiting_bytes
+
     def put(self, message: messages.Message, outgoing: OutgoingFrame) -> bool:
         """Append the frame of a message; return whether it fit."""
         is_bulk = isinstance(message, BULK_MESSAGES)
--- a/src/laburnumyard/wire/_server.py
+++ b/src/laburnumyard/wire/_server.py
@@ -129,6 +129,11 @@
         for task in tuple(self.tasks):
             task.cancel()
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of frames that the links hold."""
+        return sum(link.held_bytes for link in self.links)
+
     def start(self, work: Awaitable[None]) -> None:
         """Run an asynchronous handler in a background task."""
         task = asyncio.ensure_future(work)
