--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -159,7 +159,11 @@
         ]
         if candidates:
             oldest = min(candidates, key=lambda each: each.active_at)
-            oldest.cut('descriptors')
+            if oldest.reader.is_in_message:
+                oldest.cut('descriptors')
+            else:
+                METRICS.count('cuts_total', reason='descriptors')
+                oldest.abandon()
 
     def close_idle(self) -> None:
         """Stop accepting connections and close the idle ones."""
