--- a/src/laburnumyard/gateway/_derived_settings.py
+++ b/src/laburnumyard/gateway/_derived_settings.py
@@ -6,8 +6,15 @@
 from laburnumyard.core.rate_limits import WarmUpBound
 from laburnumyard.core.scheduling import RetryBudget, SchedulerSettings
 from laburnumyard.core.shards import ShardSettings
+from laburnumyard.gateway._caller_listener import (
+    SOCKET_BUFFER_BYTES,
+    ConnectionLimits,
+)
 from laburnumyard.gateway._cluster_view import ClusterView
-from laburnumyard.schema._generated.gateway import BoundSettings
+from laburnumyard.schema._generated.gateway import (
+    BoundSettings,
+    MachineSettings,
+)
 from laburnumyard.wire import LinkSettings
 
 MS_PER_SECOND = 1000
@@ -117,3 +124,12 @@
         return None
     evacuate_s = bounds.evacuate_ms / MS_PER_SECOND
     return Seconds(GRANT_LIFE_PART * evacuate_s)
+
+
+def derive_connection_limits(machine: MachineSettings) -> ConnectionLimits:
+    """Derive the limits on the connections of callers from the machine."""
+    return ConnectionLimits(
+        machine.max_descriptors,
+        machine.connections_per_address,
+        SOCKET_BUFFER_BYTES if machine.memory_mb else 0,
+    )
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -11,14 +11,17 @@
 
 from laburnumyard.clocks import boot_time, new_incarnation
 from laburnumyard.core.ids import DaemonName, DataCentre, Incarnation, Seconds
+from laburnumyard.core.memory_account import Holder, account_of
 from laburnumyard.core.reachability import TargetReach
 from laburnumyard.core.routes import CallerLimits
+from laburnumyard.gateway._allocator import map_large_buffers
 from laburnumyard.gateway._cluster_view import ClusterView, Member
 from laburnumyard.gateway._coordinator_elections import Elections
 from laburnumyard.gateway._coordinator_roles import Coordination
 from laburnumyard.gateway._derived_settings import (
     FETCH_LINK_SETTINGS,
     LINK_SETTINGS,
+    derive_connection_limits,
     derive_settings,
 )
 from laburnumyard.gateway._http_messages import CallerRequest, CallerResponse
@@ -50,6 +53,8 @@
 MILLI_CORES = 1000
 # Interval between reads of the settings, which may change without a signal.
 RELOAD_INTERVAL_S = 2.0
+# Interval at which the bytes that links hold are counted.
+FRAMES_INTERVAL_S = 0.25
 # The load balancer removes a gateway after two failed checks, one a second,
 # and sends new connections until then.
 LOAD_BALANCER_DELAY_S = 2.6
@@ -151,7 +156,8 @@
             self.link_pool,
             derived_settings,
         )
-        self.connection_pool = TargetConnectionPool()
+        account = account_of(settings.machine.memory_mb)
+        self.connection_pool = TargetConnectionPool(account)
         self.router = RequestRouter(
             platform.wire_format,
             self.view,
@@ -168,8 +174,17 @@
             platform.wire_format,
             partial(self.router.process, may_relay=False),
             self.can_relay,
+            account,
         )
-        self.caller_server = CallerServer(self.router.serve, self.limits, tasks)
+        self.caller_server = CallerServer(
+            self.router.serve,
+            self.limits,
+            tasks,
+            account,
+            derive_connection_limits(settings.machine),
+        )
+        METRICS.watch('held_bytes', 'holder', account.gauges)
+        account.make_room = self.caller_server.make_room
         self.readiness_server = CallerServer(
             self.serve_readiness, CallerLimits, tasks
         )
@@ -264,6 +279,7 @@
                 self.peer_reader.run,
                 self.reach_monitor.run,
                 self.watch_settings,
+                self.count_frames,
             ):
                 self.tasks.keep_running(start.__qualname__, start)
             log_event(
@@ -291,6 +307,16 @@
             await anyio.sleep(RELOAD_INTERVAL_S)
             await self.reload_settings('interval')
 
+    async def count_frames(self) -> None:
+        """Count the frames of peers in the account until cancelled.
+
+        They are bounded for each link; counting each would cost more.
+        """
+        while True:
+            await anyio.sleep(FRAMES_INTERVAL_S)
+            size = self.peer_server.held_bytes + self.link_pool.held_bytes
+            self.caller_server.account.note(Holder.FRAMES, size)
+
     async def reload_settings(self, cause: str) -> None:
         """Apply changed settings; listen addresses need a restart."""
         settings = self.reload()
@@ -369,6 +395,8 @@
     platform
         Platform that the gateway runs on.
     """
+    if settings.machine.memory_mb:
+        map_large_buffers()
     handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*handled) as signals:
         asyncio.get_running_loop().set_exception_handler(_log_callback_fault)
--- a/src/laburnumyard/telemetry/_metrics.py
+++ b/src/laburnumyard/telemetry/_metrics.py
@@ -1,7 +1,7 @@
 """Counters, gauges and latency summaries in the Prometheus text format."""
 
 from collections import Counter, deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Mapping
 from statistics import quantiles
 
 PERMILLE = 1000
@@ -14,6 +14,7 @@
 OTHER_LABEL = 'other'
 
 Series = tuple[tuple[str, str], ...]
+ReadGauge = Callable[[], Mapping[str, float]]
 
 
 class LatencySummary:
@@ -58,6 +59,21 @@
         self.counters: Counter[tuple[str, Series]] = Counter()
         self.gauges: dict[tuple[str, Series], float] = {}
         self.latencies: dict[str, LatencySummary] = {}
+        self.watched: dict[tuple[str, str], ReadGauge] = {}
+
+    def watch(self, name: str, label: str, read: ReadGauge) -> None:
+        """Show the current values of a gauge.
+
+        Parameters
+        ----------
+        name
+            Metric name without prefix.
+        label
+            Label that distinguishes the values.
+        read
+            Returns the values by the text of the label.
+        """
+        self.watched[name, label] = read
 
     def count(self, name: str, **labels: object) -> None:
         """Increment a counter.
@@ -114,6 +130,10 @@
     def _gauge_lines(self) -> Iterator[str]:
         for (name, series), level in sorted(self.gauges.items()):
             yield f'laburnumyard_{name}{_labels(series)} {level}'
+        for (name, label), read in sorted(self.watched.items()):
+            for text, number in read().items():
+                labels = _labels(((label, text),))
+                yield f'laburnumyard_{name}{labels} {number}'
 
     def _latency_lines(self) -> Iterator[str]:
         name = 'laburnumyard_request_duration_seconds'
--- a/src/standins/gateway_cluster.py
+++ b/src/standins/gateway_cluster.py
@@ -55,6 +55,7 @@
 [machine]
 cores = 1.0
 peers = {seeds}
+{machine}
 [bounds]
 retry_allowance = 50
 warmup_overshoot = 1.5
@@ -150,6 +151,22 @@
         ]
 
 
+@dataclass(frozen=True, slots=True)
+class ClusterLimits:
+    """Limits of the gateways of a cluster.
+
+    Parameters
+    ----------
+    max_body_bytes
+        Largest body of a request that the configuration allows.
+    machine
+        Further lines of the ``[machine]`` table of the settings.
+    """
+
+    max_body_bytes: int = 1000
+    machine: tuple[str, ...] = ()
+
+
 @dataclass(slots=True)
 class GatewayCluster:
     """A store, targets and gateways.
@@ -178,6 +195,7 @@
     keyed: bool = True
     warm_up_s: float = 0
     warm_up_per_s: float = 0
+    limits: ClusterLimits = field(default_factory=ClusterLimits)
     routes: list[str] = field(default_factory=list)
     numbers: 'count[int]' = field(default_factory=count)
 
@@ -220,7 +238,7 @@
             ],
             'limits': {
                 'maxHeaderBytes': 16384,
-                'maxBodyBytes': 1000,
+                'maxBodyBytes': self.limits.max_body_bytes,
                 'headerTimeoutMs': 3000,
                 'idleTimeoutMs': 15000,
             },
@@ -329,6 +347,7 @@
     *,
     keyed: bool = True,
     seed: int = 1,
+    limits: ClusterLimits | None = None,
 ) -> AsyncIterator[GatewayCluster]:
     """Run a cluster until the context ends.
 
@@ -344,8 +363,12 @@
         Whether the keys of the service have owners.
     seed
         Seed of the load.
+    limits
+        Limits that differ from the defaults, if any do.
     """
-    cluster = GatewayCluster(folder, seed, keyed=keyed)
+    cluster = GatewayCluster(
+        folder, seed, keyed=keyed, limits=limits or ClusterLimits()
+    )
     async with AsyncExitStack() as stack:
         tasks: TaskGroup = await stack.enter_async_context(
             anyio.create_task_group()
@@ -385,6 +408,7 @@
             'peers': peers,
             'store': cluster.store_address,
             'seeds': seeds,
+            'machine': '\n'.join(cluster.limits.machine),
         }
         gateway.settings.write_text(SETTINGS.format(**fields))
         cluster.gateways.append(gateway)
