--- a/src/laburnumyard/clients/_target_decoding.py
+++ b/src/laburnumyard/clients/_target_decoding.py
@@ -26,6 +26,7 @@
         FailureKind.BROKE_OFF: messages.TargetErrorKind.BROKE_OFF,
         FailureKind.NOT_REUSABLE: messages.TargetErrorKind.BROKE_OFF,
         FailureKind.MALFORMED: messages.TargetErrorKind.MALFORMED,
+        FailureKind.INVALID_STATUS: messages.TargetErrorKind.MALFORMED,
         FailureKind.TOO_LARGE: messages.TargetErrorKind.MALFORMED,
         FailureKind.BAD_REQUEST: messages.TargetErrorKind.MALFORMED,
     },
--- a/src/laburnumyard/core/scheduling/_scheduler.py
+++ b/src/laburnumyard/core/scheduling/_scheduler.py
@@ -46,6 +46,7 @@
         Outcome.CANCELLED,
         Outcome.TIMED_OUT,
         Outcome.BROKE_OFF,
+        Outcome.INVALID,
         Outcome.OVERSIZED,
     )
 )
--- a/src/laburnumyard/core/scheduling/_target_slots.py
+++ b/src/laburnumyard/core/scheduling/_target_slots.py
@@ -37,6 +37,7 @@
         Outcome.SHED,
         Outcome.UNREACHABLE,
         Outcome.BROKE_OFF,
+        Outcome.INVALID,
         Outcome.OVERSIZED,
         Outcome.TIMED_OUT,
     )
--- a/src/laburnumyard/core/scheduling/_work.py
+++ b/src/laburnumyard/core/scheduling/_work.py
@@ -35,6 +35,9 @@
     BROKE_OFF = 'broke-off'
     # The target sent more than a response may have.
     OVERSIZED = 'oversized'
+    # The target sent what is no response, or one with an invalid status. It
+    # lives, so unlike BROKE_OFF this is no sign that the request crashed it.
+    INVALID = 'invalid-response'
     TIMED_OUT = 'timed-out'
     CANCELLED = 'cancelled'
 
--- a/src/laburnumyard/daemon/_http_responses.py
+++ b/src/laburnumyard/daemon/_http_responses.py
@@ -2,10 +2,10 @@
 
 import re
 from dataclasses import dataclass
-from http import HTTPStatus
 
 from laburnumyard.core.errors import ErrorKind, Failure, Ran
 from laburnumyard.core.ids import RequestId, TicketId
+from laburnumyard.transport import FINAL_STATUSES
 
 MAX_DETAIL_CHARS = 400
 # Errors after which a caller's connection is closed: the following bytes may
@@ -18,9 +18,6 @@
         ErrorKind.SHUTTING_DOWN,
     )
 )
-FIRST_UNKNOWN_STATUS = 600
-# Final HTTP statuses; others cannot be returned to a caller.
-FINAL_STATUSES = range(HTTPStatus.OK, FIRST_UNKNOWN_STATUS)
 # Headers that only the daemon itself writes.
 FRAMING_HEADERS = frozenset(
     ('connection', 'content-length', 'transfer-encoding')
--- a/src/laburnumyard/daemon/_target_connection_pool.py
+++ b/src/laburnumyard/daemon/_target_connection_pool.py
@@ -24,7 +24,7 @@
 from laburnumyard.core.ids import Seconds
 from laburnumyard.daemon._crash_detection import TargetCrashMonitor
 from laburnumyard.daemon._guards import TargetGuard
-from laburnumyard.daemon._http_responses import FINAL_STATUSES, Response
+from laburnumyard.daemon._http_responses import Response
 from laburnumyard.daemon._job import Job
 from laburnumyard.schema._generated.objects import Target
 
@@ -240,9 +240,6 @@
             self.clock = TargetClock(answer.clock_ms, now)
         if answer.is_not_run:
             return Error(_not_run(answer))
-        if answer.status not in FINAL_STATUSES:
-            detail = f'the target answered with status {answer.status}'
-            return Error(Failure(ErrorKind.TARGET_BROKE_OFF, detail))
         return ok(
             Response(answer.status, _forwarded_headers(answer), answer.body)
         )
--- a/src/laburnumyard/gateway/_relay_client.py
+++ b/src/laburnumyard/gateway/_relay_client.py
@@ -23,6 +23,7 @@
 )
 from laburnumyard.schema._generated import messages
 from laburnumyard.telemetry import Event, log_decision
+from laburnumyard.transport import FINAL_STATUSES
 from laburnumyard.wire import LinkErrorKind, LinkPool, Peer, ResponseResult
 
 # Reserved for the round trip to a peer, so that its answer arrives before the
@@ -188,11 +189,18 @@
     if reply.is_ok():
         if not isinstance(reply.ok, messages.SubmitAnswer):
             return NoAnswer.UNKNOWN
-        if reply.ok.kind == TARGETS_LOST:
-            return NoAnswer.NOT_RUN
-        return decode_answer(reply.ok)
+        return _read_answer(reply.ok)
     if not reply.error.may_have_been_sent:
         return NoAnswer.NOT_RUN
     if reply.error.kind is LinkErrorKind.TIMEOUT:
         return _LATE
     return NoAnswer.UNKNOWN
+
+
+def _read_answer(answer: messages.SubmitAnswer) -> RequestResult | NoAnswer:
+    if answer.kind == TARGETS_LOST:
+        return NoAnswer.NOT_RUN
+    if answer.status not in FINAL_STATUSES:
+        # A peer of an earlier version passes on what its target sent.
+        return NoAnswer.UNKNOWN
+    return decode_answer(answer)
--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -3,6 +3,7 @@
 import math
 from http import HTTPStatus
 from itertools import count
+from types import MappingProxyType
 
 import anyio
 from expression import Error, Ok, Result
@@ -62,6 +63,14 @@
 FIRST_SERVER_ERROR_STATUS = 500
 STATUS_CLASS_SIZE = 100
 SUCCESS_CLASS = 2
+# Outcomes of failures other than a connection that ends.
+OUTCOMES_BY_FAILURE = MappingProxyType(
+    {
+        FailureKind.TOO_LARGE: Outcome.OVERSIZED,
+        FailureKind.MALFORMED: Outcome.INVALID,
+        FailureKind.INVALID_STATUS: Outcome.INVALID,
+    }
+)
 
 
 class RequestRouter:
@@ -450,9 +459,15 @@
             attempt.sends -= 1
             attempt.refusals += 1
             return None, Outcome.UNREACHABLE
-        outcome = Outcome.BROKE_OFF
-        if failure.kind is FailureKind.TOO_LARGE:
-            outcome = Outcome.OVERSIZED
+        outcome = OUTCOMES_BY_FAILURE.get(failure.kind, Outcome.BROKE_OFF)
+        if outcome is Outcome.INVALID:
+            log_decision(
+                Event.TARGET,
+                request=attempt.attempt_id,
+                state='invalid-response',
+                fault=failure.kind,
+                detail=failure.detail,
+            )
         return self.record_lost_response(attempt, failure.kind.value, outcome)
 
     def record_lost_response(
--- a/src/laburnumyard/transport/__init__.py
+++ b/src/laburnumyard/transport/__init__.py
@@ -24,6 +24,7 @@
 from laburnumyard.transport._target_connection import TargetConnection
 from laburnumyard.transport._target_endpoint import TargetEndpoint
 from laburnumyard.transport._target_exchange import (
+    FINAL_STATUSES,
     FailureKind,
     TargetFailure,
     TargetRequest,
@@ -32,6 +33,7 @@
 )
 
 __all__ = (
+    'FINAL_STATUSES',
     'Endpoint',
     'ExchangeError',
     'ExchangeFault',
--- a/src/laburnumyard/transport/_endpoint.py
+++ b/src/laburnumyard/transport/_endpoint.py
@@ -11,6 +11,7 @@
 from expression import Error, Ok, Result
 
 from laburnumyard.transport._address import split_address
+from laburnumyard.transport._target_exchange import FINAL_STATUSES
 
 MAX_IDLE_CONNECTIONS = 4
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -178,6 +179,11 @@
         response = await attempt.connection.handle_async_request(
             self._encode(request, attempt),
         )
+        if response.status not in FINAL_STATUSES:
+            # As for a status below 100, which h11 rejects; the connection is
+            # not idle and is closed.
+            detail = f'invalid status {response.status}'
+            return attempt.fail(ExchangeFault.BROKE_OFF, detail)
         chunks = []
         remaining_bytes = MAX_ANSWER_BYTES
         async for chunk in response.aiter_stream():
--- a/src/laburnumyard/transport/_target_connection.py
+++ b/src/laburnumyard/transport/_target_connection.py
@@ -175,10 +175,16 @@
             self._complete(ok(self.parser.take()))
             self._check_request_was_read()
         elif state is ResponseState.FAILED:
-            self._complete(self.fail(self.parser.failure, has_left=True))
+            self._complete(self._response_failure())
         if not self.parser.is_reusable:
             self.close()
 
+    def _response_failure(self) -> Answered:
+        parser = self.parser
+        return self.fail(
+            parser.failure, has_left=True, detail=parser.failure_detail
+        )
+
     def _check_request_was_read(self) -> None:
         """Disallow reuse if the target responded before reading the request.
 
--- a/src/laburnumyard/transport/_target_exchange.py
+++ b/src/laburnumyard/transport/_target_exchange.py
@@ -13,6 +13,14 @@
     (HTTPStatus.MISDIRECTED_REQUEST, HTTPStatus.SERVICE_UNAVAILABLE),
 )
 MAX_CLOCK_DIGITS = 15
+FIRST_UNKNOWN_STATUS = 600
+# Statuses of final responses (RFC 9110, section 15).
+FINAL_STATUSES = range(HTTPStatus.OK, FIRST_UNKNOWN_STATUS)
+# Statuses of interim responses. A response with 101 ends HTTP/1.1 on its
+# connection, and no request asks for that.
+INTERIM_STATUSES = frozenset(range(HTTPStatus.CONTINUE, HTTPStatus.OK)) - {
+    HTTPStatus.SWITCHING_PROTOCOLS
+}
 # Hop-by-hop headers, and headers that the connection writes itself.
 HOP_BY_HOP = frozenset(
     (
@@ -39,6 +47,7 @@
     TIMEOUT = 'timeout'
     BROKE_OFF = 'broke-off'
     MALFORMED = 'malformed'
+    INVALID_STATUS = 'invalid-status'
     TOO_LARGE = 'too-large'
     NOT_REUSABLE = 'not-reusable'
     BAD_REQUEST = 'bad-request'
--- a/src/laburnumyard/transport/_target_parser.py
+++ b/src/laburnumyard/transport/_target_parser.py
@@ -1,12 +1,16 @@
 """Parser of the responses of one target connection, with size limits."""
 
 from enum import Enum
-from http import HTTPStatus
 
 import httptools
 
 from laburnumyard.transport._response_memory import ResponseMemory
-from laburnumyard.transport._target_exchange import FailureKind, TargetResponse
+from laburnumyard.transport._target_exchange import (
+    FINAL_STATUSES,
+    INTERIM_STATUSES,
+    FailureKind,
+    TargetResponse,
+)
 
 MAX_HEAD_BYTES = 65_536
 # Each header counts as this many bytes more than it has, for its objects.
@@ -40,6 +44,12 @@
     Bytes without a request in flight, or after the end of its response, are a
     failure, so that no byte can become part of another request's response.
 
+    A final status outside 200 to 599, or 101, is a failure as soon as it is
+    read. After an interim response the final one is awaited for as long as
+    without it: a target may announce that it works and then work for long.
+    More than ``MAX_INTERIM_RESPONSES`` of them, or the end of the connection,
+    are a failure at once.
+
     Parameters
     ----------
     max_body_bytes
@@ -57,6 +67,7 @@
         self.held_bytes = 0
         self.state = ResponseState.IDLE
         self.failure = FailureKind.MALFORMED
+        self.failure_detail = ''
         self.is_reusable = True
         self.parser = httptools.HttpResponseParser(self)
         self._expect(is_head=False)
@@ -125,6 +136,10 @@
         if self.state is not ResponseState.WAITING:
             self._fail(FailureKind.MALFORMED)
 
+    def on_status(self, _: bytes) -> None:
+        """Fail on an invalid status, which the rest need not follow."""
+        self._check_status()
+
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header of the expected response."""
         self.unparsed_bytes = 0
@@ -144,6 +159,8 @@
         self.unparsed_bytes = 0
         if self.state is not ResponseState.WAITING:
             return
+        # Without a reason phrase, ``on_status`` is not called.
+        self._check_status()
         self.status = self.parser.get_status_code()
         self.is_head_read = not self._is_interim()
         if self.is_head and not self._is_interim():
@@ -198,21 +215,28 @@
             self._fail(FailureKind.TOO_LARGE)
         self.held_bytes += size
 
+    def _check_status(self) -> None:
+        status = self.parser.get_status_code()
+        is_valid = status in FINAL_STATUSES or status in INTERIM_STATUSES
+        if self.state is ResponseState.WAITING and not is_valid:
+            self._fail(FailureKind.INVALID_STATUS, f'status {status:03}')
+
     def _is_interim(self) -> bool:
-        return self.status < HTTPStatus.OK
+        return self.status in INTERIM_STATUSES
 
     def _complete(self) -> None:
         self.state = ResponseState.WHOLE
         self.is_reusable = self.parser.should_keep_alive()
 
-    def _fail(self, kind: FailureKind) -> None:
+    def _fail(self, kind: FailureKind, detail: str = '') -> None:
         """Record a failure in a callback, and stop parsing."""
-        self._record_failure(kind)
+        self._record_failure(kind, detail)
         raise _ParsingStoppedError(kind)
 
-    def _record_failure(self, kind: FailureKind) -> None:
+    def _record_failure(self, kind: FailureKind, detail: str = '') -> None:
         self.is_reusable = False
         if self.state is not ResponseState.WHOLE:
             self.failure = kind
+            self.failure_detail = detail
             self.state = ResponseState.FAILED
             self.discard()
--- a/tests/clients/test_target_parser.py
+++ b/tests/clients/test_target_parser.py
@@ -62,6 +62,27 @@
     [
         (b'garbage\r\n\r\n', FailureKind.MALFORMED),
         (b'HTTP/1.1 99 No\r\n\r\n', FailureKind.MALFORMED),
+        (b'HTTP/1.1 20 OK\r\n\r\n', FailureKind.MALFORMED),
+        (b'HTTP/1.1 2000 OK\r\n\r\n', FailureKind.MALFORMED),
+        (b'HTTP/1.1 -200 OK\r\n\r\n', FailureKind.MALFORMED),
+        (b'HTTP/1.1 000 X\r\n\r\n', FailureKind.INVALID_STATUS),
+        (b'HTTP/1.1 001 X\r\n\r\n', FailureKind.INVALID_STATUS),
+        # Without a reason phrase.
+        (b'HTTP/1.1 099\r\n\r\n', FailureKind.INVALID_STATUS),
+        (b'HTTP/1.1 600\r\n\r\n', FailureKind.INVALID_STATUS),
+        (b'HTTP/1.1 799 X\r\n\r\n', FailureKind.INVALID_STATUS),
+        (b'HTTP/1.1 999 X\r\n\r\n', FailureKind.INVALID_STATUS),
+        (b'HTTP/1.1 101 X\r\n\r\n', FailureKind.INVALID_STATUS),
+        (
+            b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\n\r\n',
+            FailureKind.INVALID_STATUS,
+        ),
+        # The rest of the head does not have to arrive.
+        (b'HTTP/1.1 999 X\r\n', FailureKind.INVALID_STATUS),
+        (
+            b'HTTP/1.1 103 X\r\ncontent-length: 4\r\n\r\nbody',
+            FailureKind.MALFORMED,
+        ),
         (
             b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n'
             b'transfer-encoding: chunked\r\n\r\n',
@@ -75,7 +96,7 @@
         (
             b'HTTP/1.1 101 Switching\r\nupgrade: x\r\n'
             b'connection: upgrade\r\n\r\n',
-            FailureKind.MALFORMED,
+            FailureKind.INVALID_STATUS,
         ),
         (
             b'HTTP/1.1 200 OK\r\ncontent-length: 1001\r\n\r\n%s'
@@ -99,6 +120,23 @@
     assert_that(parser.feed(WHOLE[0]), Is(ResponseState.FAILED))
 
 
+@pytest.mark.parametrize('size', [1, 7, 10_000])
+@pytest.mark.parametrize('status', [b'000', b'101', b'600'])
+def test_invalid_statuses_fail_in_any_parts(parser, status, size):
+    received = b'HTTP/1.1 %b X\r\ncontent-length: 4\r\n\r\nbody' % status
+    state = feed_in_parts(parser, received, size)
+    assert_that(state, Is(ResponseState.FAILED))
+    assert_that(parser.failure_detail, Equals(f'status {status.decode()}'))
+    assert_that(parser.memory.used_bytes, Equals(0))
+
+
+def test_invalid_status_fails_after_head():
+    waiting = ResponseParser(MAX_BODY_BYTES)
+    waiting.expect(is_head=True)
+    state = waiting.feed(b'HTTP/1.1 000 X\r\ncontent-length: 4\r\n\r\n')
+    assert_that(state, Is(ResponseState.FAILED))
+
+
 def test_second_answer_spoils_the_connection_but_not_the_first(parser):
     state = parser.feed(WHOLE[0] + WHOLE[0])
     assert_that(state, Is(ResponseState.WHOLE))
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -330,6 +330,27 @@
     )
 
 
+# DENIED: a target in trouble answered with invalid statuses and was restarted;
+# the requests that it had run are no suspects.
+def test_a_target_that_sent_an_invalid_response_was_not_crashed(
+    single_slot_scheduler,
+):
+    for started in (2, 3):
+        work = make_work(fingerprint=b'unlucky')
+        submit(single_slot_scheduler, work)
+        single_slot_scheduler.finish(work.work_id, Outcome.INVALID, 0)
+        slots = single_slot_scheduler.targets[TargetId('one')]
+        assert_that(slots.failure_rate, GreaterThan(0))
+        single_slot_scheduler.update_targets(
+            [make_record('one', slots=1, started=started)]
+        )
+    work = make_work(fingerprint=b'unlucky')
+    assert_that(
+        submit(single_slot_scheduler, work),
+        Equals([Send(work, TargetId('one'))]),
+    )
+
+
 def test_answers_that_break_off_without_a_death_are_no_crash(
     single_slot_scheduler,
 ):
--- a/tests/daemon/test_target_connection_pool.py
+++ b/tests/daemon/test_target_connection_pool.py
@@ -78,11 +78,25 @@
             b'HTTP/1.1 200 OK\r\ncontent-length: 99999999\r\n\r\n',
             ErrorKind.DEADLINE_AFTER_START,
         ),
-        # A status that cannot be returned to a caller.
+        # Statuses that cannot be returned to a caller.
         (
             b'HTTP/1.1 999 x\r\ncontent-length: 0\r\n\r\n',
             ErrorKind.TARGET_BROKE_OFF,
         ),
+        (
+            b'HTTP/1.1 000 x\r\ncontent-length: 0\r\n\r\n',
+            ErrorKind.TARGET_BROKE_OFF,
+        ),
+        (b'HTTP/1.1 099 x\r\n\r\n', ErrorKind.TARGET_BROKE_OFF),
+        (b'HTTP/1.1 600 x\r\n\r\n', ErrorKind.TARGET_BROKE_OFF),
+        (b'HTTP/1.1 101 x\r\n\r\n', ErrorKind.TARGET_BROKE_OFF),
+        (b'HTTP/1.1 20 OK\r\n\r\n', ErrorKind.TARGET_BROKE_OFF),
+        (
+            b'HTTP/1.1 100 x\r\n\r\n' * 20,
+            ErrorKind.TARGET_BROKE_OFF,
+        ),
+        # An interim response alone is no failure before the deadline.
+        (b'HTTP/1.1 100 x\r\n\r\n', ErrorKind.DEADLINE_AFTER_START),
     ],
 )
 async def test_answers_that_are_none_get_their_kind(
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -155,6 +155,25 @@
     assert_that(peers[0].requests, Equals([]))
 
 
+# A peer of an earlier version passes on any status that its target sent.
+@pytest.mark.parametrize('status', [0, 1, 99, 100, 101, 199, 600, 999])
+@pytest.mark.parametrize('route', [ORDER, READ], ids=['once', 'repeatable'])
+async def test_an_invalid_status_of_a_peer_is_not_passed_on(
+    peers, router_of, status, route
+):
+    async def respond():
+        return RequestResult(CallerResponse(status, (), b'foreign'), 'target')
+
+    for peer in peers:
+        peer.behave = respond
+    router = router_of(*peers, route=route)
+    response = await router.serve(make_request())
+    assert_that((response.status, response.body), Equals((502, b'')))
+    # The request may have run; only a repeatable one is sent again.
+    sends = sum(len(peer.requests) for peer in peers)
+    assert_that(sends, Equals(2 if route.is_repeatable else 1))
+
+
 # RECOVER: relayed requests overloaded one coordinator after the other.
 async def test_coordinators_are_the_last_peers_to_be_asked(peers, router_of):
     router = router_of(*peers, route=ORDER)
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -107,6 +107,23 @@
     assert_that(reply.reply, Equals(expected))
 
 
+# An order to a target that sent status 000 waited for its whole timeout.
+@pytest.mark.parametrize(
+    'status', ['000', '099', '101', '20', '600', '999', '1000']
+)
+async def test_a_reply_with_an_invalid_status_tells_nothing(release, status):
+    reply = answer(status, '', 'laburnumyard-handover: 1\r\n')
+    orders = PlatformOrders()
+    async with FakeTarget(reply, reply).running() as target:
+        with anyio.fail_after(1):
+            replied = await orders.send(release, target.address, Seconds(5))
+        endpoint = orders.endpoints[target.address]
+        assert_that(endpoint.idle, Equals([]))
+    assert_that(replied.reply, Equals(Reply.UNKNOWN))
+    # The keys are not free, and the token may come with the due reply.
+    assert_that(list(orders.handovers), Equals([]))
+
+
 # OWNER: a repeated reply to a grant was taken for that to a release, and keys
 # were given to another target while requests on them still ran.
 @pytest.mark.parametrize('is_range', [False, True])
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,7 @@
 import json
 from base64 import b64encode
 
+import anyio
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
@@ -13,6 +14,7 @@
 )
 from laburnumyard.platform._store_client import PlatformStore
 from standins._serve import serving
+from tests.gateway.conftest import FakeTarget, answer
 
 pytestmark = pytest.mark.anyio
 VALUE = b64encode(b'node-1').decode()
@@ -136,6 +138,20 @@
     assert_that(swapped.error.fault, Is(fault))
 
 
+# A write that was answered with status 999 was taken for not applied.
+@pytest.mark.parametrize('status', ['000', '099', '101', '600', '999', '20'])
+async def test_an_invalid_status_is_no_answer_of_the_store(status):
+    script = answer(status, '{}', '')
+    async with FakeTarget(script, script).running() as scripted:
+        store = PlatformStore(scripted.address, Seconds(5))
+        with anyio.fail_after(1):
+            swapped = await store.compare_and_swap(ConditionalWrite({}, {}))
+        assert_that(swapped.error.fault, Is(StoreFault.UNREACHABLE))
+        assert_that(swapped.error.may_apply, Is(True))
+        # The connection is not used again.
+        assert_that(store.endpoint.idle, Equals([]))
+
+
 async def test_a_write_without_an_answer_may_apply():
     store = PlatformStore('127.0.0.1:1', Seconds(1))
     swapped = await store.compare_and_swap(ConditionalWrite({}, {}))
