--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -434,6 +434,10 @@
             connection.close()
             attempt.refusals += 1
             return Error(outcome)
+        if attempt.time_left <= 0:
+            # A busy gateway gets here late, and the caller has given up.
+            self.pool.release(connection, None)
+            return Error(Outcome.CANCELLED)
         return Ok(connection)
 
     def encode(self, attempt: Attempt, slot: Slot) -> TargetRequest:
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -346,7 +346,9 @@
     for started in (2, 3):
         work = make_work(fingerprint=b'unlucky')
         submit(single_slot_scheduler, work)
-        single_slot_scheduler.finish(work.work_id, Outcome.INVALID, 0)
+        single_slot_scheduler.finish(
+            work.work_id, RunReport(Outcome.INVALID), 0
+        )
         slots = single_slot_scheduler.targets[TargetId('one')]
         assert_that(slots.failure_rate, GreaterThan(0))
         single_slot_scheduler.update_targets(
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -1,3 +1,5 @@
+import time
+
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, Is, Not
@@ -246,3 +248,25 @@
     assert_that(len(target.received), Equals(int(status == 200)))
     names = [name for name, _ in response.headers]
     assert_that('retry-after' in names, Is(status == 503))
+
+
+def stall(seconds):
+    time.sleep(seconds)
+
+
+class StallingSlots(FakeSlots):
+    """Grants slots after the process has stood still."""
+
+    async def acquire(self, slot_request):
+        stall(slot_request.expires_in_s)
+        return await super().acquire(slot_request)
+
+
+async def test_a_request_whose_caller_has_given_up_is_not_sent():
+    """GONE: a busy gateway sent requests 0.5 s after their deadlines."""
+    async with FakeTarget().running() as target:
+        slots = StallingSlots(target.address)
+        response = await make_router(slots).serve(make_request(deadline_ms=60))
+    assert_that(target.received, Equals([]))
+    assert_that(slots.outcomes, Equals(['cancelled']))
+    assert_that(response.status, Equals(503))
