The end of an evacuation that was never seen counts too

A key that is written and removed between two readings reaches a gateway as a removal only. The targets turn cold all the same and got requests as warm ones until their next entry. A removal that is newer than what the gateway has read now counts as an end; those that a peer passes on to a fresh gateway do not.

--- a/src/laburnumyard/core/evacuation.py
+++ b/src/laburnumyard/core/evacuation.py
@@ -77,7 +77,10 @@
         services: Mapping[ServiceName, ServiceSpec],
         now: Seconds,
     ) -> bool:
-        """Record the end of an evacuation.
+        """Record the end of an evacuation, also of one that was never seen.
+
+        Its begin may have been missed: it is not read if the key is removed
+        before the next reading.
 
         Parameters
         ----------
@@ -95,9 +98,8 @@
         bool
             Whether the data centre was evacuated.
         """
-        if data_centre not in self.data_centres:
-            return False
-        self.data_centres.remove(data_centre)
+        was_known = data_centre in self.data_centres
+        self.data_centres.discard(data_centre)
         self.forget_outdated(now)
         for record in records:
             if record.data_centre == data_centre:
@@ -106,7 +108,7 @@
                 self.returned[record.life] = Return(
                     now, revision, Seconds(now + warm_up_s)
                 )
-        return True
+        return was_known
 
     def forget_outdated(self, now: Seconds) -> None:
         """Forget returns whose targets are known to be warm by now."""
--- a/src/laburnumyard/gateway/_cluster_view.py
+++ b/src/laburnumyard/gateway/_cluster_view.py
@@ -240,12 +240,11 @@
             Whether the data centre was evacuated.
         """
         services = self.routes.services if self.routes else {}
-        has_ended = self.evacuations.end(
+        was_known = self.evacuations.end(
             data_centre, revision, self.entries.values(), services, now
         )
-        if has_ended:
-            self.adopt_directory(self.entries)
-        return has_ended
+        self.adopt_directory(self.entries)
+        return was_known
 
     def count_targets(self, data_centre: DataCentre) -> int:
         """Return the number of targets of a data centre."""
--- a/src/laburnumyard/gateway/_evacuation_records.py
+++ b/src/laburnumyard/gateway/_evacuation_records.py
@@ -1,5 +1,7 @@
 """Applies the evacuations that operators keep in the store."""
 
+from collections.abc import Callable
+
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.ids import DataCentre
 from laburnumyard.gateway._cluster_view import ClusterView
@@ -22,12 +24,21 @@
         View to update.
     cache
         Cache of the items, for peers.
+    is_loaded
+        Whether all items up to some revision are known, so that a removal is
+        a recent one.
     """
 
     def __init__(
-        self, wire_format: WireFormat, view: ClusterView, cache: ItemCache
+        self,
+        wire_format: WireFormat,
+        view: ClusterView,
+        cache: ItemCache,
+        is_loaded: Callable[[], bool],
     ) -> None:
         """Create the object; nothing is read yet."""
+        self.is_loaded = is_loaded
+        METRICS.set_gauge('evacuated_data_centres', 0)
         self.prefix = wire_format.evacuation_prefix
         self.view = view
         self.cache = cache
@@ -52,9 +63,7 @@
             return
         if item.content is None:
             self.cache.update(item)
-            is_new = self.view.end_evacuation(
-                data_centre, item.revision, boot_time()
-            )
+            is_new = self.end(data_centre, item.revision)
             state = 'ended'
         else:
             self.cache.update(Item(item.key, PRESENT, item.revision))
@@ -72,3 +81,25 @@
                 targets=self.view.count_targets(data_centre),
                 revision=item.revision,
             )
+
+    def end(self, data_centre: DataCentre, revision: int) -> bool:
+        """Apply the end of an evacuation.
+
+        Peers pass on the ends of evacuations from before this gateway started;
+        they say nothing of its targets.
+
+        Parameters
+        ----------
+        data_centre, revision
+            The data centre, and the store revision of the end.
+
+        Returns
+        -------
+        bool
+            Whether it changes anything.
+        """
+        is_known = data_centre in self.view.evacuations.data_centres
+        if not is_known and not self.is_loaded():
+            return False
+        self.view.end_evacuation(data_centre, revision, boot_time())
+        return True
--- a/src/laburnumyard/gateway/_store_watcher.py
+++ b/src/laburnumyard/gateway/_store_watcher.py
@@ -115,7 +115,10 @@
         self.cache = ItemCache()
         self.gateway_records = GatewayRecords(view, self.cache)
         self.evacuation_records = EvacuationRecords(
-            platform.wire_format, view, self.cache
+            platform.wire_format,
+            view,
+            self.cache,
+            lambda: self.prefix_watches[0].is_loaded,
         )
         self.target_entries = TargetEntries(
             platform.wire_format, view, self.cache, health
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -173,6 +173,31 @@
     assert_that(states(reader), Equals(['ready', 'ready']))
 
 
+# The key was removed before the gateway read it; the targets are cold.
+async def test_an_evacuation_that_was_not_seen_leaves_cold_targets(
+    store, reader, follower
+):
+    store.put(KEY, None)
+    await read_operator_items(reader)
+    pass_on(reader, follower)
+    for watcher in (reader, follower):
+        directory = watcher.view.directory
+        now = boot_time()
+        assert_that(directory['a'].is_cold(now), Is(True))
+        assert_that(directory['b'].is_cold(now), Is(False))
+
+
+# A peer passes on ends from long before this gateway started.
+async def test_a_fresh_follower_takes_no_old_end_for_a_return(store, reader):
+    store.put(KEY, b'{}')
+    await read_operator_items(reader)
+    store.put(KEY, None)
+    await read_operator_items(reader)
+    fresh = make_watcher()
+    pass_on(reader, fresh)
+    assert_that(fresh.view.directory['a'].is_cold(boot_time()), Is(False))
+
+
 # A gateway that starts, or whose history of the store is gone, reads listings.
 async def test_a_full_listing_ends_what_it_lacks(store, reader):
     store.put(KEY, b'{}')
