--- a/src/laburnumyard/core/scheduling/_reported_load.py
+++ b/src/laburnumyard/core/scheduling/_reported_load.py
@@ -203,7 +203,9 @@
         if reports is None:
             reports = TargetReports()
             self.targets[target] = reports
-        reports.others = max(0, report.running + report.waiting - running)
+        # The target may count the request of this response too.
+        own = running + 1
+        reports.others = max(0, report.running + report.waiting - own)
         reports.slowdown = report.slowdown or 0
         queued = 1 + reports.others / report.slots
         load = math.log((report.slowdown or 1) * queued)
--- a/src/laburnumyard/core/scheduling/_run_times.py
+++ b/src/laburnumyard/core/scheduling/_run_times.py
@@ -1,6 +1,7 @@
 """Moving estimates of run times by route and by target."""
 
 import math
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 from laburnumyard.core.ids import RouteName, Seconds, TargetId
@@ -214,6 +215,15 @@
         if steady is not None:
             steady.slow_down(factor)
 
+    def keep_only(self, targets: Container[TargetId]) -> None:
+        """Forget the steady paces and reports of targets that are gone."""
+        self.reported.keep_only(targets)
+        self.steady = {
+            target: steady
+            for target, steady in self.steady.items()
+            if target in targets
+        }
+
     def forget(self, target: TargetId) -> None:
         """Reset the pace of a target that was restarted."""
         self.paces.pop(target, None)
--- a/src/laburnumyard/core/scheduling/_target_cost.py
+++ b/src/laburnumyard/core/scheduling/_target_cost.py
@@ -152,7 +152,7 @@
     def update(self, targets: Mapping[TargetId, TargetSlots]) -> None:
         """Replace the targets."""
         self.remaining.update(targets)
-        self.times.reported.keep_only(targets)
+        self.times.keep_only(targets)
         self.candidates = {
             target: Candidate(
                 slots,
