Bound the expected work of a class

Cause: a wrong estimate, taken over by the queue, could keep a class of requests from ever running.

Change: between a tenth of and ten times the mean of its route.

Measured: tests/core/scheduling/test_cost_model.py passes.

--- a/src/laburnumyard/core/scheduling/_cost_model.py
+++ b/src/laburnumyard/core/scheduling/_cost_model.py
@@ -27,6 +27,9 @@
 ROUTE_GAIN = 0.02
 # Logarithms of samples are kept in these bounds.
 MAX_LOG = 2.5
+# Bound of the expected work relative to the mean of the route, both ways: a
+# wrong estimate must not keep requests from running.
+MAX_FACTOR = 10.0
 # Classes of a service, at about 100 bytes each. Beyond this, the half with the
 # fewest samples is forgotten; callers could make up any number of paths.
 MAX_CLASSES = 4096
@@ -161,7 +164,8 @@
         route = self.routes.get(work.route)
         if route is None or not work.cost_class:
             return 1
-        return math.exp(self._effect(work, route, now)) / route.factor
+        factor = math.exp(self._effect(work, route, now)) / route.factor
+        return max(1 / MAX_FACTOR, min(MAX_FACTOR, factor))
 
     def record(self, work: Work, relative: float, now: Seconds) -> None:
         """Record the measured work of a request.
--- a/tests/core/scheduling/test_cost_model.py
+++ b/tests/core/scheduling/test_cost_model.py
@@ -7,7 +7,11 @@
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
 from laburnumyard.core.cost_classes import cost_class, path_shape
-from laburnumyard.core.scheduling._cost_model import MAX_CLASSES, CostModel
+from laburnumyard.core.scheduling._cost_model import (
+    MAX_CLASSES,
+    MAX_FACTOR,
+    CostModel,
+)
 from laburnumyard.core.scheduling._run_times import RunTimes
 from tests.core.scheduling.conftest import make_work
 
@@ -67,6 +71,13 @@
     assert_that(abs(factor(model, LONG, now) - 1), LessThan(0.15))
 
 
+def test_the_work_of_a_class_is_bounded(model):
+    """Guards against an estimate that keeps all of its requests out."""
+    now = play(model, Random(1), {SHORT: 0.001, LONG: 1000})
+    assert_that(factor(model, LONG, now) <= MAX_FACTOR, Is(True))
+    assert_that(factor(model, SHORT, now) >= 1 / MAX_FACTOR, Is(True))
+
+
 def test_a_request_without_a_class_has_the_mean_of_its_route(model):
     now = play(model, Random(1), {SHORT: 0.4, LONG: 1.6})
     assert_that(factor(model, 0, now), Equals(1))
