--- a/src/laburnumyard/core/scheduling/_wait_estimate.py
+++ b/src/laburnumyard/core/scheduling/_wait_estimate.py
@@ -183,7 +183,11 @@
         """
         if wait:
             if self.queue.lane_of(work) == ANY_TARGET:
-                wait = Seconds(wait + POOL_MARGIN * work.expected_s)
+                # Without others ahead, only its own run is estimated.
+                queued = max(0, wait - self.backlog(work.expected_s))
+                wait = Seconds(
+                    wait + min(queued, POOL_MARGIN * work.expected_s)
+                )
             return not self.is_too_late(work, wait, now)
         if now + work.expected_s <= work.expires_at:
             return True
