--- a/src/laburnumyard/gateway/_coordinator_roles.py
+++ b/src/laburnumyard/gateway/_coordinator_roles.py
@@ -404,6 +404,7 @@
         fingerprint=slot_request.fingerprint,
         sends=slot_request.sends,
         cost_class=slot_request.cost_class,
+        waited_ms=max(0, int(slot_request.waited_s * MS_PER_SECOND)),
     )
 
 
@@ -426,6 +427,7 @@
         message.sends,
         sender,
         cost_class=message.cost_class,
+        waited_s=Seconds(message.waited_ms / MS_PER_SECOND),
     )
 
 
--- a/src/laburnumyard/gateway/_slot_dispatcher.py
+++ b/src/laburnumyard/gateway/_slot_dispatcher.py
@@ -55,6 +55,9 @@
         Gateway that will send it; empty for this one.
     cost_class
         What the request shows of its cost; 0 if nothing is known.
+    waited_s
+        How long this send has waited for a slot, also at an earlier
+        coordinator, in seconds.
     """
 
     service: ServiceName
@@ -71,6 +74,7 @@
     sends: int = 0
     sender: DaemonName = OWN_SENDER
     cost_class: int = 0
+    waited_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +147,7 @@
             slot_request.rank,
             slot_request.key,
             slot_request.data_centre,
-            now,
+            Seconds(now - slot_request.waited_s),
             Seconds(now + slot_request.due_in_s),
             Seconds(now + slot_request.expires_in_s),
             slot_request.excluded,
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -33,6 +33,7 @@
     fingerprint: bytes
     sends: int
     cost_class: int
+    waited_ms: int
 
 
 def _write_ask(message: Ask, builder: Any) -> None:
@@ -53,6 +54,7 @@
     builder.fingerprint = message.fingerprint
     builder.sends = message.sends
     builder.costClass = message.cost_class
+    builder.waitedMs = message.waited_ms
 
 
 def _read_ask(reader: Any) -> Ask:
@@ -72,6 +74,7 @@
         fingerprint=get('fingerprint'),
         sends=get('sends'),
         cost_class=get('costClass'),
+        waited_ms=get('waitedMs'),
     )
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -275,6 +275,8 @@
   sends @12 :UInt32;
   # What the request shows of its cost; 0 where nothing is known.
   costClass @13 :UInt32;
+  # How long this send has waited for a slot, also at an earlier coordinator.
+  waitedMs @14 :UInt32;
 }
 
 struct TargetRef {
