The pace of a cold target is forgotten when it is warm

Its pace was measured while it was cold, and the scheduler prefers the others as long as they have room.

--- a/src/laburnumyard/core/scheduling/_scheduler.py
+++ b/src/laburnumyard/core/scheduling/_scheduler.py
@@ -209,6 +209,8 @@
                     record, self.limiter, self._count_running(record)
                 )
                 self.times.forget(record.target)
+            if slots.has_warmed_up(record):
+                self.times.forget(record.target)
             slots.record = record
             self.targets[record.target] = slots
         self.limiter.forget_replaced(
--- a/src/laburnumyard/core/scheduling/_target_slots.py
+++ b/src/laburnumyard/core/scheduling/_target_slots.py
@@ -135,6 +135,15 @@
             rate.hold_after(self.warm_sent_at)
         return rate
 
+    def has_warmed_up(self, record: TargetRecord) -> bool:
+        """Whether a new record says that the target is no longer cold.
+
+        Its pace was measured while it was cold. Others would be preferred to it
+        for as long as they have room.
+        """
+        was_cold = self.record.cold_until > 0 and self.limiter.warm_up_per_s > 0
+        return was_cold and not record.cold_until
+
     def capacity(self, times: RunTimes, now: Seconds) -> float:
         """Return the capacity, in slot seconds per second."""
         capacity = self.record.slots / times.pace(self.record.target)
--- a/tests/core/scheduling/test_cold_targets.py
+++ b/tests/core/scheduling/test_cold_targets.py
@@ -244,3 +244,19 @@
     assert_that(most_in_a_second(sent['one']), LessThan(PER_SECOND + 1.001))
     assert_that(len(sent['one']), GreaterThan(0))
     assert_that(refused, Equals(0))
+
+
+# A target that was three times as slow while it was cold got nothing later,
+# as long as the others had room.
+@pytest.mark.parametrize(('per_second', 'pace'), [(PER_SECOND, 1), (0, 3)])
+def test_the_pace_of_a_cold_target_is_forgotten_when_it_is_warm(
+    per_second, pace
+):
+    service = Scheduler(SchedulerSettings(BUDGET))
+    service.limiter.warm_up_per_s = per_second
+    service.update_targets([COLD])
+    service.times.paces[COLD.target] = 3
+    service.update_targets([COLD])
+    assert_that(service.times.pace(COLD.target), Equals(3))
+    service.update_targets([make_record('one', slots=4)])
+    assert_that(service.times.pace(COLD.target), Equals(pace))
