--- a/src/laburnumyard/core/scheduling/_scheduler.py
+++ b/src/laburnumyard/core/scheduling/_scheduler.py
@@ -239,6 +239,8 @@
                 running = len(self.at_targets.at_target(record.target))
                 slots = TargetSlots(record, self.limiter, running)
                 self.times.forget(record.target)
+            if slots.has_warmed_up(record):
+                self.times.forget(record.target)
             slots.record = record
             self.targets[record.target] = slots
         self.cost.update(self.targets)
