--- a/src/laburnumyard/core/scheduling/_wait_estimate.py
+++ b/src/laburnumyard/core/scheduling/_wait_estimate.py
@@ -69,7 +69,8 @@
         lane_id = self.queue.lane_of(work)
         ahead = self.queue.lane(lane_id).ahead_of(work)
         if lane_id == ANY_TARGET:
-            if not ahead.requests and self.index.has_room(now):
+            if self.index.has_room(now):
+                # Those ahead wait for a faster target by choice.
                 return Seconds(0)
             seconds = ahead.seconds + work.cost
             return Seconds(self.backlog(seconds) / self.share(work.rank, now))
--- a/tests/core/scheduling/test_short_room.py
+++ b/tests/core/scheduling/test_short_room.py
@@ -9,6 +9,7 @@
     BudgetMeter,
     Outcome,
     Refuse,
+    RunReport,
     Scheduler,
     SchedulerSettings,
     Send,
@@ -64,7 +65,7 @@
     for work in (second, first):
         submit(single_slot_scheduler, work)
     decisions = single_slot_scheduler.finish(
-        running.work_id, Outcome.ANSWERED, 0.05
+        running.work_id, RunReport(Outcome.ANSWERED), 0.05
     )
     assert_that(decisions[0].work, Is(first))
 
--- a/tests/core/scheduling/test_takeover_order.py
+++ b/tests/core/scheduling/test_takeover_order.py
@@ -10,6 +10,7 @@
 from laburnumyard.core.scheduling import (
     Outcome,
     Refuse,
+    RunReport,
     Scheduler,
     SchedulerSettings,
     Send,
@@ -31,7 +32,7 @@
     for work in (first, newer, older):
         single_slot_scheduler.submit(work, 1, is_returned=False)
     decisions = single_slot_scheduler.finish(
-        first.work_id, Outcome.ANSWERED, 1.05
+        first.work_id, RunReport(Outcome.ANSWERED), 1.05
     )
     assert_that(decisions[0].work, Is(older))
 
