--- a/tests/core/test_pooled_load.py
+++ b/tests/core/test_pooled_load.py
@@ -22,7 +22,7 @@
     truthful,
 )
 
-SEEDS = (1, 2, 3, 4)
+SEEDS = tuple(range(1, 13))
 DURATION_S = 12
 PAYOUT = Kind('mo-payout', 1, 149, 0.13, 0.519, 2.076, 0.3)
 MANIFEST = Kind('bag-manifest', 0, 160, 0.072, 0.26, 1.248, 0.12)
@@ -36,7 +36,8 @@
     slow_share=0,
     has_paths=False,
 )
-# By how much the mean share of four seeds varies by chance.
+# Bound on the difference of two mean shares by chance. With four seeds, two
+# runs of the same placement differed by 0.0042.
 CHANCE = 0.004
 
 
