Explain where a request would go, without a change of the scheduler

`explain(scheduler, work, now)` takes the scheduler's own decision on a copy of its state: a decision refills token buckets, counts the request and dispatches others. The copy shares what a submission only reads, and the placement answers through an object that records nothing.

A candidate has its admission reason (AdmissionReason), expected cost and run time, present pace, remaining work, time until a slot is free, and the last reported slowdown with its age and the trust in it. `waits_for` names the full target that a request would wait for. TargetCost.run_cost and .refresh are public for this. refresh goes through changed targets in the order of their names: the order among equal floors depended on the history of a set, which a copy does not have.

The cost is bounded: at most 50 candidates, and services of at most 1,000 targets and 5,000 requests (is_explainable).

--- a/src/laburnumyard/core/scheduling/__init__.py
+++ b/src/laburnumyard/core/scheduling/__init__.py
@@ -1,6 +1,13 @@
 """Queueing, admission and target selection for the requests of a service."""
 
 from laburnumyard.core.scheduling._budget import BudgetMeter
+from laburnumyard.core.scheduling._explanation import (
+    Candidate,
+    Explanation,
+    Verdict,
+    explain,
+    is_explainable,
+)
 from laburnumyard.core.scheduling._run_report import RunReport
 from laburnumyard.core.scheduling._run_times import RunTimes
 from laburnumyard.core.scheduling._scheduler import Placement, Scheduler
@@ -23,7 +30,9 @@
 __all__ = (
     'OWN_SENDER',
     'BudgetMeter',
+    'Candidate',
     'Decision',
+    'Explanation',
     'Outcome',
     'Placement',
     'Refusal',
@@ -35,6 +44,9 @@
     'SchedulerSettings',
     'Send',
     'TargetSlots',
+    'Verdict',
     'Work',
     'WorkId',
+    'explain',
+    'is_explainable',
 )
--- a/src/laburnumyard/core/scheduling/_target_cost.py
+++ b/src/laburnumyard/core/scheduling/_target_cost.py
@@ -174,17 +174,23 @@
         only if its cost is the lowest so far, and the search ends where no
         later target can cost less.
         """
-        if now >= self.relax_at:
-            self._relax(now)
-        for target in self.changed:
-            self._reposition(target)
-        self.changed.clear()
+        self.refresh(now)
         far = self.distance(work.route)
         best, lowest = self._best_free(work, far, now)
         if self._ends_first_elsewhere(work, lowest, far, now):
             return None
         return best
 
+    def refresh(self, now: Seconds) -> None:
+        """Bring the order of the targets up to date."""
+        if now >= self.relax_at:
+            self._relax(now)
+        # Sorted, so that the order among equal floors does not depend on the
+        # history of the set, which a copy does not have.
+        for target in sorted(self.changed):
+            self._reposition(target)
+        self.changed.clear()
+
     def _best_free(
         self, work: Work, far: float, now: Seconds
     ) -> tuple[TargetId | None, float]:
@@ -216,7 +222,7 @@
             if not self._may_be_waited_for(each, work, now):
                 continue
             free_in = self.remaining.free_in(each.target, now)
-            cost = self._run_cost(each, work, far, now) + free_in / mean
+            cost = self.run_cost(each, work, far, now) + free_in / mean
             if cost < limit:
                 until = now + max(TICK_S, 2 * free_in)
                 self.reserved[each.target] = (work.work_id, until)
@@ -243,11 +249,29 @@
         """Return the cost of a request at a target, infinite if it is full."""
         if each.slots.running >= each.limit:
             return math.inf
-        return self._run_cost(each, work, far, now)
+        return self.run_cost(each, work, far, now)
 
-    def _run_cost(
+    def run_cost(
         self, each: Candidate, work: Work, far: float, now: Seconds
     ) -> float:
+        """Return the cost of a run that starts now, whether there is room.
+
+        Parameters
+        ----------
+        each
+            The target.
+        work
+            The request.
+        far
+            The penalty of a target in another data centre.
+        now
+            The current time, in seconds.
+
+        Returns
+        -------
+        float
+            The cost, in mean run times of the route.
+        """
         slots = each.slots
         pace = self.times.present_pace(each.target, now) * each.warm_up
         run_time = work.cost_factor * pace
