Explain a request on the metrics address of a gateway

GET /explain answers as text or JSON. The coordinator of each service of the route is asked with the new message Explain where it is another gateway. An unknown message closes the link of a gateway of an earlier version, so it goes on a link of its own: the links with slot requests stay open (test_a_coordinator_of_an_earlier_version_keeps_its_other_links).

Explanations of a gateway take at most 5 % of the time, whoever asks: after one, the next waits for 20 times as long as it took. Up to 4 questions wait, others get a problem as their answer, and so do questions about a service that is too large (is_explainable).

tests/gateway/test_request_explainer.py, tests/wire and tests/test_messages.py pass.

--- a/src/laburnumyard/gateway/_coordinator_roles.py
+++ b/src/laburnumyard/gateway/_coordinator_roles.py
@@ -36,6 +36,7 @@
     Member,
     is_same_process,
 )
+from laburnumyard.gateway._decision_explainer import DecisionExplainer
 from laburnumyard.gateway._derived_settings import DerivedSettings, cold_rate
 from laburnumyard.gateway._limit_messages import decode_limits
 from laburnumyard.gateway._load_messages import decode_done
@@ -140,6 +141,7 @@
         self.roles: dict[ServiceName, CoordinatorRole] = {}
         self.remote: RemoteRequests = {}
         self.is_leaving = False
+        self.decisions = DecisionExplainer()
         # Bound once: each access to a singledispatchmethod builds a wrapper,
         # which costs several microseconds a message.
         self.handle_message = self.handle_message
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -32,6 +32,10 @@
 from laburnumyard.gateway._reach_monitor import ReachMonitor
 from laburnumyard.gateway._relay_client import RelayClient
 from laburnumyard.gateway._relay_server import RelayServer
+from laburnumyard.gateway._request_explainer import (
+    EXPLAIN_PATH,
+    RequestExplainer,
+)
 from laburnumyard.gateway._request_router import RequestRouter
 from laburnumyard.gateway._slot_acquisition import Slots
 from laburnumyard.gateway._store_health import StoreHealth
@@ -222,6 +226,10 @@
             return self.item_server.serve(link, message)
         if isinstance(message, messages.Submit):
             return self.relay_server.serve(link, message)
+        if isinstance(message, messages.Explain):
+            return self.coordination.decisions.answer(
+                self.coordination.dispatcher_of, link, message
+            )
         if isinstance(message, messages.Cancel):
             self.relay_server.cancel(link, message.number)
         self.coordination.handle_message(message, link)
@@ -236,8 +244,12 @@
         table = self.view.routes
         return table.limits if table else CallerLimits()
 
-    async def serve_metrics(self, request: CallerRequest) -> CallerResponse:
-        """Serve the metrics page."""
+    async def serve_metrics(
+        self, explainer: RequestExplainer, request: CallerRequest
+    ) -> CallerResponse:
+        """Serve the metrics page, and explanations to operators."""
+        if request.path.partition('?')[0] == EXPLAIN_PATH:
+            return await explainer.serve(request)
         headers = (('content-type', 'text/plain; charset=utf-8'),)
         content = METRICS.render().encode()
         return CallerResponse(HTTPStatus.OK, headers, content)
@@ -249,8 +261,11 @@
         await self.caller_server.listen(listen.callers)
         if listen.metrics_port:
             host, _, _ = listen.callers.rpartition(':')
+            explainer = RequestExplainer(self.slots, self.link_pool.identity)
             metrics_server = CallerServer(
-                self.serve_metrics, CallerLimits, self.tasks
+                partial(self.serve_metrics, explainer),
+                CallerLimits,
+                self.tasks,
             )
             try:
                 await metrics_server.listen(f'{host}:{listen.metrics_port}')
--- a/src/laburnumyard/schema/_generated/messages.py
+++ b/src/laburnumyard/schema/_generated/messages.py
@@ -303,6 +303,69 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Explain:
+    """The message ``Explain`` of messages.capnp."""
+
+    number: int
+    service: str
+    route: str
+    rank: int
+    key: int
+    data_centre: str
+    due_ms: int
+    expires_ms: int
+    cost_class: int
+
+
+def _write_explain(message: Explain, builder: Any) -> None:
+    builder.number = message.number
+    builder.service = message.service
+    builder.route = message.route
+    builder.rank = message.rank
+    builder.key = message.key
+    builder.dataCentre = message.data_centre
+    builder.dueMs = message.due_ms
+    builder.expiresMs = message.expires_ms
+    builder.costClass = message.cost_class
+
+
+def _read_explain(reader: Any) -> Explain:
+    get = reader._get
+    return Explain(
+        number=get('number'),
+        service=get('service'),
+        route=get('route'),
+        rank=get('rank'),
+        key=get('key'),
+        data_centre=get('dataCentre'),
+        due_ms=get('dueMs'),
+        expires_ms=get('expiresMs'),
+        cost_class=get('costClass'),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Explained:
+    """The message ``Explained`` of messages.capnp."""
+
+    number: int
+    content: bytes
+
+
+def _write_explained(message: Explained, builder: Any) -> None:
+    builder.number = message.number
+    builder.content = message.content
+
+
+def _read_explained(reader: Any) -> Explained:
+    get = reader._get
+    return Explained(
+        number=get('number'),
+        content=get('content'),
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class FetchDocument:
     """The message ``FetchDocument`` of messages.capnp."""
@@ -1276,6 +1339,8 @@
     | StoredItems
     | StandDown
     | TargetLimits
+    | Explain
+    | Explained
 )
 
 _WRITERS: dict[type, Any] = {
@@ -1309,6 +1374,8 @@
     StoredItems: ('storedItems', _write_stored_items),
     StandDown: ('standDown', _write_stand_down),
     TargetLimits: ('targetLimits', _write_target_limits),
+    Explain: ('explain', _write_explain),
+    Explained: ('explained', _write_explained),
 }
 _READERS: dict[str, Any] = {
     'hello': _read_hello,
@@ -1341,6 +1408,8 @@
     'storedItems': _read_stored_items,
     'standDown': _read_stand_down,
     'targetLimits': _read_target_limits,
+    'explain': _read_explain,
+    'explained': _read_explained,
 }
 
 
--- a/src/laburnumyard/schema/messages.capnp
+++ b/src/laburnumyard/schema/messages.capnp
@@ -382,6 +382,29 @@
   revision @2 :UInt64;
 }
 
+# Asks the coordinator of a service where a request would go now; nothing is
+# sent. A gateway of an earlier version closes the link at this message, so it
+# goes on a link of its own.
+struct Explain {
+  number @0 :UInt64;
+  service @1 :Text;
+  route @2 :Text;
+  rank @3 :UInt32;
+  # As in Ask.
+  key @4 :UInt32;
+  dataCentre @5 :Text;
+  dueMs @6 :UInt32;
+  expiresMs @7 :UInt32;
+  costClass @8 :UInt32;
+}
+
+# The answer to an Explain.
+struct Explained {
+  number @0 :UInt64;
+  # A JSON object; without an explanation it has the field "problem".
+  content @1 :Data;
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -414,5 +437,7 @@
     storedItems @27 :StoredItems;
     standDown @28 :StandDown;
     targetLimits @29 :TargetLimits;
+    explain @30 :Explain;
+    explained @31 :Explained;
   }
 }
