--- a/src/laburnumyard/cli/_admin.py
+++ b/src/laburnumyard/cli/_admin.py
@@ -37,12 +37,15 @@
         Query parameters of a read-only call.
     change
         JSON body of a call that makes a change; empty for read-only calls.
+    option
+        Option of the command line that gives the address.
     """
 
     address: str
     path: str
     query: Mapping[str, str] = field(default_factory=dict)
     change: Mapping[str, str] = field(default_factory=dict)
+    option: str = '--admin'
 
     @property
     def url(self) -> str:
@@ -73,7 +76,7 @@
     except (httpcore.ConnectError, httpcore.ConnectTimeout) as fault:
         return failure_report(
             ExitCode.UNREACHABLE,
-            f'cannot connect to {call.address} ({fault}); check --admin',
+            f'cannot connect to {call.address} ({fault}); check {call.option}',
         )
     except _CONNECTION_ERRORS as fault:
         return _incomplete_response(call, type(fault).__name__)
--- a/src/laburnumyard/cli/_command_types.py
+++ b/src/laburnumyard/cli/_command_types.py
@@ -53,6 +53,16 @@
     kind: str
 
 
+@dataclass(frozen=True, slots=True)
+class ExplainRequest:
+    """Explain where a request would go now."""
+
+    gateway: str
+    host: str
+    path: str
+    key: str
+
+
 @dataclass(frozen=True, slots=True)
 class Status:
     """Show the state of a daemon."""
@@ -95,6 +105,7 @@
     | Publish
     | History
     | Explain
+    | ExplainRequest
     | Status
     | Owner
     | Move
--- a/src/laburnumyard/cli/_commands.py
+++ b/src/laburnumyard/cli/_commands.py
@@ -13,6 +13,7 @@
 from laburnumyard.cli._environment import (
     ADMIN_VARIABLE,
     AUTHOR_VARIABLE,
+    GATEWAY_VARIABLE,
     STORE_VARIABLE,
 )
 from laburnumyard.core.addresses import find_address_remedy
@@ -272,15 +273,37 @@
         return _make_request(command, json)
 
     def explain(
-        self, kind: str = '', *, json: bool = False
+        self,
+        kind: str = '',
+        *,
+        url: str = '',
+        key: str = '',
+        gateway: str = '',
+        json: bool = False,
     ) -> command_types.Request:
-        """Describe an error kind: status, whether it ran, remedy.
+        """Describe an error kind, or where a request would go now.
 
         Args:
             kind: The kind, such as no-owner; all kinds if omitted.
+            url: Host and path of a request, such as shop.example/benches/17.
+                A running gateway tells where it would go; nothing is sent.
+            key: The shard key of the request, a number.
+            gateway: The metrics address of the gateway, such as
+                10.0.0.1:9464; LABURNUMYARD_GATEWAY if omitted.
             json: Print JSON.
         """
-        return _make_request(command_types.Explain(kind), json)
+        if not url:
+            if key or gateway:
+                raise FireError('give --url=HOST/PATH too')
+            return _make_request(command_types.Explain(kind), json)
+        if kind:
+            raise FireError('give an error kind or --url, not both')
+        host, slash, path = url.removeprefix('http://').partition('/')
+        if not host or not slash:
+            raise FireError(f'--url={url}: give HOST/PATH')
+        address = self._address('gateway', GATEWAY_VARIABLE, gateway)
+        command = command_types.ExplainRequest(address, host, f'/{path}', key)
+        return _make_request(command, json)
 
     def _address(self, option: str, variable: str, given: str) -> str:
         address = given or self._variables.get(variable, '')
--- a/src/laburnumyard/cli/_run.py
+++ b/src/laburnumyard/cli/_run.py
@@ -1,5 +1,6 @@
 """Executes each command."""
 
+from dataclasses import replace
 from functools import singledispatch
 
 import anyio
@@ -7,6 +8,7 @@
 from laburnumyard.cli import _command_types as command_types
 from laburnumyard.cli._admin import AdminCall, call_admin
 from laburnumyard.cli._environment import TOKEN_VARIABLE, Environment
+from laburnumyard.cli._exit_codes import ExitCode
 from laburnumyard.cli._explain import explain
 from laburnumyard.cli._local import check_files, run_daemon
 from laburnumyard.cli._publication import (
@@ -15,6 +17,7 @@
     publish_files,
 )
 from laburnumyard.cli._report import Report
+from laburnumyard.core.explanation_text import render_explanation
 
 
 @singledispatch
@@ -63,6 +66,22 @@
     return explain(command.kind)
 
 
+@execute_command.register
+def _explain_request(
+    command: command_types.ExplainRequest, environment: Environment
+) -> Report:
+    query = {'host': command.host, 'path': command.path, 'format': 'json'}
+    if command.key:
+        query['key'] = command.key
+    call = AdminCall(
+        command.gateway, '/explain', query=query, option='--gateway'
+    )
+    report = anyio.run(call_admin, call, '')
+    if report.code is not ExitCode.OK:
+        return report
+    return replace(report, lines=tuple(render_explanation(report.content)))
+
+
 @execute_command.register
 def _diff(command: command_types.Diff, environment: Environment) -> Report:
     return anyio.run(compare_files, command, environment)
--- a/tests/cli/test_admin.py
+++ b/tests/cli/test_admin.py
@@ -116,3 +116,49 @@
         port = unused.getsockname()[1]
     outcome = run('drain', 'x', f'--admin=127.0.0.1:{port}')
     assert_that(outcome.code, Equals(ExitCode.UNREACHABLE))
+
+
+EXPLAINED = {
+    'gateway': 'edge-1',
+    'parts': [
+        {
+            'service': 'catalogue',
+            'verdict': 'refused',
+            'refusal': 'no-owner',
+            'retry_after_s': 0.25,
+            'candidates': [{'target': 'i-1', 'admission': 'paused'}],
+        },
+    ],
+}
+
+
+def test_a_gateway_explains_a_request(run, daemon):
+    body = json.dumps(EXPLAINED).encode()
+    daemon.answer = (200, body, len(body))
+    arguments = ('--url=http://shop.example/benches/17', '--key=007')
+    outcome = run('explain', *arguments, f'--gateway={daemon.address}')
+    path = '/explain?host=shop.example&path=%2Fbenches%2F17&format=json&key=007'
+    # The metrics address takes no token, so none is sent.
+    assert_that(daemon.last_request, Equals((path, None, b'')))
+    assert_that(
+        outcome.stdout.splitlines(),
+        Equals(
+            [
+                'gateway=edge-1',
+                'service catalogue: refused, no-owner, retry after 0.25',
+                '  service=catalogue verdict=refused refusal=no-owner '
+                'retry_after_s=0.25',
+                '  - target=i-1 admission=paused',
+            ]
+        ),
+    )
+    outcome = run(
+        'explain', *arguments, f'--gateway={daemon.address}', '--json'
+    )
+    assert_that(outcome.json, Equals({'outcome': 'ok', **EXPLAINED}))
+
+
+def test_a_gateway_that_is_away_is_named(run):
+    outcome = run('explain', '--url=a/b', '--gateway=127.0.0.1:1')
+    assert_that(outcome.code, Equals(ExitCode.UNREACHABLE))
+    assert_that(outcome.stderr, Contains('check --gateway'))
