--- a/src/laburnumyard/platform/__main__.py
+++ b/src/laburnumyard/platform/__main__.py
@@ -28,7 +28,7 @@
     except (OSError, UnicodeDecodeError) as fault:
         sys.stderr.write(f'{source}: {fault}; set {SETTINGS_VARIABLE}\n')
         return None
-    loaded = load_gateway_settings(text, source)
+    loaded = load_gateway_settings(text, source, os.environ)
     if loaded.is_ok():
         return loaded.ok
     for problem in loaded.error:
--- a/src/laburnumyard/schema/_generated/gateway.py
+++ b/src/laburnumyard/schema/_generated/gateway.py
@@ -117,7 +117,7 @@
     """
     connections_per_address: Annotated[int, Field(ge=0)] = 0
     """
-    The connections of callers at one address; 0 for three quarters of those that max_descriptors allows.
+    The connections of callers at one address; 0 for 9/16 of max_descriptors.
     """
 
 
--- a/src/standins/contended_service.py
+++ b/src/standins/contended_service.py
@@ -21,7 +21,6 @@
     TargetId,
 )
 from laburnumyard.core.scheduling import (
-    Decision,
     Outcome,
     Refuse,
     RunReport,
@@ -258,7 +257,7 @@
             )
         )
 
-    def carry_out(self, decisions: Iterable[Decision]) -> None:
+    def carry_out(self, decisions: Iterable[Send | Refuse]) -> None:
         """Run what was sent; callers that are refused may come back."""
         for decision in decisions:
             work = decision.work
