--- a/src/standins/pooled_model.py
+++ b/src/standins/pooled_model.py
@@ -195,8 +195,13 @@
         Of all random draws.
     scheduler
         Places the requests.
+    reporter
+        What targets report.
+
+    Attributes
+    ----------
     reporters
-        What targets report, by name; the others use ``reporter``.
+        What single targets report instead, by name.
     """
 
     def __init__(
