Tests of caller crowds against gateways and daemons, with their bounds

Callers that we do not control ended a process: it ran out of memory. The tests start one gateway or one daemon with 128 MB and 256 descriptors and let 40 connections send many short or odd header lines, endless trailers, large bodies and chunks that stop short of their end, chunks of one byte, or pipelined requests whose responses they do not read. They check that the process lives, that its resident size together with the bytes in its callers' sockets and its descriptors stay within these limits, and that an ordinary request is served afterwards.

--- /dev/null
+++ b/src/standins/front_doors.py
@@ -0,0 +1,179 @@
+"""Processes that serve callers, started with limits that a test chooses."""
+
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
+from enum import Enum
+from http import HTTPStatus
+from pathlib import Path
+
+import anyio
+import httpcore
+
+from standins.cluster import Cluster, ClusterPlan, ServiceShape, running
+from standins.gateway_cluster import HOST, ClusterLimits, running_gateways
+from standins.hostile_callers import BulkTarget
+
+MEMORY_VARIABLE = 'LABURNUMYARD_MEMORY_MB'
+DESCRIPTORS_VARIABLE = 'LABURNUMYARD_MAX_DESCRIPTORS'
+DEADLINE_MS = 4000
+CALL_TIMEOUT_S = 3.0
+ANSWER_TIMEOUT_S = 15.0
+POLL_S = 0.05
+TARGETS = 2
+SLOTS = 400
+WORK_S = 0.2
+
+
+class FrontDoorKind(Enum):
+    """Which program serves the callers."""
+
+    GATEWAY = 'gateway'
+    DAEMON = 'daemon'
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessLimits:
+    """Limits of the process under test.
+
+    Parameters
+    ----------
+    memory_mb
+        Memory, in millions of bytes.
+    descriptors
+        Descriptors that it may open.
+    body_bytes
+        Largest body of a request.
+    """
+
+    memory_mb: int
+    descriptors: int
+    body_bytes: int
+
+    def variables(self) -> dict[str, str]:
+        """Return the limits as environment variables."""
+        return {
+            MEMORY_VARIABLE: str(self.memory_mb),
+            DESCRIPTORS_VARIABLE: str(self.descriptors),
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class FrontDoor:
+    """A process that serves callers.
+
+    Parameters
+    ----------
+    address
+        ``IP:PORT`` for callers.
+    pid
+        The process.
+    path
+        Path of a request that targets serve.
+    limits
+        Limits of the process.
+    """
+
+    address: str
+    pid: int
+    path: str
+    limits: ProcessLimits
+
+    def head(self, method: str, name: str, *lines: str) -> bytes:
+        """Return the head of a request, with additional lines."""
+        fields = (f'{key}: {text}' for key, text in self.headers(name).items())
+        head = (f'{method} {self.path} HTTP/1.1', *fields, *lines, '', '')
+        return '\r\n'.join(head).encode('latin-1')
+
+    def headers(self, name: str) -> dict[str, str]:
+        """Return the headers of a request; each program reads some."""
+        return {
+            'host': HOST,
+            'laburnumyard-attempt-id': name,
+            'laburnumyard-deadline-ms': str(DEADLINE_MS),
+            'laburnumyard-shard-key': '1',
+            'laburnumyard-key': '1',
+            'laburnumyard-repeatable': 'yes',
+        }
+
+    async def wait_answered(self) -> None:
+        """Wait until an ordinary request on a new connection is served."""
+        with anyio.fail_after(ANSWER_TIMEOUT_S):
+            status = 0
+            while status != HTTPStatus.OK:
+                status = await self.ask()
+                await anyio.sleep(POLL_S)
+
+    async def ask(self) -> int:
+        """Send an ordinary request; return its status, 0 without a response."""
+        url = f'http://{self.address}{self.path}'
+        headers = [*self.headers('ordinary').items(), ('connection', 'close')]
+        with suppress(httpcore.NetworkError, httpcore.ProtocolError):
+            with anyio.move_on_after(CALL_TIMEOUT_S):
+                async with httpcore.AsyncConnectionPool() as pool:
+                    response = await pool.request('GET', url, headers=headers)
+                return response.status
+        return 0
+
+
+@asynccontextmanager
+async def running_front_door(
+    kind: FrontDoorKind, limits: ProcessLimits, folder: Path
+) -> AsyncIterator[FrontDoor]:
+    """Run one process that serves callers, with its store and targets.
+
+    Parameters
+    ----------
+    kind
+        Program to run.
+    limits
+        Limits of the process. They reach a daemon as environment variables,
+        which the caller sets.
+    folder
+        For settings and logs.
+    """
+    if kind is FrontDoorKind.GATEWAY:
+        async with _running_gateway(limits, folder) as door:
+            yield door
+        return
+    plan = ClusterPlan(
+        services=(
+            ServiceShape('catalogue', TARGETS, SLOTS, work_ms=1000 * WORK_S),
+        ),
+        daemons=3,
+        limits=(f'body_bytes = {limits.body_bytes}',),
+    )
+    with running(Cluster(plan, folder)) as cluster:
+        pid = cluster.processes['vm-1'].pid
+        address = cluster.caller_addresses[0]
+        door = FrontDoor(address, pid, '/catalogue/read', limits)
+        # The targets get their keys a moment after the daemon is ready.
+        await door.wait_answered()
+        yield door
+
+
+@asynccontextmanager
+async def _running_gateway(
+    limits: ProcessLimits, folder: Path
+) -> AsyncIterator[FrontDoor]:
+    machine = (
+        f'memory_mb = {limits.memory_mb}',
+        f'max_descriptors = {limits.descriptors}',
+    )
+    async with running_gateways(
+        folder,
+        _targets(),
+        1,
+        keyed=False,
+        limits=ClusterLimits(limits.body_bytes, machine),
+    ) as cluster:
+        gateway = cluster.gateways[0]
+        pid = gateway.process.pid if gateway.process else 0
+        yield FrontDoor(gateway.callers, pid, '/benches/1', limits)
+
+
+def _targets() -> Iterable[BulkTarget]:
+    return [
+        BulkTarget(f'i-{number}', 'catalogue', slots=SLOTS, work_s=WORK_S)
+        for number in range(TARGETS)
+    ]
--- a/src/standins/hostile_callers.py
+++ b/src/standins/hostile_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import socket
+import sys
 from collections.abc import Iterable, Iterator
 from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
@@ -20,6 +21,8 @@
 SMALL_BUFFER_BYTES = 4096
 READ_PAUSE_S = 1.0
 SAMPLE_S = 0.02
+# State of a listening socket in ``/proc/net/tcp``.
+LISTENING = '0A'
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,22 +131,43 @@
     ----------
     pid
         The process.
+    address
+        ``IP:PORT`` on which it accepts callers, to watch their sockets too.
+
+    Attributes
+    ----------
+    descriptors
+        Most descriptors that were open at once.
+    held_bytes
+        Largest sum of the resident size and the bytes in callers' sockets.
     """
 
     pid: int
+    address: str = ''
     descriptors: int = 0
+    held_bytes: int = 0
     errors: list[str] = field(default_factory=list)
 
     async def run(self) -> None:
-        """Sample the open descriptors until cancelled."""
-        folder = f'/proc/{self.pid}/fd'
+        """Sample the process until cancelled."""
         while True:
             with suppress(OSError):
-                self.descriptors = max(
-                    self.descriptors, len(os.listdir(folder))
-                )
+                self.sample()
             await anyio.sleep(SAMPLE_S)
 
+    def sample(self) -> None:
+        """Note the open descriptors and the memory."""
+        opened = len(os.listdir(f'/proc/{self.pid}/fd'))
+        self.descriptors = max(self.descriptors, opened)
+        if self.address:
+            held = self.resident_bytes() + queued_bytes(self.address)
+            self.held_bytes = max(self.held_bytes, held)
+
+    def resident_bytes(self) -> int:
+        """Return the current resident size."""
+        pages = Path(f'/proc/{self.pid}/statm').read_text().split()[1]
+        return int(pages) * os.sysconf('SC_PAGE_SIZE')
+
     def peak_bytes(self) -> int:
         """Return the largest resident size so far."""
         status = Path(f'/proc/{self.pid}/status').read_text()
@@ -153,6 +177,20 @@
         return int(fields['VmHWM'].split()[0]) * 1024
 
 
+def queued_bytes(address: str) -> int:
+    """Return the bytes in the sockets of connections to a local address."""
+    host, port = parse_address(address)
+    packed = int.from_bytes(socket.inet_aton(host), sys.byteorder)
+    local = f'{packed:08X}:{port:04X}'
+    total = 0
+    for line in Path('/proc/net/tcp').read_text().splitlines():
+        fields = line.split()
+        if fields[1] == local and fields[3] != LISTENING:
+            sent, received = fields[4].split(':')
+            total += int(sent, 16) + int(received, 16)
+    return total
+
+
 def request_head(
     method: str, path: str, name: str, *lines: str, deadline_ms: int = 4000
 ) -> bytes:
--- /dev/null
+++ b/tests/processes/test_caller_crowds.py
@@ -0,0 +1,185 @@
+"""Callers that use up memory, descriptors and processor time of a process.
+
+The bounds follow from the limits that each test sets: the memory limit for the
+resident size together with the bytes in the sockets of callers, and the
+descriptor limit. Times and shares of served requests are not checked.
+"""
+
+from itertools import cycle, islice
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, LessThan
+
+from standins.front_doors import (
+    FrontDoorKind,
+    ProcessLimits,
+    running_front_door,
+)
+from standins.hostile_callers import Crowd, ProcessWatch, repeat, split
+
+pytestmark = pytest.mark.anyio
+BYTES_PER_MB = 1_000_000
+MIB = 1_048_576
+BODY_BYTES = 8 * MIB
+LIMITS = ProcessLimits(memory_mb=128, descriptors=256, body_bytes=BODY_BYTES)
+CHUNKED = 'transfer-encoding: chunked'
+CALLERS = 40
+# 3,800 lines of four bytes fit the limit of 16,384 bytes for a head.
+SHORT_LINES = 3800
+ODD_LINES = 1500
+ODD_LINE = '!{number:x}:\t~'
+# Bodies of one byte in each chunk.
+SMALL_CHUNKS = 2_000_000
+CHUNKS_IN_PIECE = 10_000
+LARGE_CHUNK_BYTES = MIB // 2
+PIPELINED = 2000
+CONNECTIONS = 400
+
+
+def short_heads(door):
+    head = door.head('GET', 'h', *repeat('a:', SHORT_LINES))
+    return tuple(repeat(head, 60))
+
+
+def odd_heads(door):
+    lines = (ODD_LINE.format(number=number) for number in range(ODD_LINES))
+    return tuple(repeat(door.head('GET', 'd', *lines), 60))
+
+
+def endless_trailers(door):
+    begin = b'%b1\r\nx\r\n0\r\n' % door.head('PUT', 't', CHUNKED)
+    return (begin, *repeat(b't:\r\n' * 65_536, 24))
+
+
+def whole_bodies(door):
+    length = f'content-length: {BODY_BYTES}'
+    return (door.head('PUT', 'w', length), bytes(BODY_BYTES - 1))
+
+
+def bodies_in_pieces(door):
+    length = f'content-length: {BODY_BYTES}'
+    pieces = split(bytes(BODY_BYTES - 1), 262_144)
+    return (door.head('PUT', 'p', length), *pieces)
+
+
+def large_chunks(door):
+    chunk = b'%x\r\n%b\r\n' % (LARGE_CHUNK_BYTES, bytes(LARGE_CHUNK_BYTES))
+    whole = BODY_BYTES // LARGE_CHUNK_BYTES - 1
+    last = chunk[:-3]
+    return (door.head('PUT', 'l', CHUNKED), *repeat(chunk, whole), last)
+
+
+def small_chunks(door):
+    piece = b'1\r\nx\r\n' * CHUNKS_IN_PIECE
+    pieces = repeat(piece, SMALL_CHUNKS // CHUNKS_IN_PIECE)
+    return (door.head('PUT', 's', CHUNKED), *pieces)
+
+
+def pipelined_requests(door):
+    return tuple(repeat(door.head('GET', 'u') * PIPELINED, 60))
+
+
+ALL_KINDS = (
+    short_heads,
+    odd_heads,
+    endless_trailers,
+    whole_bodies,
+    bodies_in_pieces,
+    large_chunks,
+    small_chunks,
+    pipelined_requests,
+)
+
+
+@pytest.fixture(params=FrontDoorKind, ids=lambda kind: kind.value)
+async def door(request, tmp_path, monkeypatch):
+    """Run a process that serves callers within limits."""
+    for variable, text in LIMITS.variables().items():
+        monkeypatch.setenv(variable, text)
+    async with running_front_door(request.param, LIMITS, tmp_path) as running:
+        yield running
+
+
+@pytest.fixture
+def assert_survived(door):
+    """Return a check that a process survives callers within its limits."""
+
+    async def attack(*crowds):
+        watch = ProcessWatch(door.pid, door.address)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch.run)
+            async with anyio.create_task_group() as callers:
+                for crowd in crowds:
+                    callers.start_soon(crowd.attack, door.address)
+            tasks.cancel_scope.cancel()
+        bound = door.limits.memory_mb * BYTES_PER_MB
+        assert_that(is_running(door), Is(True))
+        assert_that(watch.peak_bytes(), LessThan(bound))
+        assert_that(watch.held_bytes, LessThan(bound))
+        assert_that(watch.descriptors, LessThan(door.limits.descriptors + 1))
+        # Fails by its own time-out if no ordinary request is served.
+        await door.wait_answered()
+        assert_that(is_running(door), Is(True))
+
+    return attack
+
+
+def is_running(door):
+    with open(f'/proc/{door.pid}/stat') as stat:
+        return stat.read().rpartition(')')[2].split()[0] != 'Z'
+
+
+@pytest.mark.parametrize('pieces', ALL_KINDS)
+async def test_callers_of_one_kind_stay_within_the_limits(
+    door, assert_survived, pieces
+):
+    await assert_survived(Crowd(CALLERS, pieces(door)))
+
+
+async def test_callers_of_all_kinds_stay_within_the_limits(
+    door, assert_survived
+):
+    kinds = islice(cycle(ALL_KINDS), CALLERS)
+    await assert_survived(*(Crowd(1, pieces(door)) for pieces in kinds))
+
+
+# Each connection takes a descriptor, until none is left.
+async def test_many_connections_stay_within_the_limits(door, assert_survived):
+    head = door.head('GET', 'i')
+    await assert_survived(Crowd(CONNECTIONS, (head[:-1],)))
+
+
+# A request inside the limits is served, however unusual it is.
+@pytest.mark.parametrize(
+    'lines',
+    [
+        tuple(repeat('a:', SHORT_LINES)),
+        tuple(ODD_LINE.format(number=number) for number in range(ODD_LINES)),
+    ],
+)
+async def test_a_single_unusual_request_is_served(door, lines):
+    answer = await exchange(door, door.head('GET', 'one', *lines))
+    assert_that(answer.split(b' ')[1], Equals(b'200'))
+
+
+@pytest.mark.parametrize('size', [1, 7, LARGE_CHUNK_BYTES])
+async def test_a_single_body_in_chunks_is_served(door, size):
+    chunk = b'%x\r\n%b\r\n' % (size, bytes(size))
+    body = chunk * max(1, 100_000 // size)
+    head = door.head('PUT', 'one', CHUNKED)
+    answer = await exchange(door, b'%b%b0\r\n\r\n' % (head, body))
+    assert_that(answer.split(b' ')[1], Equals(b'200'))
+
+
+async def exchange(door, sent):
+    """Send raw bytes; return the head of the response."""
+    host, _, port = door.address.rpartition(':')
+    with anyio.fail_after(20):
+        async with await anyio.connect_tcp(host, int(port)) as link:
+            await link.send(sent)
+            received = b''
+            while b'\r\n\r\n' not in received:
+                received += await link.receive()
+    return received
