Parse the requests of all connections in turns

Callers saw: while 60 others sent bodies of one byte in each chunk, nobody got an answer, nor for 20 s after these had left. With heads of many short lines the process came to 130 MB, and with odd ones to 149 MB, where it had 128.

Cause: all that had arrived on a connection was parsed before anything else, up to 256 KiB and 43,000 calls of the parser for each connection. The bytes that waited behind a limit were in no account, nor those in the buffers of sockets that were not read.

Connections with more than a few kilobytes now wait in a queue, and an iteration of the event loop makes some thousand calls for all of them. While a connection waits it reads no more, and its bytes and its socket's buffer are drawn from the account. Of the bodies in many small parts that wait at the same time, all but eight are refused, the costliest first; one alone is served. An unread connection that its caller resets is closed, its rest unparsed.

The buffer lies in the new package intake, for the daemon's listener to use.

--- a/src/laburnumyard/core/memory_account.py
+++ b/src/laburnumyard/core/memory_account.py
@@ -41,6 +41,8 @@
     """What bytes are held for."""
 
     CONNECTIONS = 'connections'
+    UNPARSED = 'unparsed'
+    SOCKETS = 'sockets'
     HEADS = 'heads'
     BODIES = 'bodies'
     REQUESTS = 'requests'
--- a/src/laburnumyard/gateway/_http_request_reader.py
+++ b/src/laburnumyard/gateway/_http_request_reader.py
@@ -15,7 +15,7 @@
 )
 from laburnumyard.core.routes import CallerLimits
 from laburnumyard.gateway._http_messages import CallerRequest
-from laburnumyard.gateway._reading_cost import ParsingStoppedError, ReadingCost
+from laburnumyard.intake import ParsingStoppedError, ReadingCost
 
 # Request target with scheme and authority (RFC 9112, section 3.2.2).
 ABSOLUTE_FORM = re.compile('https?://(?:[^/?#@]*@)?([^/?#@]*)(.*)', re.I)
@@ -27,10 +27,12 @@
 # within a deadline.
 MAX_SMALL_PARTS = 1_048_576
 MIN_PART_BYTES = 16
+# Parts of a body, above which it is costly if they are that small.
+FREE_PARTS = 4096
 # Bytes that are parsed at once: a head may be followed by other requests, the
 # rest of a body of known size may not.
 HEAD_STEP_BYTES = 4096
-CHUNKS_STEP_BYTES = 16_384
+CHUNKS_STEP_BYTES = 4096
 
 
 class RequestReceiver(Protocol):
@@ -101,8 +103,17 @@
         self.head_bytes = 0
         self.cost = ReadingCost(receiver.draw, receiver.give_back)
         self.has_received_body = False
+        # Calls of the parser so far for header lines and parts of bodies.
+        self.calls = 0
         self.begin_message()
 
+    @property
+    def costly_calls(self) -> int:
+        """Parts of the body so far if they are many and small, else 0."""
+        is_small = self.body_bytes < self.body_parts * MIN_PART_BYTES
+        is_costly = is_small and self.body_parts > FREE_PARTS
+        return self.body_parts if is_costly else 0
+
     def step_bytes(self, received: int) -> int:
         """Return how many of the received bytes to parse at once."""
         if not self.is_head_read or not self.is_in_message:
@@ -196,6 +207,7 @@
     def on_header(self, name: bytes, text: bytes) -> None:
         """Append a header; trailers are counted and discarded."""
         size = len(name) + len(text)
+        self.calls += 1
         self.field_bytes += size
         if self.is_head_read:
             if self.field_bytes > self.limits.header_bytes:
@@ -237,6 +249,7 @@
         size = len(body)
         self.body_bytes += size
         self.body_parts += 1
+        self.calls += 1
         if self.body_bytes > self.limits.body_bytes:
             self.reject_body(self.body_bytes)
             raise ParsingStoppedError
--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -47,6 +47,7 @@
     confine,
     confined,
 )
+from laburnumyard.intake import ParsingQueue, ReceiveBuffer
 from laburnumyard.telemetry import METRICS, Event, log_decision, log_event
 
 RequestHandler = Callable[[CallerRequest], Awaitable[CallerResponse]]
@@ -90,11 +91,13 @@
         self.limits = limits
         self.tasks = tasks
         self.connections: set[CallerConnection] = set()
+        self.parsing_queue = ParsingQueue()
         self.is_leaving = False
         # Set and replaced when a connection ends or becomes free.
         self.changed = anyio.Event()
         self.account = account or MemoryAccount()
         self.connection_limits = connection_limits
+        self.socket_buffer_bytes = connection_limits.socket_buffer_bytes
         self.listener: CallerListener | None = None
 
     async def listen(self, address: str) -> None:
@@ -212,6 +215,12 @@
         self.limits = server.limits
         self.loop = asyncio.get_running_loop()
         self.reader = RequestReader(self)
+        self.received = ReceiveBuffer(
+            self,
+            self.reader,
+            server.parsing_queue,
+            server.socket_buffer_bytes,
+        )
         self.address = address
         self.timeout = ConnectionTimeout(self.loop, self.abort)
         # Requests that were read on this connection.
@@ -230,6 +239,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that disconnected."""
         self.server.connections.discard(self)
+        self.server.parsing_queue.discard(self.received)
         self.timeout.stop()
         self.is_closing = True
         if self.pending_requests:
@@ -362,8 +372,7 @@
         """
         self.is_closing = True
         self.is_read_paused = False
-        if self.transport:
-            self.transport.resume_reading()
+        self.received.drop()
 
     def close(self) -> None:
         """Half-close now and close the socket after ``CLOSE_LINGER_S``."""
@@ -410,7 +419,7 @@
         """
         if self.is_closing:
             return
-        self.is_closing = True
+        self.stop_reading()
         pending = PendingRequest(keep_alive=False, method='GET')
         pending.response = response or CallerResponse(status)
         self.reader.release()
--- a/src/laburnumyard/gateway/_metered_connection.py
+++ b/src/laburnumyard/gateway/_metered_connection.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Protocol
@@ -26,11 +27,14 @@
     CallerResponse,
     refuse_request,
 )
-from laburnumyard.gateway._http_request_reader import (
-    HEAD_STEP_BYTES,
-    RequestReader,
-)
+from laburnumyard.gateway._http_request_reader import RequestReader
 from laburnumyard.gateway._task_supervision import confined
+from laburnumyard.intake import (
+    AT_ONCE_BYTES,
+    CALLS_AT_ONCE,
+    ParsingQueue,
+    ReceiveBuffer,
+)
 from laburnumyard.telemetry import METRICS, Event, log_event
 from laburnumyard.transport import PIECE_BYTES, PacedWriter
 
@@ -42,7 +46,6 @@
 REASON_PHRASES = MappingProxyType(
     {status.value: status.phrase for status in HTTPStatus}
 )
-NOTHING = memoryview(b'')
 
 
 @dataclass(slots=True, eq=False)
@@ -69,6 +72,8 @@
     """Server of connections."""
 
     account: MemoryAccount
+    parsing_queue: ParsingQueue
+    socket_buffer_bytes: int
 
     def announce_change(self) -> None:
         """Wake who waits for connections to end."""
@@ -88,6 +93,7 @@
         self.account = server.account
         self.announce_change = server.announce_change
         self.claim = MemoryClaim(self.account)
+        self.confined = partial(confined, 'connection', self.abort)
         self.reader: RequestReader
         self.writer = PacedWriter()
         self.transport: asyncio.Transport | None = None
@@ -95,9 +101,9 @@
         self.active_at = boot_time()
         # Set with the last request; received bytes are ignored from then on.
         self.is_closing = False
-        # Received bytes that are parsed when requests may be taken again.
-        self.unparsed = NOTHING
+        # Whether requests wait until others have ended.
         self.is_read_paused = False
+        self.received: ReceiveBuffer
         # Bytes drawn for responses that are not sent whole.
         self.unsent_cost = 0
         # Whether to close the connection when all is sent.
@@ -129,27 +135,9 @@
         if self.is_closing:
             return
         self.active_at = boot_time()
-        with confined('connection', self.abort):
-            is_waiting = self.is_read_paused or self.unparsed
-            if len(data) <= HEAD_STEP_BYTES and not is_waiting:
-                self.reader.feed(data)
-                return
+        if len(data) > AT_ONCE_BYTES:
             self.claim.note_progress(len(data), self.active_at)
-            self.unparsed = memoryview(bytes(self.unparsed) + data)
-            self.parse_unparsed()
-            if self.unparsed and self.is_read_paused and self.transport:
-                # Only now, as a paused transport notices no disconnect.
-                self.transport.pause_reading()
-
-    def parse_unparsed(self) -> None:
-        """Parse received bytes while requests may be taken."""
-        while self.unparsed and not (self.is_closing or self.is_read_paused):
-            step = self.reader.step_bytes(len(self.unparsed))
-            received = self.unparsed[:step]
-            self.unparsed = self.unparsed[step:]
-            self.reader.feed(received)
-        if self.is_closing or not self.unparsed:
-            self.unparsed = NOTHING
+        self.received.receive(data)
 
     def pause_reading(self) -> None:
         """Take no request if the connection holds enough."""
@@ -157,16 +145,14 @@
             return
         self.is_read_paused = True
         if len(self.pending_requests) >= MAX_PIPELINED_REQUESTS:
-            self.transport.pause_reading()
+            self.received.pause_transport()
 
     def resume_reading(self) -> None:
         """Take requests again, if the connection holds little enough."""
         if not self.is_read_paused or self.has_enough or not self.transport:
             return
         self.is_read_paused = False
-        self.parse_unparsed()
-        if not (self.is_read_paused and self.unparsed):
-            self.transport.resume_reading()
+        self.received.parse_some(CALLS_AT_ONCE)
 
     @property
     def has_enough(self) -> bool:
@@ -174,7 +160,8 @@
         if len(self.pending_requests) >= MAX_PIPELINED_REQUESTS:
             return True
         has_others = bool(self.pending_requests or self.unsent_cost)
-        return has_others and self.claim.total_bytes > self.account.share_bytes
+        held = self.claim.total_bytes - self.received.cost
+        return has_others and held > self.account.share_bytes
 
     def draw(self, holder: Holder, size: int) -> bool:
         """Draw bytes from the memory account; return whether there are any.
@@ -285,7 +272,7 @@
         self.claim.close()
         self.reader.release()
         self.writer.drop()
-        self.unparsed = NOTHING
+        self.received.forget()
 
 
 def encode_head(response: CallerResponse, *, closes: bool) -> bytes:
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -14,7 +14,6 @@
 from laburnumyard.core.memory_account import Holder, account_of
 from laburnumyard.core.reachability import TargetReach
 from laburnumyard.core.routes import CallerLimits
-from laburnumyard.gateway._allocator import map_large_buffers
 from laburnumyard.gateway._cluster_view import ClusterView, Member
 from laburnumyard.gateway._coordinator_elections import Elections
 from laburnumyard.gateway._coordinator_roles import Coordination
@@ -47,6 +46,7 @@
     confine,
     log_fault,
 )
+from laburnumyard.intake import map_large_buffers
 from laburnumyard.schema._generated import messages
 from laburnumyard.schema._generated.gateway import GatewaySettings
 from laburnumyard.telemetry import METRICS, Event, log_event
