Start the requests of a connection beside those of others

Cause: each connection has up to 64 requests in flight, so that 40 of them begin 2,560 before that of a caller that comes later; each is served first.

From 256 running requests on, a connection with four of its own starts the next only when one of these has ended. Nothing is refused, and a connection of its own is as fast as before.

Evidence: test_pipelined_requests.py counted 2,496 to 2,560 running requests on the code before, and stays below its bound of 512.

--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -42,6 +42,10 @@
     MeteredConnection,
     PendingRequest,
 )
+from laburnumyard.gateway._request_starts import (
+    RequestStarts,
+    RunningRequests,
+)
 from laburnumyard.gateway._task_supervision import (
     SupervisedTasks,
     confine,
@@ -92,6 +96,7 @@
         self.tasks = tasks
         self.connections: set[CallerConnection] = set()
         self.parsing_queue = ParsingQueue()
+        self.running = RunningRequests()
         self.is_leaving = False
         # Set and replaced when a connection ends or becomes free.
         self.changed = anyio.Event()
@@ -214,6 +219,10 @@
         self.server = server
         self.limits = server.limits
         self.loop = asyncio.get_running_loop()
+        self.starts = RequestStarts(
+            server.running,
+            partial(server.tasks.start_soon, 'request', self.serve),
+        )
         self.reader = RequestReader(self)
         self.received = ReceiveBuffer(
             self,
@@ -247,6 +256,7 @@
         for pending in self.pending_requests:
             pending.scope.cancel()
         self.pending_requests.clear()
+        self.starts.drop_waiting()
         self.release()
         if self.server.listener is not None:
             self.server.listener.note_end(self.address)
@@ -310,7 +320,7 @@
             self.stop_reading()
         else:
             self.pause_reading()
-        self.server.tasks.start_soon('request', self.serve, pending, request)
+        self.starts.add(pending, request)
 
     async def serve(
         self, pending: PendingRequest, request: CallerRequest
@@ -319,8 +329,11 @@
 
         An internal error gives a 502.
         """
-        if not await confine('request', self.run_request, pending, request):
-            pending.response = CallerResponse(HTTPStatus.BAD_GATEWAY)
+        try:
+            if not await confine('request', self.run_request, pending, request):
+                pending.response = CallerResponse(HTTPStatus.BAD_GATEWAY)
+        finally:
+            self.starts.note_end()
         _drop_body(request)
         if self in self.server.connections and not self.claim.is_closed:
             self.hold_response(pending)
