Bound the connections to targets by the descriptors that callers leave

Callers saw: while others pipelined requests, nobody got an answer; a trial had 1,722 descriptors open where the process may have 1,638.

Cause: connections to targets held them. The listener stops at three quarters of the descriptors, but each request that got a slot opened a connection to its target, with no limit: 800 slots gave 850 descriptors where 256 are allowed.

The pool counts its connections. They may take what callers leave of their three quarters, and an eighth in any case. An idle connection is closed for a new one; without any, a request is refused at once with Retry-After, as it has not run, and takes no slot.

--- a/src/laburnumyard/gateway/_caller_listener.py
+++ b/src/laburnumyard/gateway/_caller_listener.py
@@ -1,6 +1,7 @@
 """Accepts connections of callers while there are descriptors for them."""
 
 import asyncio
+import math
 import socket
 from collections import Counter
 from collections.abc import Callable
@@ -20,6 +21,8 @@
 CALLER_RATIO = 0.75
 # Part of the descriptors above which a connection is closed at once.
 CLOSE_RATIO = 0.875
+# Part of the descriptors that targets may use, whatever callers use.
+TARGET_RATIO = 0.125
 # Part of the callers' descriptors that one address may use: a load balancer
 # may open nearly all of them, and the health check needs some.
 ADDRESS_RATIO = 0.75
@@ -62,6 +65,19 @@
         default = int(self.highest_accepted * ADDRESS_RATIO)
         return self.for_each_address or default
 
+    def target_limit(self, callers: int) -> float:
+        """Return how many connections to targets may be open.
+
+        Parameters
+        ----------
+        callers
+            Number of connections of callers.
+        """
+        if not self.descriptors:
+            return math.inf
+        reserved = self.descriptors * TARGET_RATIO
+        return max(reserved, self.highest_accepted - callers)
+
 
 NO_LIMITS = ConnectionLimits()
 
--- a/src/laburnumyard/gateway/_request_router.py
+++ b/src/laburnumyard/gateway/_request_router.py
@@ -64,6 +64,11 @@
 DEADLINE_DECAY = 0.998
 FIRST_SERVER_ERROR_STATUS = 500
 STATUS_CLASS_SIZE = 100
+# Delay before a caller may come back whose request found no descriptor: some
+# of the requests in flight have ended by then.
+DESCRIPTOR_RETRY_S = 0.5
+# The same for a request that targets refused.
+EXHAUSTED_RETRY_S = 0.1
 # Outcomes after which the same target may be tried again.
 MAY_TRY_AGAIN = frozenset((Outcome.NOT_OWNER, Outcome.LAPSED))
 SUCCESS_CLASS = 2
@@ -263,6 +268,10 @@
         while True:
             if self.must_relay(attempt):
                 return await self.serve_by_peer(attempt)
+            if self.pool.is_full:
+                return self.exhausted_result(
+                    attempt, 'descriptors', DESCRIPTOR_RETRY_S
+                )
             slot = await self.slots.acquire(self.slot_request(attempt))
             if isinstance(slot, Slot):
                 result = await self.send(attempt, slot)
@@ -418,6 +427,9 @@
         if self.must_relay(attempt):
             return Error(Outcome.CANCELLED)
         await self.slot_check.wait_until_current()
+        if self.pool.is_full:
+            # Requests that were waiting for slots have taken the connections.
+            return Error(Outcome.CANCELLED)
         acquired = await self.pool.acquire(
             slot.address,
             is_repeatable=attempt.route.is_repeatable,
@@ -529,16 +541,31 @@
             return attempt.failure
         return refuse_request(refused.reason, refused.retry_after_s)
 
-    def exhausted_result(self, attempt: Attempt) -> RequestResult:
-        """Return the result of a request that may not be retried."""
+    def exhausted_result(
+        self,
+        attempt: Attempt,
+        reason: str = 'targets-refused',
+        longest_pause_s: float = EXHAUSTED_RETRY_S,
+    ) -> RequestResult:
+        """Return the result of a request that may not be sent again.
+
+        Parameters
+        ----------
+        attempt
+            State of the request.
+        reason
+            Why it is refused if it did not run.
+        longest_pause_s
+            Longest delay before the caller should retry, in seconds.
+        """
         if attempt.failure is not None:
             return attempt.failure
         if attempt.may_have_run:
             return RequestResult(
                 CallerResponse(HTTPStatus.BAD_GATEWAY), 'broke-off'
             )
-        pause = min(0.1, max(MIN_RETRY_S, attempt.time_left / 3))
-        return refuse_request('targets-refused', pause)
+        pause = max(MIN_RETRY_S, attempt.time_left / 3)
+        return refuse_request(reason, min(longest_pause_s, pause))
 
 
 def _refusal(status: int, head: ResponseHead, slot: Slot) -> Outcome:
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -161,7 +161,9 @@
             derived_settings,
         )
         account = account_of(settings.machine.memory_mb)
-        self.connection_pool = TargetConnectionPool(account)
+        self.connection_pool = TargetConnectionPool(
+            account, self.target_connection_limit
+        )
         self.router = RequestRouter(
             platform.wire_format,
             self.view,
@@ -239,6 +241,11 @@
         """Whether requests of peers can be served."""
         return not (self.is_leaving or self.reach_monitor.reach.is_lost)
 
+    def target_connection_limit(self) -> float:
+        """Return how many connections to targets may be open."""
+        server = self.caller_server
+        return server.connection_limits.target_limit(len(server.connections))
+
     def limits(self) -> CallerLimits:
         """Return the current limits for callers."""
         table = self.view.routes
--- a/src/laburnumyard/gateway/_target_connection_pool.py
+++ b/src/laburnumyard/gateway/_target_connection_pool.py
@@ -1,7 +1,10 @@
 """Pool of idle connections to targets."""
 
 import asyncio
+import math
 from collections import defaultdict
+from collections.abc import Callable
+from functools import partial
 
 from expression import Result
 
@@ -35,6 +38,11 @@
 MAX_IDLE_CONNECTIONS = 4
 
 
+def unlimited() -> float:
+    """Return that any number of connections may be open."""
+    return math.inf
+
+
 class TargetConnectionPool:
     """Idle connections by target address.
 
@@ -45,10 +53,19 @@
     ----------
     account
         Account of the memory of the process.
+    max_connections
+        Returns how many connections may be open now, idle ones included.
     """
 
-    def __init__(self, account: MemoryAccount | None = None) -> None:
+    def __init__(
+        self,
+        account: MemoryAccount | None = None,
+        max_connections: Callable[[], float] = unlimited,
+    ) -> None:
         """Create an empty pool."""
+        self.max_connections = max_connections
+        # Numbers of the connections that are open or being opened.
+        self.connections: set[int] = set()
         self.idle: defaultdict[str, list[TargetConnection]]
         self.idle = defaultdict(list)
         self.limits: dict[str, Seconds] = {}
@@ -57,6 +74,19 @@
         )
         self.opened = 0
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no connection may be opened until a request ends."""
+        if not self.has_most:
+            return False
+        idle = sum(map(len, self.idle.values()))
+        return len(self.connections) - idle >= self.max_connections()
+
+    @property
+    def has_most(self) -> bool:
+        """Whether as many connections are open as may be."""
+        return len(self.connections) >= self.max_connections()
+
     async def acquire(
         self,
         address: str,
@@ -85,10 +115,38 @@
             if connection.is_reusable and now - connection.used_at < limit:
                 return Result.Ok(connection)
             connection.close()
+        if self.has_most:
+            self.close_idle_one()
         self.opened += 1
-        return await TargetConnection.open(
-            address, MAX_RESPONSE_BYTES, CONNECT_TIMEOUT_S, self.memory
-        )
+        return await self.open(address)
+
+    async def open(
+        self, address: str
+    ) -> Result[TargetConnection, TargetFailure]:
+        """Return a new connection, which is counted until it is closed."""
+        number = self.opened
+        self.connections.add(number)
+        is_open = False
+        try:
+            opened = await TargetConnection.open(
+                address,
+                MAX_RESPONSE_BYTES,
+                CONNECT_TIMEOUT_S,
+                self.memory,
+                partial(self.connections.discard, number),
+            )
+            is_open = opened.is_ok()
+        finally:
+            if not is_open:
+                self.connections.discard(number)
+        return opened
+
+    def close_idle_one(self) -> None:
+        """Close the connection of the pool that was not used for longest."""
+        used = (each for each in self.idle.values() if each)
+        oldest = min(used, key=lambda each: each[0].used_at, default=None)
+        if oldest is not None:
+            oldest.pop(0).close()
 
     def release(
         self, connection: TargetConnection, idle_limit_s: Seconds | None
--- a/src/laburnumyard/transport/_target_connection.py
+++ b/src/laburnumyard/transport/_target_connection.py
@@ -1,6 +1,7 @@
 """Persistent HTTP connection to a target, with one request at a time."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -21,6 +22,10 @@
 Answered = Result[TargetResponse, TargetFailure]
 
 
+def do_nothing() -> None:
+    """Ignore the end of a connection."""
+
+
 class TargetConnection(asyncio.Protocol):
     """A connection to a target.
 
@@ -35,6 +40,8 @@
         Largest accepted response body, in bytes.
     memory
         Bound on the incomplete responses of all connections, if there is one.
+    on_closed
+        Called when a connection that was open has ended.
     """
 
     def __init__(
@@ -42,9 +49,11 @@
         address: str,
         max_body_bytes: int,
         memory: ResponseMemory | None = None,
+        on_closed: Callable[[], None] = do_nothing,
     ) -> None:
         """Create the protocol without a connection; see ``open``."""
         self.address = address
+        self.on_closed = on_closed
         self.loop = asyncio.get_running_loop()
         self.parser = ResponseParser(max_body_bytes, memory)
         self.writer = PacedWriter()
@@ -61,12 +70,13 @@
         max_body_bytes: int,
         timeout_s: float,
         memory: ResponseMemory | None = None,
+        on_closed: Callable[[], None] = do_nothing,
     ) -> Result['TargetConnection', TargetFailure]:
         """Connect to a target.
 
         Parameters
         ----------
-        address, max_body_bytes, memory
+        address, max_body_bytes, memory, on_closed
             As in the class.
         timeout_s
             Connect timeout, in seconds.
@@ -76,7 +86,7 @@
         Result of TargetConnection
             The connection, or an ``UNREACHABLE`` or ``TIMEOUT`` failure.
         """
-        connection = cls(address, max_body_bytes, memory)
+        connection = cls(address, max_body_bytes, memory, on_closed)
         host, port = split_address(address)
         connecting = connection.loop.create_connection(
             lambda: connection,
@@ -174,6 +184,7 @@
         self.parser.discard()
         self.writer.drop()
         self._complete(self.fail(FailureKind.BROKE_OFF, has_left=True))
+        self.on_closed()
 
     def eof_received(self) -> bool:
         """Complete a response without a length, and close the connection."""
