An idle connection makes room for another of its address

Cause: at the limit for an address each new connection was closed, however long the others had done nothing.

Now the one that has done nothing for longest, a second at least, is closed instead. The new test fails on the code before: its request got no response.

--- a/src/laburnumyard/gateway/_caller_listener.py
+++ b/src/laburnumyard/gateway/_caller_listener.py
@@ -30,6 +30,7 @@
 # limited; the system reserves twice as much. A link of 100 Mbit/s needs this
 # much for a round trip of 10 ms.
 SOCKET_BUFFER_BYTES = 131_072
+ANY_ADDRESS = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +95,8 @@
     limits
         Limits on the connections.
     free_one
-        Closes a connection that does nothing, if there is one.
+        Closes a connection that does nothing, of one address if it is given,
+        and returns whether there was one.
     """
 
     def __init__(
@@ -102,7 +104,7 @@
         connect: Callable[[str], asyncio.Protocol],
         tasks: SupervisedTasks,
         limits: ConnectionLimits,
-        free_one: Callable[[], None],
+        free_one: Callable[[str], bool],
     ) -> None:
         """Create a listener without a socket; see ``start``."""
         self.connect = connect
@@ -166,10 +168,7 @@
         has_limit = bool(limits.descriptors)
         if has_limit and number >= limits.descriptors * CLOSE_RATIO:
             self.refuse(link, 'descriptors')
-        elif (
-            limits.address_limit
-            and self.addresses[address] >= limits.address_limit
-        ):
+        elif self.has_most(address) and not self.free_one(address):
             self.refuse(link, 'connections-of-address')
         else:
             self.addresses[address] += 1
@@ -182,6 +181,11 @@
         if has_limit and number >= limits.highest_accepted:
             self.pause('descriptors')
 
+    def has_most(self, address: str) -> bool:
+        """Whether an address has as many connections as it may have."""
+        limit = self.limits.address_limit
+        return bool(limit) and self.addresses[address] >= limit
+
     def refuse(self, link: socket.socket, reason: str) -> None:
         """Close a connection that was just accepted."""
         link.close()
@@ -197,7 +201,7 @@
         METRICS.count('accept_pauses_total')
         log_event(Event.LISTENER, 'WARNING', state='paused', reason=reason)
         self.loop.call_later(RETRY_S, self.resume)
-        self.free_one()
+        self.free_one(ANY_ADDRESS)
 
     def resume(self) -> None:
         """Accept connections again."""
--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -23,6 +23,7 @@
 )
 from laburnumyard.core.routes import CallerLimits
 from laburnumyard.gateway._caller_listener import (
+    ANY_ADDRESS,
     NO_LIMITS,
     CallerListener,
     ConnectionLimits,
@@ -151,11 +152,21 @@
         by_claim[chosen].cut('memory')
         return True
 
-    def close_one(self) -> None:
+    def close_one(self, address: str) -> bool:
         """Close the connection that has done nothing for longest.
 
         It may be one that stopped inside a request; none that waits for a
         response is closed.
+
+        Parameters
+        ----------
+        address
+            IP address of its caller; empty for any.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
         """
         latest = boot_time() - MIN_IDLE_S
         candidates = [
@@ -164,14 +175,17 @@
             if connection.active_at <= latest
             and not connection.pending_requests
             and not connection.is_closing
+            and address in {ANY_ADDRESS, connection.address}
         ]
-        if candidates:
-            oldest = min(candidates, key=lambda each: each.active_at)
-            if oldest.reader.is_in_message:
-                oldest.cut('descriptors')
-            else:
-                METRICS.count('cuts_total', reason='descriptors')
-                oldest.abandon()
+        if not candidates:
+            return False
+        oldest = min(candidates, key=lambda each: each.active_at)
+        if oldest.reader.is_in_message:
+            oldest.cut('descriptors')
+        else:
+            METRICS.count('cuts_total', reason='descriptors')
+            oldest.abandon()
+        return True
 
     def close_idle(self) -> None:
         """Stop accepting connections and close the idle ones."""
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -225,3 +225,20 @@
         server.listener.limits = ConnectionLimits()
         head = await ask(server, put(1))
     assert_that(head, StartsWith(b'HTTP/1.1 200'))
+
+
+# One caller behind a load balancer, whose address all share, keeps the others
+# out with connections on which it sends nothing.
+async def test_an_idle_connection_makes_room_for_another_of_its_address(
+    wait_until,
+):
+    limits = ConnectionLimits(for_each_address=2)
+    async with serving(Echo(), limits) as server:
+        links = [await connect(server) for _ in range(2)]
+        await wait_until(lambda: len(server.connections) == 2)
+        for connection in server.connections:
+            connection.active_at -= 2
+        head = await ask(server, put(1))
+        for _, writer in links:
+            writer.close()
+    assert_that(head, StartsWith(b'HTTP/1.1 200'))
