Limits of memory and descriptors default to those of the machine

An installation that follows the docs and not the deploy file has neither memory_mb nor its variable.

Cause: 0, the default of memory_mb and of max_descriptors, meant no limit.

It now means the limit of the control group, or half of the machine's memory where there is none, and the descriptors that the system allows the process. Settings and variables go first as before, and a settings file without either still loads.

--- a/src/laburnumyard/gateway/_derived_settings.py
+++ b/src/laburnumyard/gateway/_derived_settings.py
@@ -11,6 +11,7 @@
     ConnectionLimits,
 )
 from laburnumyard.gateway._cluster_view import ClusterView
+from laburnumyard.intake import MachineLimits
 from laburnumyard.schema._generated.gateway import (
     BoundSettings,
     MachineSettings,
@@ -126,10 +127,12 @@
     return Seconds(GRANT_LIFE_PART * evacuate_s)
 
 
-def derive_connection_limits(machine: MachineSettings) -> ConnectionLimits:
+def derive_connection_limits(
+    machine: MachineSettings, limits: MachineLimits
+) -> ConnectionLimits:
     """Derive the limits on the connections of callers from the machine."""
     return ConnectionLimits(
-        machine.max_descriptors,
+        limits.max_descriptors,
         machine.connections_per_address,
-        SOCKET_BUFFER_BYTES if machine.memory_mb else 0,
+        SOCKET_BUFFER_BYTES,
     )
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -46,7 +46,11 @@
     confine,
     log_fault,
 )
-from laburnumyard.intake import map_large_buffers
+from laburnumyard.intake import (
+    choose_limits,
+    map_large_buffers,
+    read_machine_limits,
+)
 from laburnumyard.schema._generated import messages
 from laburnumyard.schema._generated.gateway import GatewaySettings
 from laburnumyard.telemetry import METRICS, Event, log_event
@@ -160,7 +164,12 @@
             self.link_pool,
             derived_settings,
         )
-        account = account_of(settings.machine.memory_mb)
+        limits = choose_limits(
+            settings.machine.memory_mb,
+            settings.machine.max_descriptors,
+            read_machine_limits(),
+        )
+        account = account_of(limits.memory_mb)
         self.connection_pool = TargetConnectionPool(
             account, self.target_connection_limit
         )
@@ -187,7 +196,7 @@
             self.limits,
             tasks,
             account,
-            derive_connection_limits(settings.machine),
+            derive_connection_limits(settings.machine, limits),
         )
         METRICS.watch('held_bytes', 'holder', account.gauges)
         account.make_room = self.caller_server.make_room
@@ -417,8 +426,7 @@
     platform
         Platform that the gateway runs on.
     """
-    if settings.machine.memory_mb:
-        map_large_buffers()
+    map_large_buffers()
     handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*handled) as signals:
         asyncio.get_running_loop().set_exception_handler(_log_callback_fault)
--- a/src/laburnumyard/schema/_generated/gateway.py
+++ b/src/laburnumyard/schema/_generated/gateway.py
@@ -109,11 +109,11 @@
     """
     memory_mb: Annotated[float, Field(ge=0.0)] = 0
     """
-    The memory that the process may use, in millions of bytes; 0 for no limit.
+    The memory that the process may use, in millions of bytes; 0 for that of its control group, or half of the machine's.
     """
     max_descriptors: Annotated[int, Field(ge=0)] = 0
     """
-    The descriptors that the process may open; 0 for no limit.
+    The descriptors that the process may open; 0 for the limit of the system.
     """
     connections_per_address: Annotated[int, Field(ge=0)] = 0
     """
