--- a/src/standins/front_doors.py
+++ b/src/standins/front_doors.py
@@ -1,5 +1,6 @@
 """Processes that serve callers, started with limits that a test chooses."""
 
+import tomllib
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -66,6 +67,8 @@
     ----------
     address
         ``IP:PORT`` for callers.
+    operators
+        ``IP:PORT`` for health checks and operators.
     pid
         The process.
     path
@@ -75,6 +78,7 @@
     """
 
     address: str
+    operators: str
     pid: int
     path: str
     limits: ProcessLimits
@@ -145,8 +149,10 @@
     )
     with running(Cluster(plan, folder)) as cluster:
         pid = cluster.processes['vm-1'].pid
-        address = cluster.caller_addresses[0]
-        door = FrontDoor(address, pid, '/catalogue/read', limits)
+        listen = cluster.places.daemons[0]
+        door = FrontDoor(
+            listen.callers, listen.admin, pid, '/catalogue/read', limits
+        )
         # The targets get their keys a moment after the daemon is ready.
         await door.wait_answered()
         yield door
@@ -169,7 +175,10 @@
     ) as cluster:
         gateway = cluster.gateways[0]
         pid = gateway.process.pid if gateway.process else 0
-        yield FrontDoor(gateway.callers, pid, '/benches/1', limits)
+        listen = tomllib.loads(gateway.settings.read_text())['listen']
+        yield FrontDoor(
+            gateway.callers, listen['readiness'], pid, '/benches/1', limits
+        )
 
 
 def _targets() -> Iterable[BulkTarget]:
--- a/tests/processes/test_caller_crowds.py
+++ b/tests/processes/test_caller_crowds.py
@@ -106,13 +106,13 @@
 def assert_survived(door):
     """Return a check that a process survives callers within its limits."""
 
-    async def attack(*crowds):
-        watch = ProcessWatch(door.pid, door.address)
+    async def attack(*crowds, address=door.address):
+        watch = ProcessWatch(door.pid, address)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch.run)
             async with anyio.create_task_group() as callers:
                 for crowd in crowds:
-                    callers.start_soon(crowd.attack, door.address)
+                    callers.start_soon(crowd.attack, address)
             tasks.cancel_scope.cancel()
         bound = door.limits.memory_mb * BYTES_PER_MB
         assert_that(is_running(door), Is(True))
@@ -151,6 +151,18 @@
     await assert_survived(Crowd(CONNECTIONS, (head[:-1],)))
 
 
+# Health checks and operators have listeners of their own on the same network.
+async def test_callers_of_operators_stay_within_the_limits(
+    door, assert_survived
+):
+    await assert_survived(
+        Crowd(CALLERS, short_heads(door)),
+        Crowd(CALLERS, odd_heads(door)),
+        Crowd(CONNECTIONS, (door.head('GET', 'i')[:-1],)),
+        address=door.operators,
+    )
+
+
 # A request inside the limits is served, however unusual it is.
 @pytest.mark.parametrize(
     'lines',
