Listeners for health checks and metrics draw from the account

Callers could reach the readiness and the metrics listener of a gateway, whose servers had no account and no limit of connections: heads of short and of odd lines there brought a gateway to 143 MB, where it had 128.

Both draw from the account of the process now, and what is cut is cut there first, as health checks and operators hold little.

--- a/src/laburnumyard/gateway/_caller_listener.py
+++ b/src/laburnumyard/gateway/_caller_listener.py
@@ -44,6 +44,8 @@
         Number of descriptors that the process may open.
     for_each_address
         Connections from one address; by default a part of the descriptors.
+    connections
+        Connections in total.
     socket_buffer_bytes
         Largest buffer of the system for each direction of a connection.
     socket_memory_bytes
@@ -53,6 +55,7 @@
 
     descriptors: int = 0
     for_each_address: int = 0
+    connections: int = 0
     socket_buffer_bytes: int = 0
     socket_memory_bytes: float = 0
 
@@ -188,6 +191,8 @@
             self.refuse(link, 'descriptors')
         elif self.has_most(address) and not self.free_one(address):
             self.refuse(link, 'connections-of-address')
+        elif self.has_most_in_total and not self.free_one(ANY_ADDRESS):
+            self.refuse(link, 'connections')
         else:
             self.addresses[address] += 1
             self.shrink_buffers(link)
@@ -212,6 +217,12 @@
         limit = self.limits.address_limit
         return bool(limit) and self.addresses[address] >= limit
 
+    @property
+    def has_most_in_total(self) -> bool:
+        """Whether there are as many connections as there may be."""
+        limit = self.limits.connections
+        return bool(limit) and self.addresses.total() >= limit
+
     def refuse(self, link: socket.socket, reason: str) -> None:
         """Close a connection that was just accepted."""
         link.close()
--- a/src/laburnumyard/gateway/_derived_settings.py
+++ b/src/laburnumyard/gateway/_derived_settings.py
@@ -28,6 +28,11 @@
 SILENT_AFTER_S = 0.25
 # Interval between checks of links, short enough for both times above.
 SWEEP_INTERVAL_S = 0.05
+# Connections of health checks and operators, on each of their listeners.
+OPERATOR_CONNECTIONS = 32
+OPERATOR_LIMITS = ConnectionLimits(
+    connections=OPERATOR_CONNECTIONS, socket_buffer_bytes=SOCKET_BUFFER_BYTES
+)
 # Part of the memory account that the buffers of callers' sockets share.
 SOCKET_RATIO = 0.03125
 # Unused links are closed after this time.
@@ -137,6 +142,6 @@
     return ConnectionLimits(
         limits.max_descriptors,
         machine.connections_per_address,
-        SOCKET_BUFFER_BYTES,
-        account.limit_bytes * SOCKET_RATIO,
+        socket_buffer_bytes=SOCKET_BUFFER_BYTES,
+        socket_memory_bytes=account.limit_bytes * SOCKET_RATIO,
     )
--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -98,6 +98,8 @@
         self.connections: set[CallerConnection] = set()
         self.parsing_queue = ParsingQueue()
         self.running = RunningRequests()
+        # Servers whose callers are cut before those of this one.
+        self.cut_first: list[CallerServer] = []
         self.is_leaving = False
         # Set and replaced when a connection ends or becomes free.
         self.changed = anyio.Event()
@@ -136,11 +138,15 @@
     def make_room(self) -> bool:
         """Cut the caller with the least progress for the memory it holds.
 
+        Those of health checks and operators, who need little, come first.
+
         Returns
         -------
         bool
             Whether there was one.
         """
+        if any(server.make_room() for server in self.cut_first):
+            return True
         now = boot_time()
         by_claim = {}
         for connection in self.connections:
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -20,6 +20,7 @@
 from laburnumyard.gateway._derived_settings import (
     FETCH_LINK_SETTINGS,
     LINK_SETTINGS,
+    OPERATOR_LIMITS,
     derive_connection_limits,
     derive_settings,
 )
@@ -201,8 +202,13 @@
         METRICS.watch('held_bytes', 'holder', account.gauges)
         account.make_room = self.caller_server.make_room
         self.readiness_server = CallerServer(
-            self.serve_readiness, CallerLimits, tasks
+            self.serve_readiness,
+            CallerLimits,
+            tasks,
+            account,
+            OPERATOR_LIMITS,
         )
+        self.caller_server.cut_first.append(self.readiness_server)
 
     @property
     def health(self) -> StoreHealth:
@@ -282,7 +288,10 @@
                 partial(self.serve_metrics, explainer),
                 CallerLimits,
                 self.tasks,
+                self.caller_server.account,
+                OPERATOR_LIMITS,
             )
+            self.caller_server.cut_first.append(metrics_server)
             try:
                 await metrics_server.listen(f'{host}:{listen.metrics_port}')
             except OSError as fault:
