Callers of a daemon draw from a memory account, too

Callers saw: a daemon had no bound on what callers make it hold.

Cause: uvicorn parses all that has arrived at once and keeps heads, bodies, trailers and pipelined requests without a common limit; asyncio accepts until no descriptor is left; settings of a daemon knew neither memory nor descriptors.

The connections of a daemon use what those of a gateway use, from intake: account, buffer and turns of parsing, and listener, for callers and operators alike. One request is parsed at a time, the next when the caller has read the response. A request that has to make room is refused as overloaded, or its connection is closed where it is being served. The table [machine] and its two variables give the limits; by default they are those of the machine.

--- a/src/laburnumyard/cli/_local.py
+++ b/src/laburnumyard/cli/_local.py
@@ -1,6 +1,7 @@
 """Commands that use neither the store nor another daemon."""
 
 import importlib
+import os
 import tomllib
 from collections.abc import Iterable, Mapping
 from dataclasses import asdict
@@ -35,7 +36,7 @@
             ExitCode.USAGE, (f'{path}: contains no TOML settings file',)
         )
     source, text = next(iter(files.ok.items()))
-    settings = load_settings(text, source)
+    settings = load_settings(text, source, os.environ)
     if settings.is_error():
         return list_problems(settings.error, ExitCode.USAGE)
     # Imported lazily: other commands start faster without its dependencies.
--- a/src/laburnumyard/core/settings.py
+++ b/src/laburnumyard/core/settings.py
@@ -1,6 +1,6 @@
 """Parsing and validation of the settings of a daemon."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from functools import partial
 from itertools import chain, combinations
 from typing import Any
@@ -14,6 +14,10 @@
     read_toml,
     show_value,
 )
+from laburnumyard.core.machine_variables import (
+    NO_VARIABLES,
+    add_machine_variables,
+)
 from laburnumyard.schema._generated.settings import (
     LimitSettings,
     ListenSettings,
@@ -32,6 +36,7 @@
 def load_settings(
     text: str,
     source: str,
+    environment: Mapping[str, str] = NO_VARIABLES,
 ) -> Result[Settings, tuple[Problem, ...]]:
     """Read the settings of a daemon.
 
@@ -41,6 +46,8 @@
         The TOML document.
     source
         The name of its file, for problems.
+    environment
+        Environment variables; see ``core.machine_variables``.
 
     Returns
     -------
@@ -54,6 +61,7 @@
     """
     match read_toml(text, source):
         case Result(tag='ok', ok=document):
+            add_machine_variables(document, environment)
             return _check_document(document, source)
         case Result(error=problem):
             return Error((problem,))
--- a/src/laburnumyard/daemon/_http_protocol.py
+++ b/src/laburnumyard/daemon/_http_protocol.py
@@ -4,15 +4,13 @@
 from types import MappingProxyType
 from typing import Any
 
-from uvicorn.protocols.http.httptools_impl import (
-    STATUS_LINE,
-    HttpToolsProtocol,
-)
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE
 
 from laburnumyard.core.errors import ErrorKind, Failure, Ran
 from laburnumyard.core.ids import RequestId
-from laburnumyard.daemon._coalescing_transport import CoalescingTransport
+from laburnumyard.daemon._caller_intake import CallerIntake
 from laburnumyard.daemon._http_responses import encode_headers, error_response
+from laburnumyard.daemon._metered_protocol import MeteredProtocol
 from laburnumyard.schema._generated.settings import LimitSettings
 
 # How long the connection stays open for a refused caller to read the error.
@@ -24,7 +22,7 @@
 NO_REQUEST_ID = RequestId('none')
 
 
-class CallerProtocol(HttpToolsProtocol):
+class CallerProtocol(MeteredProtocol):
     """A caller's connection with limits on request heads in size and time.
 
     A request that cannot be read to its end gets an error response, unless an
@@ -35,23 +33,23 @@
     ----------
     limits
         Limits on the head of a request; the body timeout applies to heads too.
+    intake
+        Memory account and turns of parsing that connections share.
     options
         Arguments that uvicorn passes to its protocols.
     """
 
-    def __init__(self, limits: LimitSettings, **options: Any) -> None:
+    def __init__(
+        self, limits: LimitSettings, intake: CallerIntake, **options: Any
+    ) -> None:
         """Initialise before the first request head."""
-        super().__init__(**options)
+        super().__init__(intake, **options)
         self.limits = limits
-        self.is_refused = False
-        self.is_reading_head = True
-        # Bytes received since the parser last completed a head, body or part.
-        self.unread_bytes = 0
         self.head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit the connections, and close one that stays silent."""
-        super().connection_made(CoalescingTransport(transport, self.loop))
+        super().connection_made(transport)
         limit = CONNECTIONS_PER_REQUEST * self.limits.callers
         if len(self.connections) > limit:
             self.transport.close()
@@ -66,24 +64,22 @@
         self._unset_keepalive_if_required()
         super().connection_lost(exc)
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes within the limits."""
-        if self.is_refused:
-            return
-        self.unread_bytes += len(data)
-        super().data_received(data)
+    def feed(self, received: bytes | memoryview) -> None:
+        """Parse bytes within the limits on heads."""
+        self.unread_bytes += len(received)
+        super().feed(received)
         if self.unread_bytes and not self.is_refused:
             self._enforce_unread_limit()
 
     def on_message_begin(self) -> None:
         """Count the start of a request head as unread."""
         self.unread_bytes += 1
+        self.sizes.begin()
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
         """Start serving the request; ignore trailers."""
         self.unread_bytes = 0
-        self.is_reading_head = False
         self._stop_timer()
         super().on_headers_complete()
         self.headers = []
@@ -99,11 +95,13 @@
     def on_message_complete(self) -> None:
         """Expect the next request head."""
         self.unread_bytes = 0
-        self.is_reading_head = True
         super().on_message_complete()
 
     def send_400_response(self, msg: str) -> None:
         """Refuse bytes that are not an HTTP request."""
+        if self.is_refused:
+            # A callback has stopped the parser.
+            return
         self._refuse(ErrorKind.BAD_REQUEST, 'send HTTP/1.1')
 
     def _unsupported_upgrade_warning(self) -> None:
@@ -114,10 +112,10 @@
         limit = self.limits.header_bytes
         if self.unread_bytes > limit:
             kind = ErrorKind.BAD_REQUEST
-            if self.is_reading_head:
+            if self.sizes.is_reading_head:
                 kind = ErrorKind.HEADERS_TOO_LARGE
             self._refuse(kind, f'send at most {limit} bytes')
-        elif self.is_reading_head and self.head_timer is None:
+        elif self.sizes.is_reading_head and self.head_timer is None:
             self._start_timer()
 
     def _start_timer(self) -> None:
@@ -140,9 +138,6 @@
         detail = f'the head took longer than {longest} s'
         self._refuse(ErrorKind.SENDER_TOO_SLOW, detail)
 
-    def _is_answer_due(self) -> bool:
-        return self.cycle is not None and not self.cycle.response_complete
-
     def _refuse(self, kind: ErrorKind, detail: str) -> None:
         """Send an error and close, after the responses that are due."""
         self.is_refused = True
@@ -178,7 +173,7 @@
 
     def _known_ran(self) -> Ran | None:
         """Return Ran.UNKNOWN if the head may have carried a ticket."""
-        is_whole = self.cycle is not None and not self.is_reading_head
+        is_whole = self.cycle is not None and not self.sizes.is_reading_head
         headers = self.cycle.scope['headers'] if is_whole else ()
         is_safe = is_whole and TICKET_HEADER not in dict(headers)
         return None if is_safe else Ran.UNKNOWN
--- a/src/laburnumyard/daemon/_http_server.py
+++ b/src/laburnumyard/daemon/_http_server.py
@@ -1,5 +1,7 @@
 """HTTP server: uvicorn inside the daemon's event loop."""
 
+import asyncio
+import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
 from functools import partial
@@ -7,10 +9,11 @@
 
 import uvicorn
 
+from laburnumyard.daemon._caller_intake import CallerIntake, close_idle
 from laburnumyard.daemon._http_protocol import CallerProtocol
+from laburnumyard.intake import CallerListener, ConnectionLimits, Work
 from laburnumyard.schema._generated.settings import LimitSettings
 
-BACKLOG = 2048
 KEEP_ALIVE_S = 75
 CLOSE_HEADER = (b'connection', b'close')
 
@@ -18,6 +21,48 @@
 class HttpServer(uvicorn.Server):
     """A uvicorn server that leaves signal handling to the daemon."""
 
+    def __init__(
+        self, config: uvicorn.Config, connection_limits: ConnectionLimits
+    ) -> None:
+        """Create a server that does not listen yet."""
+        super().__init__(config)
+        self.connection_limits = connection_limits
+        self.accepting: set[asyncio.Task[object]] = set()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Listen, and accept while there are descriptors."""
+        await self.lifespan.startup()
+        listener = CallerListener(
+            self.connect,
+            self.start_task,
+            self.connection_limits,
+            partial(close_idle, self.server_state.connections),
+        )
+        if sockets:
+            listener.accept_from(sockets[0])
+        else:
+            listener.start(self.config.host, self.config.port)
+        self.servers = [ListeningServer(listener)]
+        self.started = True
+
+    def connect(self, address: str) -> asyncio.Protocol:
+        """Return the protocol of a connection from an address."""
+        protocol = self.config.http_protocol_class(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+        protocol.address = address
+        listener = self.servers[0].listener
+        protocol.on_closed = partial(listener.note_end, address)
+        return protocol
+
+    def start_task(self, work: Work) -> None:
+        """Run an asynchronous function in the background."""
+        task = asyncio.ensure_future(work())
+        self.accepting.add(task)
+        task.add_done_callback(self.accepting.discard)
+
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Install no signal handlers; the daemon has its own."""
@@ -48,10 +93,37 @@
         )
 
 
+class ListeningServer:
+    """A listener as uvicorn handles its servers.
+
+    Parameters
+    ----------
+    listener
+        Accepts the connections.
+    """
+
+    def __init__(self, listener: CallerListener) -> None:
+        """Wrap a listener."""
+        self.listener = listener
+
+    def is_serving(self) -> bool:
+        """Return whether connections are accepted."""
+        return bool(self.listener.sockets)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.listener.close()
+
+    async def wait_closed(self) -> None:
+        """Return, as the sockets are closed at once."""
+
+
 def make_server(
     app: Any,
     address: str,
     limits: LimitSettings,
+    intake: CallerIntake | None = None,
+    connection_limits: ConnectionLimits | None = None,
 ) -> HttpServer:
     """Return an unstarted server of an ASGI application.
 
@@ -63,24 +135,29 @@
         IP address and port, separated by a colon.
     limits
         Limits on the head of a request.
+    intake
+        Shared by the servers of a process; without limits by default.
+    connection_limits
+        Limits on the connections, if not those of the intake.
     """
+    intake = intake or CallerIntake()
     host, _, port = address.rpartition(':')
     return HttpServer(
         uvicorn.Config(
             app,
             host=host,
             port=int(port),
-            http=partial(CallerProtocol, limits),
+            http=partial(CallerProtocol, limits, intake),
             ws='none',
             lifespan='off',
             interface='asgi3',
             access_log=False,
             log_config=None,
             log_level='error',
-            backlog=BACKLOG,
             timeout_keep_alive=KEEP_ALIVE_S,
             server_header=False,
             date_header=False,
             proxy_headers=False,
         ),
+        connection_limits or intake.limits,
     )
--- a/src/laburnumyard/gateway/_derived_settings.py
+++ b/src/laburnumyard/gateway/_derived_settings.py
@@ -3,19 +3,12 @@
 from dataclasses import dataclass
 
 from laburnumyard.core.ids import Seconds, ServiceName
-from laburnumyard.core.memory_account import MemoryAccount
 from laburnumyard.core.rate_limits import WarmUpBound
 from laburnumyard.core.scheduling import RetryBudget, SchedulerSettings
 from laburnumyard.core.shards import ShardSettings
-from laburnumyard.gateway._caller_listener import (
-    SOCKET_BUFFER_BYTES,
-    ConnectionLimits,
-)
 from laburnumyard.gateway._cluster_view import ClusterView
-from laburnumyard.intake import MachineLimits
 from laburnumyard.schema._generated.gateway import (
     BoundSettings,
-    MachineSettings,
 )
 from laburnumyard.wire import LinkSettings
 
@@ -28,13 +21,6 @@
 SILENT_AFTER_S = 0.25
 # Interval between checks of links, short enough for both times above.
 SWEEP_INTERVAL_S = 0.05
-# Connections of health checks and operators, on each of their listeners.
-OPERATOR_CONNECTIONS = 32
-OPERATOR_LIMITS = ConnectionLimits(
-    connections=OPERATOR_CONNECTIONS, socket_buffer_bytes=SOCKET_BUFFER_BYTES
-)
-# Part of the memory account that the buffers of callers' sockets share.
-SOCKET_RATIO = 0.03125
 # Unused links are closed after this time.
 IDLE_CLOSE_AFTER_S = 30
 LINK_SETTINGS = LinkSettings(
@@ -133,15 +119,3 @@
         return None
     evacuate_s = bounds.evacuate_ms / MS_PER_SECOND
     return Seconds(GRANT_LIFE_PART * evacuate_s)
-
-
-def derive_connection_limits(
-    machine: MachineSettings, limits: MachineLimits, account: MemoryAccount
-) -> ConnectionLimits:
-    """Derive the limits on the connections of callers from the machine."""
-    return ConnectionLimits(
-        limits.max_descriptors,
-        machine.connections_per_address,
-        socket_buffer_bytes=SOCKET_BUFFER_BYTES,
-        socket_memory_bytes=account.limit_bytes * SOCKET_RATIO,
-    )
--- a/src/laburnumyard/gateway/_http_request_reader.py
+++ b/src/laburnumyard/gateway/_http_request_reader.py
@@ -15,7 +15,12 @@
 )
 from laburnumyard.core.routes import CallerLimits
 from laburnumyard.gateway._http_messages import CallerRequest
-from laburnumyard.intake import ParsingStoppedError, ReadingCost
+from laburnumyard.intake import (
+    MIN_PART_BYTES,
+    ParsingStoppedError,
+    ReadingCost,
+    is_costly_body,
+)
 
 # Request target with scheme and authority (RFC 9112, section 3.2.2).
 ABSOLUTE_FORM = re.compile('https?://(?:[^/?#@]*@)?([^/?#@]*)(.*)', re.I)
@@ -26,9 +31,6 @@
 # is a call, and many small ones occupy the event loop. It exceeds what arrives
 # within a deadline.
 MAX_SMALL_PARTS = 1_048_576
-MIN_PART_BYTES = 16
-# Parts of a body, above which it is costly if they are that small.
-FREE_PARTS = 4096
 # Bytes that are parsed at once: a head may be followed by other requests, the
 # rest of a body of known size may not.
 HEAD_STEP_BYTES = 4096
@@ -110,8 +112,7 @@
     @property
     def costly_calls(self) -> int:
         """Parts of the body so far if they are many and small, else 0."""
-        is_small = self.body_bytes < self.body_parts * MIN_PART_BYTES
-        is_costly = is_small and self.body_parts > FREE_PARTS
+        is_costly = is_costly_body(self.body_parts, self.body_bytes)
         return self.body_parts if is_costly else 0
 
     def step_bytes(self, received: int) -> int:
@@ -130,7 +131,7 @@
             self.parse(received)
             if self.has_received_body and self.is_in_message:
                 self.expect_body()
-                self.cost.body += self.cost.draw_rest(Holder.BODIES)
+                self.cost.draw_body()
         except ParsingStoppedError:
             return
         except httptools.HttpParserCallbackError as fault:
--- a/src/laburnumyard/gateway/_http_server.py
+++ b/src/laburnumyard/gateway/_http_server.py
@@ -22,12 +22,6 @@
     choose_cut,
 )
 from laburnumyard.core.routes import CallerLimits
-from laburnumyard.gateway._caller_listener import (
-    ANY_ADDRESS,
-    NO_LIMITS,
-    CallerListener,
-    ConnectionLimits,
-)
 from laburnumyard.gateway._connection_timeout import ConnectionTimeout
 from laburnumyard.gateway._disconnect_probe import (
     INTERIM_RESPONSE,
@@ -52,7 +46,14 @@
     confine,
     confined,
 )
-from laburnumyard.intake import ParsingQueue, ReceiveBuffer
+from laburnumyard.intake import (
+    ANY_ADDRESS,
+    NO_LIMITS,
+    CallerListener,
+    ConnectionLimits,
+    ParsingQueue,
+    ReceiveBuffer,
+)
 from laburnumyard.telemetry import METRICS, Event, log_decision, log_event
 
 RequestHandler = Callable[[CallerRequest], Awaitable[CallerResponse]]
@@ -113,7 +114,7 @@
         host, _, port = address.rpartition(':')
         self.listener = CallerListener(
             partial(CallerConnection, self),
-            self.tasks,
+            partial(self.tasks.start_soon, 'accept'),
             self.connection_limits,
             self.close_one,
         )
--- a/src/laburnumyard/gateway/_run.py
+++ b/src/laburnumyard/gateway/_run.py
@@ -20,8 +20,6 @@
 from laburnumyard.gateway._derived_settings import (
     FETCH_LINK_SETTINGS,
     LINK_SETTINGS,
-    OPERATOR_LIMITS,
-    derive_connection_limits,
     derive_settings,
 )
 from laburnumyard.gateway._http_messages import CallerRequest, CallerResponse
@@ -48,7 +46,9 @@
     log_fault,
 )
 from laburnumyard.intake import (
+    OPERATOR_LIMITS,
     choose_limits,
+    derive_connection_limits,
     map_large_buffers,
     read_machine_limits,
 )
@@ -197,7 +197,9 @@
             self.limits,
             tasks,
             account,
-            derive_connection_limits(settings.machine, limits, account),
+            derive_connection_limits(
+                limits, account, settings.machine.connections_per_address
+            ),
         )
         METRICS.watch('held_bytes', 'holder', account.gauges)
         account.make_room = self.caller_server.make_room
--- a/src/laburnumyard/gateway/_settings.py
+++ b/src/laburnumyard/gateway/_settings.py
@@ -1,16 +1,16 @@
 """Loads and validates the settings of a gateway."""
 
 from collections.abc import Mapping
-from types import MappingProxyType
 
 from expression import Error, Result
 
 from laburnumyard.core.file_problems import Problem, check_model, read_toml
-from laburnumyard.intake import add_machine_variables
+from laburnumyard.core.machine_variables import (
+    NO_VARIABLES,
+    add_machine_variables,
+)
 from laburnumyard.schema._generated.gateway import GatewaySettings
 
-NO_VARIABLES: Mapping[str, str] = MappingProxyType({})
-
 
 def load_gateway_settings(
     text: str,
@@ -26,7 +26,7 @@
     source
         File name shown in problems.
     environment
-        Environment variables; see ``intake.MACHINE_VARIABLES``.
+        Environment variables; see ``core.machine_variables``.
 
     Returns
     -------
--- a/src/laburnumyard/gateway/_caller_listener.py
+++ b/src/laburnumyard/intake/_caller_listener.py
@@ -4,11 +4,12 @@
 import math
 import socket
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
 
-from laburnumyard.gateway._task_supervision import SupervisedTasks
+from laburnumyard.core.memory_account import MemoryAccount
+from laburnumyard.intake._machine_limits import MachineLimits
 from laburnumyard.telemetry import METRICS, Event, log_event
 
 LISTEN_BACKLOG = 1024
@@ -31,8 +32,13 @@
 # much for a round trip of 10 ms.
 SOCKET_BUFFER_BYTES = 131_072
 MIN_BUFFER_BYTES = 4096
+# Part of the memory account that the buffers of callers' sockets share.
+SOCKET_RATIO = 0.03125
+OPERATOR_CONNECTIONS = 32
 ANY_ADDRESS = ''
 
+Work = Callable[[], Awaitable[object]]
+
 
 @dataclass(frozen=True, slots=True)
 class ConnectionLimits:
@@ -102,6 +108,32 @@
 
 
 NO_LIMITS = ConnectionLimits()
+# Health checks and operators, on each of their listeners.
+OPERATOR_LIMITS = ConnectionLimits(
+    connections=OPERATOR_CONNECTIONS, socket_buffer_bytes=SOCKET_BUFFER_BYTES
+)
+
+
+def derive_connection_limits(
+    limits: MachineLimits, account: MemoryAccount, for_each_address: int = 0
+) -> ConnectionLimits:
+    """Derive the limits on the connections of callers.
+
+    Parameters
+    ----------
+    limits
+        Limits of the process.
+    account
+        Account of its memory.
+    for_each_address
+        Connections from one address; 0 for a part of the descriptors.
+    """
+    return ConnectionLimits(
+        limits.max_descriptors,
+        for_each_address,
+        socket_buffer_bytes=SOCKET_BUFFER_BYTES,
+        socket_memory_bytes=account.limit_bytes * SOCKET_RATIO,
+    )
 
 
 class CallerListener:
@@ -111,8 +143,8 @@
     ----------
     connect
         Creates the protocol of a connection from an address.
-    tasks
-        Background tasks; set up the connections.
+    start
+        Runs an asynchronous function in the background.
     limits
         Limits on the connections.
     free_one
@@ -123,13 +155,13 @@
     def __init__(
         self,
         connect: Callable[[str], asyncio.Protocol],
-        tasks: SupervisedTasks,
+        start: Callable[[Work], None],
         limits: ConnectionLimits,
         free_one: Callable[[str], bool],
     ) -> None:
         """Create a listener without a socket; see ``start``."""
         self.connect = connect
-        self.tasks = tasks
+        self.start_task = start
         self.limits = limits
         self.free_one = free_one
         self.loop = asyncio.get_running_loop()
@@ -154,6 +186,10 @@
         except OSError:
             listener.close()
             raise
+        self.accept_from(listener)
+
+    def accept_from(self, listener: socket.socket) -> None:
+        """Accept connections of a socket that listens already."""
         self.sockets = (listener,)
         self.loop.add_reader(listener, self.accept)
 
@@ -201,7 +237,7 @@
                 partial(self.connect, address),
                 link,
             )
-            self.tasks.start_soon('accept', work)
+            self.start_task(work)
         if has_limit and number >= limits.highest_accepted:
             self.pause('descriptors')
 
--- a/src/laburnumyard/intake/_machine_limits.py
+++ b/src/laburnumyard/intake/_machine_limits.py
@@ -3,11 +3,9 @@
 import math
 import os
 import resource
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
-from types import MappingProxyType
-from typing import Any
 
 BYTES_PER_MB = 1_000_000
 # Part of the memory of a machine that a process uses without a control group;
@@ -19,13 +17,6 @@
 UNIFIED_FILE = 'memory.max'
 MEMORY_FOLDER = 'sys/fs/cgroup/memory'
 MEMORY_FILE = 'memory.limit_in_bytes'
-# Keys of ``[machine]`` that the environment gives where the file does not.
-MACHINE_VARIABLES = MappingProxyType(
-    {
-        'memory_mb': 'LABURNUMYARD_MEMORY_MB',
-        'max_descriptors': 'LABURNUMYARD_MAX_DESCRIPTORS',
-    }
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,23 +67,6 @@
     )
 
 
-def add_machine_variables(
-    document: dict[str, Any], environment: Mapping[str, str]
-) -> None:
-    """Add the limits that the environment gives to a settings document.
-
-    A value that is not a number is added as it is, and is then reported.
-    """
-    machine = document.setdefault('machine', {})
-    if not isinstance(machine, dict):
-        return
-    for key, variable in MACHINE_VARIABLES.items():
-        text = environment.get(variable, '')
-        if text:
-            is_number = text.isascii() and text.isdecimal()
-            machine.setdefault(key, int(text) if is_number else text)
-
-
 def _group_limits(root: Path) -> Iterator[float]:
     """Yield the memory limits of the control group and those above it."""
     for line in _read(root / GROUPS_FILE).splitlines():
--- a/src/laburnumyard/intake/_parsing_queue.py
+++ b/src/laburnumyard/intake/_parsing_queue.py
@@ -21,6 +21,10 @@
 # Interval between checks whether callers that are not read have left.
 SWEEP_INTERVAL_S = 0.25
 ALWAYS_REPORTED = 0
+# Parts of a body, above which they are costly with fewer bytes than this on
+# average: each is a call.
+FREE_PARTS = 4096
+MIN_PART_BYTES = 16
 
 
 class ParsingConnection(Protocol):
@@ -117,6 +121,17 @@
             self.watch(connection)
 
 
+def is_costly_body(parts: int, size: int) -> bool:
+    """Return whether a body has many small parts.
+
+    Parameters
+    ----------
+    parts, size
+        Number of parts so far, and their bytes.
+    """
+    return parts > FREE_PARTS and size < parts * MIN_PART_BYTES
+
+
 def is_reset(transport: asyncio.Transport) -> bool:
     """Whether the peer has reset a connection that is not read."""
     link = transport.get_extra_info('socket')
--- a/src/laburnumyard/intake/_reading_cost.py
+++ b/src/laburnumyard/intake/_reading_cost.py
@@ -54,6 +54,11 @@
         if self.undrawn > DRAW_STEP_BYTES:
             self.body += self.draw_rest(Holder.BODIES)
 
+    def draw_body(self) -> None:
+        """Draw what is not yet drawn of a body."""
+        if self.undrawn:
+            self.body += self.draw_rest(Holder.BODIES)
+
     def settle(self) -> tuple[tuple[Holder, int], ...]:
         """Draw for a complete request; return what to give back later."""
         self.undrawn += REQUEST_BYTES
--- a/src/laburnumyard/schema/_generated/settings.py
+++ b/src/laburnumyard/schema/_generated/settings.py
@@ -164,6 +164,25 @@
     """
 
 
+class MachineSettings(BaseModel):
+    """
+    What the VM has.
+    """
+
+    model_config = ConfigDict(
+        extra="forbid",
+        frozen=True,
+    )
+    memory_mb: Annotated[float, Field(ge=0.0)] = 0
+    """
+    The memory that the process may use, in millions of bytes; 0 for that of its control group, or half of the machine's.
+    """
+    max_descriptors: Annotated[int, Field(ge=0)] = 0
+    """
+    The descriptors that the process may open; 0 for the limit of the system.
+    """
+
+
 class TimingSettings(BaseModel):
     """
     Lifetimes and intervals; all daemons must agree on them.
@@ -255,5 +274,6 @@
     store: StoreSettings
     admin: Annotated[AdminSettings, Field(validate_default=True)] = {}
     limits: Annotated[LimitSettings, Field(validate_default=True)] = {}
+    machine: Annotated[MachineSettings, Field(validate_default=True)] = {}
     timing: Annotated[TimingSettings, Field(validate_default=True)] = {}
     log: Annotated[LogSettings, Field(validate_default=True)] = {}
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -8,10 +8,10 @@
 
 from laburnumyard.core.memory_account import MemoryAccount
 from laburnumyard.core.routes import CallerLimits
-from laburnumyard.gateway._caller_listener import ConnectionLimits
 from laburnumyard.gateway._http_messages import CallerResponse
 from laburnumyard.gateway._http_server import CallerServer
 from laburnumyard.gateway._task_supervision import SupervisedTasks
+from laburnumyard.intake import ConnectionLimits
 
 pytestmark = pytest.mark.anyio
 LIMITS = CallerLimits(
--- a/tests/gateway/test_target_descriptors.py
+++ b/tests/gateway/test_target_descriptors.py
@@ -8,8 +8,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
 
-from laburnumyard.gateway._caller_listener import ConnectionLimits
 from laburnumyard.gateway._target_connection_pool import TargetConnectionPool
+from laburnumyard.intake import ConnectionLimits
 
 pytestmark = pytest.mark.anyio
 MOST = 3
