--- a/tests/processes/test_caller_crowds.py
+++ b/tests/processes/test_caller_crowds.py
@@ -5,6 +5,8 @@
 descriptor limit. Times and shares of served requests are not checked.
 """
 
+import os
+import signal
 from itertools import cycle, islice
 
 import anyio
@@ -36,6 +38,10 @@
 LARGE_CHUNK_BYTES = MIB // 2
 PIPELINED = 2000
 CONNECTIONS = 400
+STOP_AFTER_S = 1
+# The longest grace of a program is 30 s.
+STOP_TIMEOUT_S = 90
+POLL_S = 0.1
 
 
 def short_heads(door):
@@ -163,6 +169,25 @@
     )
 
 
+# A process that is told to stop ends, whatever its callers do meanwhile.
+async def test_a_process_stops_beside_callers_of_all_kinds(door):
+    kinds = islice(cycle(ALL_KINDS), CALLERS)
+    watch = ProcessWatch(door.pid, door.address)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch.run)
+        for pieces in kinds:
+            tasks.start_soon(Crowd(1, pieces(door)).attack, door.address)
+        await anyio.sleep(STOP_AFTER_S)
+        os.kill(door.pid, signal.SIGTERM)
+        with anyio.fail_after(STOP_TIMEOUT_S):
+            while is_running(door):  # noqa: ASYNC110
+                await anyio.sleep(POLL_S)
+        tasks.cancel_scope.cancel()
+    bound = door.limits.memory_mb * BYTES_PER_MB
+    assert_that(watch.held_bytes, LessThan(bound))
+    assert_that(watch.descriptors, LessThan(door.limits.descriptors + 1))
+
+
 # A request inside the limits is served, however unusual it is.
 @pytest.mark.parametrize(
     'lines',
