A daemon notices that a caller with pipelined requests has left

A caller that pipelined three requests and closed its connection went on being served: the first request ran to its end for nobody.

Cause: uvicorn tells only the request that was read last that the caller has gone, and the connection was not read while requests waited.

Each request without a response is told now, and a connection reads on while up to 16 KiB wait, as the end of a caller's sending ends its connection here.

Evidence: the new test of test_caller_app.py failed on and on the code before this commit.

--- a/src/laburnumyard/daemon/_metered_protocol.py
+++ b/src/laburnumyard/daemon/_metered_protocol.py
@@ -1,13 +1,17 @@
 """HTTP/1.1 protocol whose connections draw from the memory account."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from functools import partial
 from typing import Any
 
 from uvicorn.protocols.http.flow_control import FlowControl
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from laburnumyard.clocks import boot_time
 from laburnumyard.core.errors import ErrorKind
@@ -29,6 +33,9 @@
 )
 from laburnumyard.telemetry._log import Event, log_event
 
+# Pipelined bytes that wait for a response while the connection reads on.
+READ_AHEAD_BYTES = 16_384
+
 
 class ResponseFlow(FlowControl):
     """Flow control of responses; bodies are bounded by the memory account."""
@@ -72,7 +79,10 @@
             self.sizes,
             intake.parsing_queue,
             intake.limits.socket_buffer_bytes,
+            READ_AHEAD_BYTES,
         )
+        # Requests without a response, in order.
+        self.unanswered: deque[RequestResponseCycle] = deque()
         # Bytes drawn for a response that the caller has not read.
         self.unsent_cost = 0
         self.on_closed: Callable[[], None] | None = None
@@ -115,6 +125,10 @@
         self.intake.connections.discard(self)
         self.intake.parsing_queue.discard(self.received)
         self._release()
+        # uvicorn tells only the request that was read last.
+        for cycle in self.unanswered:
+            cycle.disconnected = True
+            cycle.message_event.set()
         super().connection_lost(exc)
         if self.on_closed is not None:
             self.on_closed()
@@ -147,6 +161,7 @@
         """Expect a body."""
         self.sizes.finish_head(self.headers)
         super().on_headers_complete()
+        self.unanswered.append(self.cycle)
 
     def on_body(self, body: bytes) -> None:
         """Count and pass on a part of the body."""
@@ -165,6 +180,7 @@
 
     def on_response_complete(self) -> None:
         """Give back what the request held, and hold what is not sent."""
+        self.unanswered.popleft()
         self.costs.finish_response()
         self.claim.is_forwarded = bool(self.pipeline)
         super().on_response_complete()
--- a/src/laburnumyard/intake/_receive_buffer.py
+++ b/src/laburnumyard/intake/_receive_buffer.py
@@ -55,7 +55,7 @@
 class ReceiveBuffer:
     """Received bytes of a connection that wait to be parsed.
 
-    While there are any, the connection reads no more from its socket.
+    While there are too many, the connection reads no more from its socket.
 
     Parameters
     ----------
@@ -67,6 +67,9 @@
         Gives the connections of a server their turns.
     socket_buffer_bytes
         What the socket of a connection that is not read may hold.
+    read_ahead_bytes
+        Bytes that may wait for a response while the connection reads on, to
+        notice a disconnect.
     """
 
     def __init__(
@@ -75,12 +78,14 @@
         parser: RequestParser,
         queue: ParsingQueue,
         socket_buffer_bytes: int,
+        read_ahead_bytes: int = 0,
     ) -> None:
         """Create an empty buffer."""
         self.connection = connection
         self.parser = parser
         self.queue = queue
         self.socket_buffer_bytes = socket_buffer_bytes
+        self.read_ahead_bytes = read_ahead_bytes
         self.unparsed = NOTHING
         # Bytes drawn for them, and for what the socket holds meanwhile.
         self.unparsed_cost = 0
@@ -162,9 +167,11 @@
                 return
             self.unparsed_cost = cost
         # Only now, as a paused transport notices no disconnect.
-        self.pause_transport()
         if self.has_backlog:
+            self.pause_transport()
             self.queue.add(self)
+        elif len(self.unparsed) > self.read_ahead_bytes:
+            self.pause_transport()
 
     def drop(self) -> None:
         """Hold no received bytes, and read on if requests may be taken."""
--- a/tests/daemon/test_caller_app.py
+++ b/tests/daemon/test_caller_app.py
@@ -412,3 +412,17 @@
         # Closes the connection once all responses have been read.
         caller.writer.write_eof()
         await caller.read_end()
+
+
+# A connection with pipelined requests is not read, so that its end goes
+# unnoticed and its request runs for nobody.
+@pytest.mark.anyio
+async def test_a_caller_that_pipelines_and_leaves_is_cancelled(
+    caller_address, service, wait_until
+):
+    service.release = anyio.Event()
+    async with connected(caller_address) as caller:
+        caller.send(encode() * 3)
+        await wait_until(lambda: len(service.served) == 1)
+    await wait_until(lambda: service.cancelled == 1)
+    assert_that(len(service.served), Equals(1))
