--- a/src/laburnumyard/intake/_caller_listener.py
+++ b/src/laburnumyard/intake/_caller_listener.py
@@ -27,9 +27,9 @@
 # Part of the callers' descriptors that one address may use: a load balancer
 # may open nearly all of them, and the health check needs some.
 ADDRESS_RATIO = 0.75
-# Buffer of the system for each direction of a connection, if the memory is
-# limited; the system reserves twice as much. A link of 100 Mbit/s needs this
-# much for a round trip of 10 ms.
+# Largest buffer of the system for each direction of a connection; the system
+# reserves twice as much. A link of 100 Mbit/s needs this much for a round trip
+# of 10 ms.
 SOCKET_BUFFER_BYTES = 131_072
 MIN_BUFFER_BYTES = 4096
 # Part of the memory account that the buffers of callers' sockets share.
--- a/src/laburnumyard/intake/_parsing_queue.py
+++ b/src/laburnumyard/intake/_parsing_queue.py
@@ -20,7 +20,8 @@
 MAX_COSTLY = 8
 # Interval between checks whether callers that are not read have left.
 SWEEP_INTERVAL_S = 0.25
-ALWAYS_REPORTED = 0
+# Event mask of ``poll``: it reports errors and hang-ups whatever it is asked for.
+ONLY_ERRORS = 0
 # Parts of a body, above which they are costly with fewer bytes than this on
 # average: each is a call.
 FREE_PARTS = 4096
@@ -28,7 +29,10 @@
 
 
 class ParsingConnection(Protocol):
-    """A connection with received bytes that are not parsed."""
+    """A connection with received bytes that are not parsed.
+
+    See ``ReceiveBuffer``, through which connections take part.
+    """
 
     transport: asyncio.Transport | None
 
@@ -138,5 +142,5 @@
     if link is None or link.fileno() < 0:
         return True
     poller = select.poll()
-    poller.register(link.fileno(), ALWAYS_REPORTED)
+    poller.register(link.fileno(), ONLY_ERRORS)
     return bool(poller.poll(0))
