--- a/src/laburnumyard/intake/_parsing_queue.py
+++ b/src/laburnumyard/intake/_parsing_queue.py
@@ -20,7 +20,7 @@
 MAX_COSTLY = 8
 # Interval between checks whether callers that are not read have left.
 SWEEP_INTERVAL_S = 0.25
-# Event mask of ``poll``: it reports errors and hang-ups whatever it is asked for.
+# Event mask of ``poll``, which reports errors and hang-ups in any case.
 ONLY_ERRORS = 0
 # Parts of a body, above which they are costly with fewer bytes than this on
 # average: each is a call.
